--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Targets: demo, test, bench, faults, generate, build.
+
+export GOFLAGS = -buildvcs=false
+BIN := bin
+PACKAGES := ./... ./api/...
+
+.PHONY: build demo test bench faults generate format lint vet unit
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+$(BIN)/golangci-lint: tools/lint/go.mod
+	cd tools/lint && GOWORK=off go build -o ../../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+$(BIN)/buf: tools/generate/go.mod
+	cd tools/generate && GOWORK=off go build -o ../../$(BIN)/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go
+
+# generate writes api/v1 from api/proto.
+generate: $(BIN)/buf
+	cd api && ../$(BIN)/buf lint && ../$(BIN)/buf generate
+
+format:
+	@unformatted=$$(gofmt -l api cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted, run gofmt -w:"; echo "$$unformatted"; exit 1; fi
+
+lint: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint run $(PACKAGES)
+
+vet:
+	go vet $(PACKAGES)
+
+unit:
+	go test -race $(PACKAGES)
+
+# test runs the formatter, the linter, vet and all tests with the race detector.
+test: format lint vet unit
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
