--- /dev/null
+++ b/internal/replay/events.go
@@ -0,0 +1,67 @@
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+)
+
+type eventKind uint8
+
+const (
+	inputDue eventKind = iota
+	startDue
+	finishDue
+	failDue
+	checkpointDue
+	stopDue
+	wakeDue
+	probeDue
+)
+
+// event is something that happens at a data centre.
+type event struct {
+	timeMillis int64
+	// sequence keeps events of one instant in the order of their making.
+	sequence int
+	kind     eventKind
+	input    *input
+	// job and run say whose run the event belongs to.
+	job    *job
+	run    int
+	worker string
+}
+
+// eventQueue is a heap of events by time; it implements heap.Interface.
+type eventQueue struct {
+	events   []event
+	sequence int
+}
+
+func (q *eventQueue) push(added event) {
+	added.sequence = q.sequence
+	q.sequence++
+	heap.Push(q, added)
+}
+
+// Len is the number of events.
+func (q *eventQueue) Len() int { return len(q.events) }
+
+// Less orders events by time, then by their making.
+func (q *eventQueue) Less(i, j int) bool {
+	a, b := &q.events[i], &q.events[j]
+	return cmp.Or(cmp.Compare(a.timeMillis, b.timeMillis), cmp.Compare(a.sequence, b.sequence)) < 0
+}
+
+// Swap exchanges two events.
+func (q *eventQueue) Swap(i, j int) { q.events[i], q.events[j] = q.events[j], q.events[i] }
+
+// Push adds an event; use push.
+func (q *eventQueue) Push(added any) { q.events = append(q.events, added.(event)) }
+
+// Pop takes the last event.
+func (q *eventQueue) Pop() any {
+	last := q.events[len(q.events)-1]
+	q.events[len(q.events)-1] = event{}
+	q.events = q.events[:len(q.events)-1]
+	return last
+}
--- /dev/null
+++ b/internal/replay/meter.go
@@ -0,0 +1,74 @@
+package replay
+
+import (
+	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+)
+
+// meter sums what happens in one data centre. Accelerator times are in milliseconds.
+type meter struct {
+	measured window
+	last     int64
+	// free, unusable and unusableLargest are accelerators from the last observation on.
+	free            int64
+	unusable        int64
+	unusableLargest int64
+	present         int64
+
+	freeTime            int64
+	unusableTime        int64
+	unusableLargestTime int64
+	presentTime         int64
+	usedTime            int64
+	lostToPreemption    int64
+	lostToMoves         int64
+	lostToFailures      int64
+	preemptions         int
+	moves               int
+	decisions           int
+}
+
+func newMeter(measured window) *meter { return &meter{measured: measured} }
+
+// advance sums up to the time given.
+func (m *meter) advance(nowMillis int64) {
+	span := m.measured.overlap(m.last, nowMillis)
+	m.freeTime += m.free * span
+	m.unusableTime += m.unusable * span
+	m.unusableLargestTime += m.unusableLargest * span
+	m.presentTime += m.present * span
+	m.last = nowMillis
+}
+
+// ran counts the part of a run whose work was kept as used.
+func (m *meter) ran(target *job, result policy.EndResult, nowMillis int64) {
+	until := nowMillis
+	if result != policy.Finished && result != policy.Cancelled {
+		until = target.startedMillis + scaled(target.keptMillis-target.keptAtStart, target.speedPermille)
+	}
+	m.usedTime += m.measured.overlap(target.startedMillis, min(until, nowMillis)) * int64(target.accelerators())
+}
+
+// observe takes the free accelerators of the healthy workers, and which of them no shape can use.
+func (m *meter) observe(checker *checker, claims *claimChecker) {
+	shapes := claims.shapes()
+	m.free, m.present = 0, 0
+	for _, worker := range checker.order {
+		if worker.condition == policy.Lost {
+			continue
+		}
+		m.present += int64(worker.Accelerators)
+		if worker.condition == policy.Healthy {
+			m.free += int64(worker.left.freeCount())
+		}
+	}
+	usable := newUsable(checker)
+	for _, shape := range shapes {
+		usable.add(shape)
+	}
+	m.unusable = m.free - usable.total()
+	largest := newUsable(checker)
+	if len(shapes) > 0 {
+		largest.add(shapes[0])
+	}
+	m.unusableLargest = m.free - largest.total()
+}
--- /dev/null
+++ b/internal/replay/trace.go
@@ -0,0 +1,183 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+)
+
+const (
+	// TraceFormat is the version of the trace format that this package reads and writes.
+	TraceFormat = 1
+	// MaxLineBytes bounds one line of a trace; the header of 10,000 workers fits.
+	MaxLineBytes = 8 << 20
+)
+
+// ErrEmptyTrace means that a trace has no header line.
+var ErrEmptyTrace = errors.New("the trace is empty: its first line must hold the header")
+
+// LineError reports a line of a trace that cannot be read or used.
+type LineError struct {
+	// Line counts from 1.
+	Line   int
+	Reason string
+	Remedy string
+}
+
+// Error names the line and the remedy.
+func (e *LineError) Error() string {
+	return fmt.Sprintf("trace line %d: %s: %s", e.Line, e.Reason, e.Remedy)
+}
+
+// Trace is a recorded sequence of events in the order of time.
+type Trace struct {
+	Header *apiv1.TraceHeader
+	// Events exclude the header line.
+	Events []*apiv1.TraceLine
+}
+
+// ReadFile reads a trace file; a name ending in .gz is decompressed.
+func ReadFile(path string) (*Trace, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the trace")
+	}
+	defer func() { _ = file.Close() }()
+	trace, err := readNamed(path, file)
+	if err != nil {
+		return nil, errors.Wrap(err, filepath.Base(path))
+	}
+	return trace, nil
+}
+
+func readNamed(path string, file io.Reader) (*Trace, error) {
+	if !strings.HasSuffix(path, ".gz") {
+		return Read(file)
+	}
+	decompressed, err := gzip.NewReader(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress: write the file with gzip or drop the suffix .gz")
+	}
+	return Read(decompressed)
+}
+
+// Read reads a trace of one JSON line for each event. Errors are of type *LineError, joined when
+// several lines are wrong, but for ErrEmptyTrace and errors of the reader.
+func Read(reader io.Reader) (*Trace, error) {
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(make([]byte, 0, 64<<10), MaxLineBytes)
+	decoder := lineDecoder{}
+	for scanner.Scan() {
+		decoder.decode(scanner.Bytes())
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, errors.Wrapf(err, "read the trace after line %d", decoder.line)
+	}
+	if len(decoder.errs) > 0 {
+		return nil, errors.Join(decoder.errs...)
+	}
+	if decoder.trace.Header == nil {
+		return nil, ErrEmptyTrace
+	}
+	return &decoder.trace, nil
+}
+
+// maxLineErrors bounds the errors that one reading reports.
+const maxLineErrors = 50
+
+type lineDecoder struct {
+	line  int
+	last  int64
+	trace Trace
+	check lineCheck
+	errs  []error
+}
+
+func (d *lineDecoder) decode(text []byte) {
+	d.line++
+	if len(bytes.TrimSpace(text)) == 0 || len(d.errs) >= maxLineErrors {
+		return
+	}
+	line := &apiv1.TraceLine{}
+	if err := protojson.Unmarshal(text, line); err != nil {
+		d.fail(lineFault{err.Error(), "write one TraceLine message as protobuf JSON"})
+		return
+	}
+	if header := line.GetHeader(); header != nil {
+		d.decodeHeader(header)
+		return
+	}
+	if d.trace.Header == nil {
+		d.fail(lineFault{"an event stands before the header", "put the header on the first line"})
+		return
+	}
+	if line.GetTimeUnixMs() < d.last {
+		d.fail(lineFault{
+			fmt.Sprintf("time %d goes back from %d", line.GetTimeUnixMs(), d.last),
+			"sort the lines by timeUnixMs",
+		})
+		return
+	}
+	d.last = line.GetTimeUnixMs()
+	if fault := d.check.event(line); fault != nil {
+		d.fail(*fault)
+		return
+	}
+	d.trace.Events = append(d.trace.Events, line)
+}
+
+func (d *lineDecoder) decodeHeader(header *apiv1.TraceHeader) {
+	if d.trace.Header != nil {
+		d.fail(lineFault{"a second header", "keep the header of the first line only"})
+		return
+	}
+	d.trace.Header = header
+	if fault := d.check.header(header); fault != nil {
+		d.fail(*fault)
+	}
+}
+
+func (d *lineDecoder) fail(fault lineFault) {
+	d.errs = append(d.errs, &LineError{Line: d.line, Reason: fault.reason, Remedy: fault.remedy})
+}
+
+// Write writes a trace, one JSON line for each event.
+func Write(writer io.Writer, trace *Trace) error {
+	buffered := bufio.NewWriter(writer)
+	header := &apiv1.TraceLine{Event: &apiv1.TraceLine_Header{Header: trace.Header}}
+	if err := writeLine(buffered, header); err != nil {
+		return err
+	}
+	for _, line := range trace.Events {
+		if err := writeLine(buffered, line); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(buffered.Flush(), "write the trace")
+}
+
+func writeLine(writer *bufio.Writer, line *apiv1.TraceLine) error {
+	text, err := protojson.Marshal(line)
+	if err != nil {
+		return errors.Wrap(err, "encode a trace line")
+	}
+	// protojson varies its spaces on purpose; without them the same trace gives the same bytes.
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, text); err != nil {
+		return errors.Wrap(err, "encode a trace line")
+	}
+	compact.WriteByte('\n')
+	_, err = writer.Write(compact.Bytes())
+	return errors.Wrap(err, "write a trace line")
+}
--- /dev/null
+++ b/internal/replay/trace_check.go
@@ -0,0 +1,120 @@
+package replay
+
+import (
+	"fmt"
+	"math/bits"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+)
+
+// maxAccelerators bounds the accelerators of a worker: the bits of a member's mask.
+const maxAccelerators = 32
+
+type lineFault struct {
+	reason string
+	remedy string
+}
+
+// lineCheck checks the events of a trace against its header.
+type lineCheck struct {
+	workers map[string]bool
+	racks   map[rackName]bool
+	jobs    map[string]bool
+}
+
+type rackName struct {
+	dataCentre string
+	rack       string
+}
+
+func (c *lineCheck) header(header *apiv1.TraceHeader) *lineFault {
+	c.workers = map[string]bool{}
+	c.racks = map[rackName]bool{}
+	c.jobs = map[string]bool{}
+	if header.GetFormat() != TraceFormat {
+		return &lineFault{fmt.Sprintf("format %d is unknown", header.GetFormat()), "write format 1"}
+	}
+	if len(header.GetWorkers()) == 0 {
+		return &lineFault{"the header has no workers", "list the workers that the trace runs on"}
+	}
+	for _, worker := range header.GetWorkers() {
+		if fault := c.headerWorker(worker); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+func (c *lineCheck) headerWorker(worker *apiv1.Worker) *lineFault {
+	name := worker.GetName()
+	switch {
+	case name == "" || worker.GetDataCentre() == "" || worker.GetRack() == "":
+		return &lineFault{fmt.Sprintf("worker %q lacks a name, data centre or rack", name), "give all three"}
+	case c.workers[name]:
+		return &lineFault{fmt.Sprintf("worker %q stands twice", name), "give every worker its own name"}
+	case worker.GetAccelerators() > maxAccelerators:
+		return &lineFault{fmt.Sprintf("worker %q has %d accelerators", name, worker.GetAccelerators()), "give at most 32"}
+	case worker.GetSpeedPermille() == 0:
+		return &lineFault{fmt.Sprintf("worker %q has no speed", name), "set speedPermille, 1000 for the usual speed"}
+	}
+	c.workers[name] = true
+	c.racks[rackName{worker.GetDataCentre(), worker.GetRack()}] = true
+	return nil
+}
+
+func (c *lineCheck) event(line *apiv1.TraceLine) *lineFault {
+	switch event := line.GetEvent().(type) {
+	case *apiv1.TraceLine_Submitted:
+		return c.submitted(event.Submitted)
+	case *apiv1.TraceLine_Cancelled:
+		if !c.jobs[event.Cancelled.GetId()] {
+			return &lineFault{fmt.Sprintf("job %q is not known", event.Cancelled.GetId()), "submit a job before cancelling it"}
+		}
+		return nil
+	case *apiv1.TraceLine_Worker:
+		if !c.workers[event.Worker.GetWorker()] {
+			return &lineFault{fmt.Sprintf("worker %q is not known", event.Worker.GetWorker()), "list it in the header"}
+		}
+		return checkCondition(event.Worker.GetCondition())
+	case *apiv1.TraceLine_Rack:
+		if !c.racks[rackName{event.Rack.GetDataCentre(), event.Rack.GetRack()}] {
+			return &lineFault{fmt.Sprintf("rack %q is not known", event.Rack.GetRack()), "name the rack of a worker in the header"}
+		}
+		return checkCondition(event.Rack.GetCondition())
+	case *apiv1.TraceLine_Sheet:
+		return nil
+	default:
+		return &lineFault{"no event", "set one of submitted, cancelled, worker, rack and sheet"}
+	}
+}
+
+func checkCondition(condition apiv1.TraceCondition) *lineFault {
+	if condition == apiv1.TraceCondition_TRACE_CONDITION_UNSPECIFIED {
+		return &lineFault{"no condition", "set condition to HEALTHY, FAILING, LOST or LEAVING with its prefix TRACE_CONDITION_"}
+	}
+	return nil
+}
+
+func (c *lineCheck) submitted(job *apiv1.TraceJob) *lineFault {
+	shape := job.GetSpec().GetShape()
+	accelerators := shape.GetAccelerators()
+	switch {
+	case job.GetId() == "" || c.jobs[job.GetId()]:
+		return &lineFault{fmt.Sprintf("job id %q is empty or stands twice", job.GetId()), "give every job its own id"}
+	case job.GetRunMs() <= 0:
+		return &lineFault{fmt.Sprintf("job %q has no run time", job.GetId()), "set runMs, the true run time at speed 1000"}
+	case job.GetSpec().GetAccount() == "":
+		return &lineFault{fmt.Sprintf("job %q has no account", job.GetId()), "set spec.account"}
+	case shape.GetMembers() == 0 || shape.GetMembers() > policy.MaxMembers:
+		return &lineFault{fmt.Sprintf("job %q has %d members", job.GetId(), shape.GetMembers()), "give 1 to 64"}
+	case accelerators != 0 && bits.OnesCount32(accelerators) != 1:
+		return &lineFault{fmt.Sprintf("job %q has members of %d accelerators", job.GetId(), accelerators), "give 0 or a power of two"}
+	case shape.GetAdjacency() == apiv1.Adjacency_ADJACENCY_UNSPECIFIED:
+		return &lineFault{fmt.Sprintf("job %q has no adjacency", job.GetId()), "set spec.shape.adjacency"}
+	case job.GetSpec().GetWorkClass() == apiv1.WorkClass_WORK_CLASS_UNSPECIFIED:
+		return &lineFault{fmt.Sprintf("job %q has no class", job.GetId()), "set spec.workClass"}
+	}
+	c.jobs[job.GetId()] = true
+	return nil
+}
