--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -144,10 +144,40 @@
 	WithinMillis int64
 }
 
+// Verdict asks for a worker's condition to be changed for the reason given. The scheduler changes nothing
+// until MarkWorker is called.
+type Verdict struct {
+	Worker    string
+	Condition Condition
+	Reason    string
+}
+
+// Probe asks the caller to find out whether a quarantined worker starts tasks again, and to report it with Probed.
+type Probe struct {
+	Worker string
+}
+
+// AtFault reports a waiting job that failed on several workers while others succeeded there. The caller ends it.
+type AtFault struct {
+	JobID  string
+	Reason string
+}
+
 // Decision is one action; exactly one field is set.
 type Decision struct {
-	Start *Start
-	Stop  *Stop
+	Start   *Start
+	Stop    *Stop
+	Verdict *Verdict
+	Probe   *Probe
+	AtFault *AtFault
+}
+
+// EvidenceKeeper is implemented by policies that tell faulty workers from faulty jobs.
+type EvidenceKeeper interface {
+	// StartFailed notes that the worker could not start a task of the job. The run itself ends with Ended or StartRefused.
+	StartFailed(jobID, worker string, nowMillis int64)
+	// Probed notes the result of a probe.
+	Probed(worker string, healthy bool, nowMillis int64)
 }
 
 // EndResult is how a run ended.
