--- a/internal/replay/domain.go
+++ b/internal/replay/domain.go
@@ -73,6 +73,8 @@
 	health  *health
 	meter   *meter
 	wake    int64
+	// evidence is the policy itself where it judges workers, else nil; then health does.
+	evidence policy.EvidenceKeeper
 }
 
 func newDomain(site *site, tested policy.Policy, options Options, measured window) *domain {
@@ -85,6 +87,7 @@
 		health:  newHealth(),
 		meter:   newMeter(measured),
 	}
+	d.evidence, _ = tested.(policy.EvidenceKeeper)
 	d.claims = newClaimChecker(d.checker, measured)
 	d.configure(&site.configuration)
 	for _, worker := range site.workers {
@@ -123,7 +126,7 @@
 		return
 	}
 	if due.kind == probeDue {
-		d.mark(due.worker, policy.Healthy)
+		d.probed(due.worker)
 		return
 	}
 	if due.kind == wakeDue || due.job.run != due.run || due.job.phase == ended {
@@ -239,6 +242,8 @@
 			d.start(decision.Start)
 		case decision.Stop != nil:
 			d.stop(decision.Stop)
+		default:
+			d.judge(decision)
 		}
 	}
 	if wake := d.policy.WakeMillis(); wake > d.nowMillis && wake != d.wake {
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -114,17 +114,25 @@
 		culprit = target.members[0].Worker
 	}
 	target.failures++
+	if d.evidence != nil {
+		d.evidence.StartFailed(target.spec.ID, culprit, d.nowMillis)
+	}
 	d.end(target, policy.Failed, target.keptMillis)
-	if d.health.failed(culprit, target.spec.ID) {
+	if d.evidence == nil && d.health.failed(culprit, target.spec.ID) {
 		d.mark(culprit, policy.Quarantined)
 		d.queue.push(event{timeMillis: d.nowMillis + quarantineMillis, kind: probeDue, worker: culprit})
 	}
 	if target.failures >= d.options.MaxFailures {
-		d.policy.Ended(target.spec.ID, policy.Cancelled, d.ppm(target), d.nowMillis)
-		d.close(target, failed)
+		d.giveUp(target)
 	}
 }
 
+// giveUp ends a waiting job that failed too often.
+func (d *domain) giveUp(target *job) {
+	d.policy.Ended(target.spec.ID, policy.Cancelled, d.ppm(target), d.nowMillis)
+	d.close(target, failed)
+}
+
 // end ends a run with the work kept.
 func (d *domain) end(target *job, result policy.EndResult, keptMillis int64) {
 	target.keptMillis = keptMillis
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -28,9 +28,11 @@
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "write the table")
 	}
-	_, err := fmt.Fprintf(writer, "lower bound: mean completion %s (alone) or %s (capacity)\n",
-		duration(r.Bound.MeanIdealMillis), duration(r.Bound.MeanCapacityMillis))
-	return errors.Wrap(err, "write the table")
+	if _, err := fmt.Fprintf(writer, "lower bound: mean completion %s (alone) or %s (capacity)\n",
+		duration(r.Bound.MeanIdealMillis), duration(r.Bound.MeanCapacityMillis)); err != nil {
+		return errors.Wrap(err, "write the table")
+	}
+	return nil
 }
 
 func (r *Result) row(table io.Writer, name string, value func(*PolicyResult) string) {
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -164,7 +164,10 @@
 			return err
 		}
 	}
-	return errors.Wrap(buffered.Flush(), "write the trace")
+	if err := buffered.Flush(); err != nil {
+		return errors.Wrap(err, "write the trace")
+	}
+	return nil
 }
 
 func writeLine(writer *bufio.Writer, line *apiv1.TraceLine) error {
@@ -178,6 +181,8 @@
 		return errors.Wrap(err, "encode a trace line")
 	}
 	compact.WriteByte('\n')
-	_, err = writer.Write(compact.Bytes())
-	return errors.Wrap(err, "write a trace line")
+	if _, err := writer.Write(compact.Bytes()); err != nil {
+		return errors.Wrap(err, "write a trace line")
+	}
+	return nil
 }
