policy: indexed placement, movable homes, reclaim, reservation, moves and evidence

Cause: the first version searched all workers and kept guaranteed cells fixed. What: two segment trees over workers find free cells; guaranteed cells (homes) exchange places so that every protected gang stands in its account's cells and all homes stay packed; victims by work lost; one reservation with backfill that leaves after a stated time; moves for the head job; verdicts. Found by the random histories, and mended before this commit: a gang placed on a quarantined worker through a claim of cores alone; the same cell taken twice in a backfill; a stop asked of a job that had ended; homes without their cores after a protected gang with small needs ended (now each home keeps its share); a claim of one guarantee using the cells of another (now the own shape first); a move that counted cores of gangs that stayed, and destinations that took the claimant's cores.

--- a/internal/policy/cells.go
+++ b/internal/policy/cells.go
@@ -5,8 +5,11 @@
 // A cell is an aligned group of 1, 2, 4 or 8 accelerators of one worker. A larger cell consists of two buddies
 // of half its size. Sets of accelerators of a worker are bit masks.
 
+// largestCell is the size of the largest cell, accelerators.
+const largestCell = 8
+
 // cellSizes are the sizes of cells, rising; the position is the size class.
-var cellSizes = [...]int{1, 2, 4, 8}
+var cellSizes = [...]int{1, 2, 4, largestCell}
 
 const sizeClasses = len(cellSizes)
 
@@ -37,6 +40,11 @@
 	return (1<<cellSizes[class] - 1) << first
 }
 
+// enclosing returns the cell of the class that contains the accelerator.
+func enclosing(accelerator, class int) uint32 {
+	return cellMask(accelerator&^(cellSizes[class]-1), class)
+}
+
 // countCells returns the number of cells of the class within the mask.
 func countCells(mask uint32, class int) int {
 	return bits.OnesCount32(firstBits(mask, class))
@@ -67,6 +75,20 @@
 	return cellMask(bits.TrailingZeros32(first), class)
 }
 
+// brokenBy returns the accelerators by which the largest cell around the taken one shrinks: 0 for a cell that was
+// itself the largest free one around.
+func brokenBy(mask, taken uint32) int {
+	first := bits.TrailingZeros32(taken)
+	size := bits.OnesCount32(taken)
+	for class := sizeClasses - 1; class >= 0; class-- {
+		whole := enclosing(first, class)
+		if whole&^mask == 0 {
+			return max(cellSizes[class]-size, 0)
+		}
+	}
+	return 0
+}
+
 // allAccelerators returns the mask of a worker's accelerators.
 func allAccelerators(count int) uint32 {
 	if count >= 32 {
--- /dev/null
+++ b/internal/policy/decide.go
@@ -0,0 +1,206 @@
+package policy
+
+// attemptsPerPass bounds the different jobs that are tried in vain in one decision.
+const attemptsPerPass = 64
+
+// signature is what makes two waiting jobs fit or not fit alike.
+type signature struct {
+	account *accountState
+	urgent  bool
+	shape   Shape
+	cores   int
+	memory  int
+}
+
+func (r *run) signature() signature {
+	return signature{account: r.account, urgent: r.Class == Urgent, shape: r.Shape, cores: r.Cores, memory: r.MemoryMiB}
+}
+
+// Decide returns what to do now.
+func (s *Scheduler) Decide(nowMillis int64) []Decision {
+	s.now = max(s.now, nowMillis)
+	s.settle()
+	s.startReady()
+	s.stopDeferred()
+	s.judge()
+	for _, a := range s.accountList {
+		if a.roomier {
+			s.promote(a)
+		}
+	}
+	if s.reservation.dueMillis(s.config.Bounds.BackfillDelayMillis, s.now) {
+		s.freed = true
+	}
+	if s.freed {
+		s.passAll()
+	} else {
+		s.passFresh()
+	}
+	clear(s.fresh)
+	s.fresh = s.fresh[:0]
+	decisions := s.decisions
+	s.decisions = nil
+	return decisions
+}
+
+// settle brings the indexes and the homes up to date with workers and sheet.
+func (s *Scheduler) settle() {
+	if s.layoutStale {
+		s.buildLayout()
+	}
+	if s.unpacked {
+		s.packHomes()
+	}
+	if len(s.restored) > 0 {
+		s.protectRestored()
+	}
+}
+
+// passAll tries the waiting jobs in order.
+func (s *Scheduler) passAll() {
+	s.freed = false
+	clear(s.failing)
+	for _, a := range s.accountList {
+		clear(a.pass)
+		a.pass = a.pass[:0]
+		a.waiting.Ascend(func(r *run) bool {
+			a.pass = append(a.pass, r)
+			return true
+		})
+	}
+	s.unhold()
+	attempts := 0
+	headSeen := false
+	for r := s.nextWaiting(); r != nil; r = s.nextWaiting() {
+		if r.state != waiting {
+			continue
+		}
+		if !r.withinQuota() {
+			r.why = reason{kind: waitsForQuota}
+			continue
+		}
+		if attempts >= attemptsPerPass {
+			r.why = reason{kind: waitsForOrder}
+			continue
+		}
+		if s.tryRun(r, headSeen, &attempts) {
+			continue
+		}
+		if !headSeen {
+			headSeen = s.reserve(r)
+		}
+	}
+	if !headSeen {
+		s.dropReservation()
+	}
+}
+
+// passFresh tries the jobs that came since the last pass, when nothing became free.
+func (s *Scheduler) passFresh() {
+	attempts := 0
+	for _, r := range s.fresh {
+		if r.state != waiting || s.runs[r.ID] != r {
+			continue
+		}
+		if !r.withinQuota() {
+			r.why = reason{kind: waitsForQuota}
+			continue
+		}
+		s.tryRun(r, true, &attempts)
+	}
+}
+
+// tryRun starts the job, or claims accelerators for it, when it can.
+func (s *Scheduler) tryRun(r *run, backfill bool, attempts *int) bool {
+	sig := r.signature()
+	memo := len(r.FailedWorkers) == 0
+	if memo && s.failing[sig] {
+		s.explainShortage(r)
+		return backfill && s.tryBackfill(r)
+	}
+	q := r.request()
+	if s.tryGuaranteed(r, &q) || s.tryFree(r, &q) || r.Class == Urgent && s.tryUrgent(r, &q) {
+		return true
+	}
+	*attempts++
+	if memo {
+		s.failing[sig] = true
+	}
+	s.explainShortage(r)
+	return backfill && s.tryBackfill(r)
+}
+
+// tryFree starts the job as a borrower on free accelerators.
+func (s *Scheduler) tryFree(r *run, q *request) bool {
+	if !s.place(q) {
+		return false
+	}
+	s.launch(r, s.best.spots, nil)
+	return true
+}
+
+// launch takes the job out of the queue and gives it the spots, after the victims have left.
+func (s *Scheduler) launch(r *run, spots []spot, v *victimSet) {
+	s.dequeue(r)
+	if v == nil {
+		s.occupy(r, spots)
+		s.start(r)
+		return
+	}
+	s.claimSpots(r, spots, v)
+}
+
+// tryGuaranteed starts or claims room for the job inside its account's guarantee: on free accelerators when there
+// are some, else from the borrowers that cost least.
+func (s *Scheduler) tryGuaranteed(r *run, q *request) bool {
+	if !s.findGuaranteed(r, q) {
+		return false
+	}
+	s.nominal = append(s.nominal[:0], s.trial.spots...)
+	nominalPrice := s.price(&s.trial)
+	r.protected = true
+	defer func() { r.protected = r.state != waiting }()
+	if !s.victimsOn(r, s.nominal, &s.nominalVictims) {
+		return false
+	}
+	inUse := s.sharesUnits(r.account, s.nominal)
+	if !inUse && s.place(q) && (len(s.nominalVictims.runs) > 0 || s.bestPrice < nominalPrice) && s.protect(r, s.best.spots) {
+		s.launch(r, s.best.spots, nil)
+		return true
+	}
+	if !inUse && len(s.nominalVictims.runs) > 0 && s.claimCheaper(r, q) {
+		return true
+	}
+	if !s.protect(r, s.nominal) {
+		return false
+	}
+	s.launch(r, s.nominal, &s.nominalVictims)
+	return true
+}
+
+// claimCheaper claims other spots than the nominal ones when their victims cost less.
+func (s *Scheduler) claimCheaper(r *run, q *request) bool {
+	if _, fits := s.gather(q, s.cheapBorrowers(r)); !fits {
+		return false
+	}
+	if !s.victimsOn(r, s.trial.spots, &s.candidateVictims) || !s.candidateVictims.cheaper(&s.nominalVictims) {
+		return false
+	}
+	if !s.protect(r, s.trial.spots) {
+		return false
+	}
+	s.launch(r, s.trial.spots, &s.candidateVictims)
+	return true
+}
+
+// tryUrgent claims accelerators of borrowers that are not urgent for urgent work outside the guarantee.
+func (s *Scheduler) tryUrgent(r *run, q *request) bool {
+	if _, fits := s.gather(q, s.cheapBorrowers(r)); !fits {
+		return false
+	}
+	if !s.victimsOn(r, s.trial.spots, &s.candidateVictims) {
+		return false
+	}
+	s.launch(r, s.trial.spots, &s.candidateVictims)
+	return true
+}
--- a/internal/policy/feasible.go
+++ b/internal/policy/feasible.go
@@ -130,6 +130,11 @@
 	// racks holds the positions of the workers of each rack, racks in order of first appearance.
 	racks  [][]int
 	packed []PackedShape
+	// partial packers go on after a failure; missing lists the failures.
+	partial bool
+	missing []PackError
+	// boundRacks have gangs bound to them, beside those in packed, that want a spare.
+	boundRacks []string
 }
 
 func newPacker(workers []Worker, guarantees []Guarantee) *packer {
@@ -162,7 +167,10 @@
 		return failure
 	}
 	if failure := p.reserveSpares(); failure != nil {
-		return failure
+		if !p.partial {
+			return failure
+		}
+		p.missing = append(p.missing, *failure)
 	}
 	return p.packAll(positions, false)
 }
@@ -176,7 +184,12 @@
 		for done := range g.Count {
 			members := p.place(g.Shape)
 			if members == nil {
-				return &PackError{Account: g.Account, Shape: g.Shape, Fitting: done, Count: g.Count}
+				failure := PackError{Account: g.Account, Shape: g.Shape, Fitting: done, Count: g.Count}
+				if !p.partial {
+					return &failure
+				}
+				p.missing = append(p.missing, failure)
+				break
 			}
 			p.packed = append(p.packed, PackedShape{Guarantee: position, Members: members})
 		}
@@ -278,7 +291,7 @@
 		}
 		reserved = true
 	}
-	wanted := slices.IndexFunc(p.guarantees, func(g Guarantee) bool { return g.Spare && g.Count > 0 })
+	wanted := slices.IndexFunc(p.guarantees, func(g Guarantee) bool { return g.Spare })
 	if reserved || wanted < 0 {
 		return nil
 	}
@@ -298,6 +311,12 @@
 
 // rackBoundIn returns a guarantee with a spare that is bound to the rack, nil when there is none.
 func (p *packer) rackBoundIn(rack []int) *Guarantee {
+	for i := range p.guarantees {
+		g := &p.guarantees[i]
+		if g.Spare && g.Shape.rackBound() && slices.Contains(p.boundRacks, p.workers[rack[0]].Rack) {
+			return g
+		}
+	}
 	for i := range p.packed {
 		if p.packed[i].Guarantee < 0 {
 			continue
--- /dev/null
+++ b/internal/policy/protect.go
@@ -0,0 +1,310 @@
+package policy
+
+import "math/bits"
+
+// coverTries bounds the unused cells that are tried as the home of one member.
+const coverTries = 8
+
+// transaction records what protect did, so that it can be undone.
+type transaction struct {
+	exchanges []exchange
+	marked    []spot
+	moved     []*slot
+}
+
+// protect brings the spots inside the guarantee of the run's account: it exchanges unused homes until every spot
+// lies in an unused home of the account, and marks the spots. On false nothing has changed.
+func (s *Scheduler) protect(r *run, spots []spot) bool {
+	if r.Shape.Accelerators == 0 || len(r.account.guarantees) == 0 {
+		return false
+	}
+	roomier := r.account.roomier
+	done := false
+	if sl := r.exactSlot(); sl != nil {
+		done = s.protectSlot(r, spots, sl)
+	} else {
+		done = s.protectCells(r, spots) || s.protectRack(r, spots)
+	}
+	if !done {
+		r.account.roomier = roomier
+	}
+	return done
+}
+
+// exactSlot returns an unused slot of the run's own shape, nil when there is none.
+func (r *run) exactSlot() *slot {
+	for _, g := range r.account.guarantees {
+		if g.Shape != r.Shape {
+			continue
+		}
+		if sl, found := g.idle.Min(); found {
+			return sl
+		}
+	}
+	return nil
+}
+
+// protectSlot moves the unused slot under the spots and marks them.
+func (s *Scheduler) protectSlot(r *run, spots []spot, sl *slot) bool {
+	s.transaction.reset()
+	if s.moveSlot(sl, spots, spots[0].worker.rack) && s.markAll(r, spots) {
+		return true
+	}
+	s.rollback(r)
+	return false
+}
+
+func (s *Scheduler) protectCells(r *run, spots []spot) bool {
+	tx := &s.transaction
+	tx.reset()
+	for _, sp := range spots {
+		if !s.coverSpot(r, sp) || !s.markProtected(r, sp) {
+			s.rollback(r)
+			return false
+		}
+	}
+	for _, sl := range tx.moved {
+		if !sl.keepsRack() {
+			s.rollback(r)
+			return false
+		}
+	}
+	return true
+}
+
+// protectRack moves a whole unused slot that is bound to one rack to the rack of the spots, and tries again.
+func (s *Scheduler) protectRack(r *run, spots []spot) bool {
+	rack := spots[0].worker.rack
+	for _, sp := range spots {
+		if sp.worker.rack != rack {
+			return false
+		}
+	}
+	for _, g := range r.account.guarantees {
+		sl, found := g.idle.Min()
+		if !found || !sl.oneRack || !sl.coversShape(r.Shape) {
+			continue
+		}
+		if s.protectSlot(r, spots, sl) {
+			return true
+		}
+	}
+	return false
+}
+
+// moveSlot moves the units of an unused slot under the spots, and what is left of it elsewhere in the rack.
+func (s *Scheduler) moveSlot(sl *slot, spots []spot, rack *rackState) bool {
+	next := 0
+	for _, sp := range spots {
+		if sl.covers(sp) {
+			continue
+		}
+		for next < len(sl.units) && sl.units[next].underAny(spots) {
+			next++
+		}
+		if next == len(sl.units) {
+			return false
+		}
+		u := sl.units[next]
+		if !s.exchange(u, sp.worker, enclosing(bits.TrailingZeros32(sp.mask), u.class)) {
+			return false
+		}
+	}
+	for _, u := range sl.units {
+		if sl.oneRack && u.worker.rack != rack && !s.moveIntoRack(u, rack) {
+			return false
+		}
+	}
+	for _, moved := range s.transaction.moved {
+		if !moved.keepsRack() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) moveIntoRack(u *homeUnit, rack *rackState) bool {
+	for _, w := range rack.workers {
+		for first := 0; first < w.Accelerators; first += cellSizes[u.class] {
+			region := enclosing(first, u.class)
+			if !u.slot.touches(w, region) && s.exchange(u, w, region) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (sl *slot) touches(w *workerState, region uint32) bool {
+	for _, u := range sl.units {
+		if u.worker == w && u.mask&region != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (sl *slot) covers(sp spot) bool {
+	for _, u := range sl.units {
+		if u.coversSpot(sp) {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *homeUnit) coversSpot(sp spot) bool {
+	return u.worker == sp.worker && sp.mask&^(u.mask&^u.worker.protected) == 0
+}
+
+func (u *homeUnit) underAny(spots []spot) bool {
+	for _, sp := range spots {
+		if u.worker == sp.worker && u.mask&sp.mask != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// coversShape reports whether a gang of the shape fits into the unused slot.
+func (sl *slot) coversShape(shape Shape) bool {
+	own := sl.guarantee.Shape
+	if shape.Accelerators == 0 || shape.Accelerators > own.Accelerators {
+		return false
+	}
+	return own.Accelerators/shape.Accelerators*own.Members >= shape.Members
+}
+
+func (sl *slot) keepsRack() bool {
+	if !sl.oneRack {
+		return true
+	}
+	for _, u := range sl.units {
+		if u.worker.rack != sl.units[0].worker.rack {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) markAll(r *run, spots []spot) bool {
+	for _, sp := range spots {
+		if !s.coveredBy(r.account, sp) || !s.markProtected(r, sp) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) coveredBy(a *accountState, sp spot) bool {
+	for _, u := range sp.worker.units {
+		if u.slot.account == a && u.slot.guarantee != nil && u.coversSpot(sp) {
+			return true
+		}
+	}
+	return false
+}
+
+// coverSpot exchanges an unused cell of the account against the one around the spot, unless it is covered already.
+func (s *Scheduler) coverSpot(r *run, sp spot) bool {
+	if s.coveredBy(r.account, sp) {
+		return true
+	}
+	for class := classOf(r.Shape.Accelerators); class < sizeClasses; class++ {
+		var candidates [coverTries]*homeUnit
+		count := 0
+		r.account.units[class].Ascend(func(key unitKey) bool {
+			if key.use != unitUsed && key.unit.class >= 0 {
+				candidates[count] = key.unit
+				count++
+			}
+			return count < len(candidates)
+		})
+		for _, u := range candidates[:count] {
+			if s.exchangeUnder(u, sp) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// exchangeUnder puts the unit under the spot; false, with nothing changed, when it can't cover it.
+func (s *Scheduler) exchangeUnder(u *homeUnit, sp spot) bool {
+	region := enclosing(bits.TrailingZeros32(sp.mask), u.class)
+	offset := bits.TrailingZeros32(region)
+	moved := u.mask >> bits.TrailingZeros32(u.region) << offset
+	if sp.mask&^moved != 0 {
+		return false
+	}
+	return s.exchange(u, sp.worker, region)
+}
+
+// exchange swaps the homes of the unit's region and of the region given, and records it.
+func (s *Scheduler) exchange(u *homeUnit, to *workerState, region uint32) bool {
+	from, was := u.worker, u.region
+	if u.class < 0 || !s.swap(from, was, to, region) {
+		return false
+	}
+	tx := &s.transaction
+	tx.exchanges = append(tx.exchanges, exchange{a: from, ra: was, b: to, rb: region})
+	if from.rack != to.rack {
+		tx.noteMoved(from, was)
+		tx.noteMoved(to, region)
+	}
+	return true
+}
+
+func (tx *transaction) noteMoved(w *workerState, region uint32) {
+	for _, u := range w.units {
+		if u.mask&region != 0 && u.slot.oneRack {
+			tx.moved = append(tx.moved, u.slot)
+		}
+	}
+}
+
+func (tx *transaction) reset() {
+	tx.exchanges = tx.exchanges[:0]
+	tx.marked = tx.marked[:0]
+	clear(tx.moved)
+	tx.moved = tx.moved[:0]
+}
+
+// markProtected marks the spot; false, with nothing changed, when the member asks for more cores or memory than can
+// be given beside the other homes of the worker.
+func (s *Scheduler) markProtected(r *run, sp spot) bool {
+	w := sp.worker
+	cores, memory := w.over(1, r.Shape.Accelerators, r.Cores, r.MemoryMiB)
+	if !w.firmWith(bits.OnesCount32(w.home), cores, memory) {
+		return false
+	}
+	w.protected |= sp.mask
+	w.overCores += cores
+	w.overMemory += memory
+	s.transaction.marked = append(s.transaction.marked, sp)
+	s.refreshUnits(w)
+	return true
+}
+
+// unprotect takes the marks of the spots back.
+func (s *Scheduler) unprotect(r *run, spots []spot) {
+	for _, sp := range spots {
+		w := sp.worker
+		cores, memory := w.over(1, r.Shape.Accelerators, r.Cores, r.MemoryMiB)
+		w.protected &^= sp.mask
+		w.overCores -= cores
+		w.overMemory -= memory
+		s.refreshUnits(w)
+	}
+	r.account.roomier = true
+}
+
+func (s *Scheduler) rollback(r *run) {
+	tx := &s.transaction
+	s.unprotect(r, tx.marked)
+	for i := len(tx.exchanges) - 1; i >= 0; i-- {
+		e := tx.exchanges[i]
+		s.swap(e.a, e.ra, e.b, e.rb)
+	}
+	tx.reset()
+}
--- /dev/null
+++ b/internal/policy/repack.go
@@ -0,0 +1,264 @@
+package policy
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
+// Risk is a part of a guarantee that can't be reclaimed at present, because too few workers take work.
+type Risk struct {
+	Account string
+	Shape   Shape
+	// Missing is how many of the shapes have no cells.
+	Missing int
+	// SpareMissing is set when the shapes have cells, but the loss of one more worker is not covered.
+	SpareMissing bool
+}
+
+// GuaranteesAtRisk returns what can't be reclaimed, or would not survive the loss of one more worker, although the
+// sheet promises it. It is up to date after Decide.
+func (s *Scheduler) GuaranteesAtRisk() []Risk {
+	return slices.Clone(s.risks)
+}
+
+// configureGuarantees replaces the guarantees. Shapes that stay keep their cells where gangs use them.
+func (s *Scheduler) configureGuarantees(guarantees []Guarantee) {
+	old := s.slots
+	s.guarantees = nil
+	for _, a := range s.accountList {
+		a.guarantees = nil
+	}
+	for _, g := range guarantees {
+		if g.Count == 0 {
+			continue
+		}
+		state := &guaranteeState{Guarantee: g, idle: newIdle()}
+		s.guarantees = append(s.guarantees, state)
+		a := s.accountOf(g.Account)
+		a.guarantees = append(a.guarantees, state)
+	}
+	for _, a := range s.accountList {
+		slices.SortStableFunc(a.guarantees, func(x, y *guaranteeState) int { return cmp.Compare(x.Shape.Total(), y.Shape.Total()) })
+	}
+	kept := make(map[*guaranteeState]int)
+	for _, sl := range slices.Clone(old) {
+		s.unfileSlot(sl)
+		if state := s.successor(sl, kept); state != nil && sl.busy > 0 {
+			kept[state]++
+			sl.guarantee = state
+			sl.fixedRack = sl.oneRack && state.Spare
+			continue
+		}
+		s.vacate(sl)
+	}
+	s.unpacked = true
+}
+
+// successor returns the new guarantee that takes over the slot, nil when there is none.
+func (s *Scheduler) successor(sl *slot, kept map[*guaranteeState]int) *guaranteeState {
+	if sl.guarantee == nil {
+		return nil
+	}
+	for _, state := range s.guarantees {
+		if state.Account == sl.guarantee.Account && state.Shape == sl.guarantee.Shape && kept[state] < state.Count {
+			return state
+		}
+	}
+	return nil
+}
+
+// vacate drops the slot; protected gangs in it become borrowers.
+func (s *Scheduler) vacate(sl *slot) {
+	for _, u := range sl.units {
+		for _, r := range slices.Clone(u.worker.runs) {
+			if r.protected && r.overlaps(spot{worker: u.worker, mask: u.mask}) {
+				s.demote(r)
+			}
+		}
+	}
+	s.dropSlot(sl)
+}
+
+// demote makes a protected run a borrower.
+func (s *Scheduler) demote(r *run) {
+	filed := r.filed
+	s.unfileRun(r)
+	s.unprotect(r, r.spots)
+	r.protected = false
+	s.addBorrower(r)
+	if filed {
+		s.fileRun(r)
+	}
+	s.restored = append(s.restored, r)
+}
+
+// makeProtected notes that protect has brought the borrower inside its account's guarantee.
+func (s *Scheduler) makeProtected(r *run) {
+	s.removeBorrower(r)
+	s.borrowers.Delete(r.borrowerKey)
+	r.protected = true
+	r.backfilled = false
+}
+
+// packHomes sets cells aside for all guarantees again: around the slots in use when that is possible, else anew.
+func (s *Scheduler) packHomes() {
+	s.unpacked = false
+	around := s.pack(true)
+	if len(around.missing) > 0 {
+		if anew := s.pack(false); len(anew.missing) < len(around.missing) {
+			s.adopt(anew, false)
+			return
+		}
+	}
+	s.adopt(around, true)
+}
+
+// pack packs on the healthy workers as much as fits; with keep around the slots in use.
+func (s *Scheduler) pack(keep bool) *packer {
+	guarantees := make([]Guarantee, len(s.guarantees))
+	for i, g := range s.guarantees {
+		guarantees[i] = g.Guarantee
+	}
+	var best *packer
+	for _, order := range packOrders {
+		p := s.newLivePacker(slices.Clone(guarantees), keep)
+		_ = p.pack(order)
+		if best == nil || len(p.missing) < len(best.missing) {
+			best = p
+		}
+		if len(best.missing) == 0 {
+			break
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) newLivePacker(guarantees []Guarantee, keep bool) *packer {
+	var workers []Worker
+	for _, w := range s.workers {
+		if w.condition == Healthy {
+			workers = append(workers, w.Worker)
+		}
+	}
+	p := newPacker(workers, guarantees)
+	p.partial = true
+	if !keep {
+		return p
+	}
+	for _, sl := range s.slots {
+		if sl.stays() {
+			p.keep(slices.Index(s.guarantees, sl.guarantee), sl)
+		}
+	}
+	for i := range p.workers {
+		w := s.byName[p.workers[i].Name]
+		staying := w.staying()
+		for p.free[i] != 0 && !w.firmWith(staying+bits.OnesCount32(p.free[i]), 0, 0) {
+			p.free[i] &= p.free[i] - 1
+		}
+	}
+	return p
+}
+
+// staying returns the number of accelerators of the worker in slots that stay where they are.
+func (w *workerState) staying() int {
+	count := 0
+	for _, u := range w.units {
+		if u.slot.stays() {
+			count += bits.OnesCount32(u.mask)
+		}
+	}
+	return count
+}
+
+// stays reports whether packing leaves the slot where it is: gangs use it, and all its workers take work.
+func (sl *slot) stays() bool {
+	return sl.guarantee != nil && sl.busy > 0 && sl.blocked == 0
+}
+
+// keep leaves a slot where it is.
+func (p *packer) keep(position int, sl *slot) {
+	p.guarantees[position].Count--
+	for _, u := range sl.units {
+		at, healthy := p.index[u.worker.Name]
+		if !healthy {
+			continue
+		}
+		p.free[at] &^= u.mask
+		if sl.oneRack && sl.guarantee.Spare {
+			p.boundRacks = append(p.boundRacks, u.worker.Rack)
+		}
+	}
+}
+
+// adopt replaces the slots by the packed ones; with keep the slots in use stay.
+func (s *Scheduler) adopt(p *packer, keep bool) {
+	for _, sl := range slices.Clone(s.slots) {
+		if !keep || !sl.stays() {
+			s.vacate(sl)
+		}
+	}
+	for _, packed := range p.packed {
+		var spots []spot
+		for _, m := range packed.Members {
+			spots = append(spots, spot{worker: s.byName[m.Worker], mask: m.Mask})
+		}
+		if packed.Guarantee < 0 {
+			s.addSlot(nil, nil, spots)
+			continue
+		}
+		g := s.guarantees[packed.Guarantee]
+		s.addSlot(g, s.accountOf(g.Account), spots)
+	}
+	s.risks = s.risks[:0]
+	for _, m := range p.missing {
+		s.risks = append(s.risks, Risk{Account: m.Account, Shape: m.Shape, Missing: m.Count - m.Fitting, SpareMissing: m.SpareMissing})
+	}
+	for _, a := range s.accountList {
+		a.roomier = len(a.guarantees) > 0
+	}
+	s.freed = true
+}
+
+// protectRestored brings runs that lost their place in the guarantee, or came from another owner, back into it.
+func (s *Scheduler) protectRestored() {
+	restored := s.restored
+	s.restored = nil
+	slices.SortStableFunc(restored, func(a, b *run) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, r := range restored {
+		if !r.protected && len(r.spots) > 0 && !r.stopping && s.protect(r, r.spots) {
+			s.makeProtected(r)
+		}
+	}
+}
+
+// promoteTries bounds the borrowers of one account that are looked at in one decision.
+const promoteTries = 16
+
+// promote brings borrowers inside their account's guarantee where room became free.
+func (s *Scheduler) promote(a *accountState) {
+	a.roomier = false
+	var candidates [promoteTries]*run
+	count := 0
+	a.borrowers.Ascend(func(r *run) bool {
+		if (r.state == running || r.state == starting) && !r.stopping && r.Shape.Accelerators > 0 {
+			candidates[count] = r
+			count++
+		}
+		return count < len(candidates)
+	})
+	for _, r := range candidates[:count] {
+		q := r.request()
+		if !s.findGuaranteed(r, &q) {
+			continue
+		}
+		if s.sharesUnits(a, s.trial.spots) && !s.sharesUnits(a, r.spots) {
+			continue
+		}
+		if s.protect(r, r.spots) {
+			s.makeProtected(r)
+			a.roomier = true
+		}
+	}
+}
--- a/internal/policy/scheduler.go
+++ b/internal/policy/scheduler.go
@@ -1,326 +1,360 @@
 package policy
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
+
+	"github.com/google/btree"
 )
 
 // Scheduler is the Policy of the product. It is not safe for concurrent use.
 type Scheduler struct {
-	config     Config
-	accounts   []Account
-	teams      []Team
-	guarantees []Guarantee
-	workers    []*workerState
-	byName     map[string]*workerState
-	jobs       map[string]*run
-	waiting    []*run
-}
+	config Config
+	now    int64
 
-type workerState struct {
-	Worker
-	condition Condition
-	used      uint32
-	protected uint32
-	home      map[string]uint32
-	cores     int
-	memoryMiB int
-}
+	workers     []*workerState
+	byName      map[string]*workerState
+	racks       []*rackState
+	rackByName  map[string]*rackState
+	layoutStale bool
+	// speeds has the fastest workers first, rackIndex the workers of a rack side by side.
+	speeds       *index
+	rackIndex    *index
+	racksByCells [sizeClasses]*btree.BTreeG[rackKey]
+	// accelerators of all workers.
+	accelerators int
 
-type runState uint8
+	accounts    map[string]*accountState
+	accountList []*accountState
+	teams       map[teamName]*teamState
 
-const (
-	waiting runState = iota
-	starting
-	running
-)
+	guarantees []*guaranteeState
+	slots      []*slot
+	slotCount  int
+	// unpacked is set when guarantees have to be packed again; risks are those without cells.
+	unpacked bool
+	risks    []Risk
+
+	runs      map[string]*run
+	sequence  uint64
+	borrowers *btree.BTreeG[borrowerKey]
+	ends      *btree.BTreeG[endsKey]
+	// fresh jobs were submitted since the last pass; freed is set when capacity was.
+	fresh []*run
+	freed bool
+	// ready claims have all their victims gone; deferred victims were chosen while they started; restored runs may
+	// be inside their account's guarantee; faulty jobs are to be reported.
+	ready    []*run
+	deferred []*run
+	faulty   []*run
+	restored []*run
+	// failing holds what did not fit since capacity was last freed.
+	failing     map[signature]bool
+	reservation reservation
+	moves       moveBudget
+	suspects    []*workerState
+	decisions   []Decision
 
-type run struct {
-	Job
-	state     runState
-	members   []Member
-	protected bool
-	stopping  bool
-	reason    string
+	best, trial      plan
+	bestPrice        int64
+	trialNumber      uint64
+	extraCells       [sizeClasses]int
+	touched          []*workerState
+	transaction      transaction
+	candidates       []*run
+	nominal          []spot
+	nominalVictims   victimSet
+	candidateVictims victimSet
 }
 
-var _ Policy = (*Scheduler)(nil)
+var (
+	_ Policy         = (*Scheduler)(nil)
+	_ EvidenceKeeper = (*Scheduler)(nil)
+)
 
-// New returns a scheduler without workers.
+// New returns a scheduler without workers and accounts.
 func New(config Config) *Scheduler {
-	return &Scheduler{config: config, byName: make(map[string]*workerState), jobs: make(map[string]*run)}
+	return &Scheduler{
+		config:      config,
+		byName:      make(map[string]*workerState),
+		rackByName:  make(map[string]*rackState),
+		layoutStale: true,
+		accounts:    make(map[string]*accountState),
+		teams:       make(map[teamName]*teamState),
+		runs:        make(map[string]*run),
+		borrowers:   btree.NewG(treeDegree, lessBorrower),
+		ends:        btree.NewG(treeDegree, lessEnds),
+		failing:     make(map[signature]bool),
+	}
 }
 
 // Configure replaces accounts, teams and guarantees.
 func (s *Scheduler) Configure(accounts []Account, teams []Team, guarantees []Guarantee) {
-	s.accounts, s.teams, s.guarantees = slices.Clone(accounts), slices.Clone(teams), slices.Clone(guarantees)
-	s.repack()
+	s.configureAccounts(accounts, teams)
+	s.configureGuarantees(guarantees)
+	for _, a := range s.accountList {
+		s.requeue(a)
+	}
+	s.freed = true
 }
 
-// AddWorker adds an empty, healthy worker.
+// AddWorker adds an empty, healthy worker. A worker that is known already becomes healthy again.
 func (s *Scheduler) AddWorker(worker Worker) {
-	w := &workerState{Worker: worker, cores: worker.Cores, memoryMiB: worker.MemoryMiB, home: make(map[string]uint32)}
+	if s.byName[worker.Name] != nil {
+		s.MarkWorker(worker.Name, Healthy)
+		return
+	}
+	rack := s.rackByName[worker.Rack]
+	if rack == nil {
+		rack = &rackState{at: len(s.racks), name: worker.Rack}
+		s.rackByName[worker.Rack] = rack
+		s.racks = append(s.racks, rack)
+	}
+	w := &workerState{
+		Worker: worker, rack: rack, all: allAccelerators(worker.Accelerators),
+		freeCores: worker.Cores, freeMemory: worker.MemoryMiB,
+	}
 	s.workers = append(s.workers, w)
 	s.byName[worker.Name] = w
-	s.repack()
+	s.accelerators += worker.Accelerators
+	s.layoutStale = true
+	s.unpacked = s.unpacked || len(s.risks) > 0
+	s.freed = true
 }
 
 // MarkWorker changes the condition of a worker.
 func (s *Scheduler) MarkWorker(name string, condition Condition) {
-	if w := s.byName[name]; w != nil {
-		w.condition = condition
-		s.repack()
+	w := s.byName[name]
+	if w == nil || w.condition == condition {
+		return
 	}
+	w.condition = condition
+	s.noteCondition(w)
+	if condition != Healthy {
+		s.withdrawFrom(w)
+	}
+	s.refreshUnits(w)
+	s.refresh(w)
+	s.unpacked = s.unpacked || condition != Healthy && w.home != 0 || condition == Healthy && len(s.risks) > 0
+	s.freed = true
 }
 
-func (s *Scheduler) repack() {
-	var live []Worker
-	for _, w := range s.workers {
-		clear(w.home)
-		if w.condition == Healthy {
-			live = append(live, w.Worker)
-		}
-	}
-	packed, err := PackGuarantees(live, s.guarantees)
-	if err != nil {
-		return
-	}
-	for _, p := range packed {
-		if p.Guarantee < 0 {
-			continue
+// withdrawFrom takes back the claims and destinations on the worker.
+func (s *Scheduler) withdrawFrom(w *workerState) {
+	for _, r := range slices.Clone(w.runs) {
+		if r.state == claiming && r.onWorker(w) {
+			s.withdraw(r)
 		}
-		for _, m := range p.Members {
-			s.byName[m.Worker].home[s.guarantees[p.Guarantee].Account] |= m.Mask
+		if len(r.destination) > 0 {
+			s.dropDestination(r)
 		}
 	}
+	if s.reservation.on(w) {
+		s.dropReservation()
+	}
 }
 
 // Submit adds a waiting job.
 func (s *Scheduler) Submit(job Job) {
-	r := &run{Job: job, reason: "waits for the next decision"}
-	s.jobs[job.ID] = r
-	s.waiting = append(s.waiting, r)
-	slices.SortStableFunc(s.waiting, func(a, b *run) int {
-		return firstOf(int(a.Class)-int(b.Class), int(a.SubmittedMillis-b.SubmittedMillis))
-	})
+	if s.runs[job.ID] != nil {
+		return
+	}
+	r := s.newRun(job)
+	s.enqueue(r)
+	s.fresh = append(s.fresh, r)
 }
 
-// Restore adds a job that is running already.
-func (s *Scheduler) Restore(job Job, members []Member, _ int64) {
-	r := &run{Job: job, state: running, members: members}
-	s.jobs[job.ID] = r
-	s.hold(r, members, false)
+func (s *Scheduler) newRun(job Job) *run {
+	s.sequence++
+	job.FailedWorkers = slices.Clone(job.FailedWorkers)
+	r := &run{Job: job, sequence: s.sequence, account: s.accountOf(job.Account), team: s.teamOf(job.Account, job.Team)}
+	s.runs[job.ID] = r
+	return r
+}
+
+// Restore adds a job that is running already, for a new owner. Members on unknown workers are left out.
+func (s *Scheduler) Restore(job Job, members []Member, startedMillis int64) {
+	if s.runs[job.ID] != nil {
+		return
+	}
+	r := s.newRun(job)
+	var spots []spot
+	for _, m := range members {
+		if w := s.byName[m.Worker]; w != nil {
+			spots = append(spots, spot{worker: w, mask: m.Mask})
+		}
+	}
+	s.occupy(r, spots)
+	s.use(r)
+	s.confirm(r, startedMillis)
+	s.restored = append(s.restored, r)
 }
 
 // Started confirms a Start decision.
-func (s *Scheduler) Started(jobID string, _ int64) {
-	if r := s.jobs[jobID]; r != nil && r.state == starting {
-		r.state = running
+func (s *Scheduler) Started(jobID string, nowMillis int64) {
+	if r := s.runs[jobID]; r != nil && r.state == starting {
+		s.confirm(r, nowMillis)
 	}
 }
 
 // StartRefused returns the accelerators of a Start decision; the job waits again.
 func (s *Scheduler) StartRefused(jobID string) {
-	if r := s.jobs[jobID]; r != nil && r.state == starting {
+	if r := s.runs[jobID]; r != nil && r.state == starting {
 		s.release(r)
-		s.wait(r)
+		s.enqueue(r)
 	}
 }
 
 // Checkpointed notes the kept progress of a running job.
-func (s *Scheduler) Checkpointed(jobID string, ppm int, _ int64) {
-	if r := s.jobs[jobID]; r != nil {
-		r.CheckpointPPM = ppm
+func (s *Scheduler) Checkpointed(jobID string, ppm int, nowMillis int64) {
+	r := s.runs[jobID]
+	if r == nil || r.state != running {
+		return
+	}
+	filed := r.filed
+	s.unfileRun(r)
+	if ppm > r.CheckpointPPM {
+		s.noteProgress(r)
+	}
+	r.CheckpointPPM = max(r.CheckpointPPM, ppm)
+	r.checkpointMillis = nowMillis
+	r.endMillis = nowMillis + s.expectRemaining(r, nowMillis, typical)
+	if filed {
+		s.fileRun(r)
 	}
 }
 
 // Ended ends a run, or with Cancelled a waiting job.
-func (s *Scheduler) Ended(jobID string, result EndResult, ppm int, _ int64) {
-	r := s.jobs[jobID]
+func (s *Scheduler) Ended(jobID string, result EndResult, ppm int, nowMillis int64) {
+	r := s.runs[jobID]
 	if r == nil {
 		return
 	}
-	s.release(r)
-	s.waiting = slices.DeleteFunc(s.waiting, func(other *run) bool { return other == r })
+	s.now = max(s.now, nowMillis)
+	s.noteEnd(r, result, nowMillis)
 	if result == Finished || result == Cancelled {
-		delete(s.jobs, jobID)
+		s.forget(r)
 		return
 	}
-	r.CheckpointPPM = ppm
-	s.wait(r)
-}
-
-func (s *Scheduler) wait(r *run) {
-	delete(s.jobs, r.ID)
-	s.Submit(r.Job)
-}
-
-func (s *Scheduler) hold(r *run, members []Member, protected bool) {
-	r.members, r.protected = members, protected
-	for _, m := range members {
-		w := s.byName[m.Worker]
-		w.used |= m.Mask
-		w.cores -= r.Cores
-		w.memoryMiB -= r.MemoryMiB
-		if protected {
-			w.protected |= m.Mask
-		}
+	r.CheckpointPPM = max(r.CheckpointPPM, ppm)
+	switch r.state {
+	case waiting:
+		return
+	case claiming:
+		s.withdraw(r)
+		return
+	default:
 	}
-}
-
-func (s *Scheduler) release(r *run) {
-	for _, m := range r.members {
-		w := s.byName[m.Worker]
-		w.used &^= m.Mask
-		w.protected &^= m.Mask
-		w.cores += r.Cores
-		w.memoryMiB += r.MemoryMiB
+	destination := r.destination
+	r.destination = nil
+	s.release(r)
+	if result == PreemptedEnd {
+		r.preemptedMillis = nowMillis
 	}
-	r.members = nil
-}
-
-// Decide returns what to do now.
-func (s *Scheduler) Decide(_ int64) []Decision {
-	var decisions []Decision
-	for _, r := range slices.Clone(s.waiting) {
-		decisions = append(decisions, s.decideFor(r)...)
+	if result == MovedEnd && len(destination) > 0 {
+		s.arrive(r, destination)
+		return
 	}
-	s.waiting = slices.DeleteFunc(s.waiting, func(r *run) bool { return r.state != waiting })
-	return decisions
+	s.freeSpots(r, destination)
+	s.enqueue(r)
 }
 
-func (s *Scheduler) decideFor(r *run) []Decision {
-	if r.state == waiting && !s.withinQuota(r) {
-		r.reason = "waits for its team's quota"
-		return nil
-	}
-	if members := s.find(r, func(w *workerState) uint32 { return ^w.used }); members != nil {
-		protected := true
-		for _, m := range members {
-			protected = protected && m.Mask&^s.byName[m.Worker].home[r.Account] == 0
-		}
-		s.hold(r, members, protected)
-		r.state = starting
-		return []Decision{{Start: &Start{JobID: r.ID, Members: members}}}
+// forget removes the job for good.
+func (s *Scheduler) forget(r *run) {
+	switch r.state {
+	case waiting:
+		s.dequeue(r)
+	default:
+		s.dropDestination(r)
+		s.release(r)
 	}
-	members := s.find(r, func(w *workerState) uint32 { return w.home[r.Account] &^ w.protected })
-	if members == nil || r.Shape.Accelerators == 0 {
-		r.reason = "waits for " + r.Shape.String()
-		return nil
+	if s.reservation.run == r {
+		s.dropReservation()
 	}
-	r.reason = "waits for borrowers to give back " + r.Shape.String()
-	return s.reclaim(r, members)
+	delete(s.runs, r.ID)
 }
 
-// reclaim stops the borrowers on the members' accelerators.
-func (s *Scheduler) reclaim(r *run, members []Member) []Decision {
-	var decisions []Decision
-	for _, victim := range s.sortedJobs() {
-		if victim.stopping || victim.protected || !overlap(victim.members, members) {
-			continue
-		}
-		victim.stopping = true
-		decisions = append(decisions, Decision{Stop: &Stop{
-			JobID: victim.ID, Reason: Preempted, For: r.ID, WithinMillis: s.config.Bounds.PreemptWithinMillis,
-		}})
-	}
-	return decisions
+// enqueue makes the job wait.
+func (s *Scheduler) enqueue(r *run) {
+	r.state = waiting
+	s.setKey(r)
+	r.account.waiting.ReplaceOrInsert(r)
+	r.why = reason{kind: waitsForDecision}
 }
 
-func (s *Scheduler) sortedJobs() []*run {
-	var jobs []*run
-	for _, r := range s.jobs {
-		if r.state == running {
-			jobs = append(jobs, r)
-		}
-	}
-	slices.SortFunc(jobs, func(a, b *run) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return jobs
+func (s *Scheduler) dequeue(r *run) {
+	r.account.waiting.Delete(r)
 }
 
-func overlap(a, b []Member) bool {
-	for _, x := range a {
-		for _, y := range b {
-			if x.Worker == y.Worker && x.Mask&y.Mask != 0 {
-				return true
-			}
-		}
+// requeue computes the keys of an account's waiting jobs again.
+func (s *Scheduler) requeue(a *accountState) {
+	a.pass = a.pass[:0]
+	a.waiting.Ascend(func(r *run) bool {
+		a.pass = append(a.pass, r)
+		return true
+	})
+	a.waiting.Clear(true)
+	for _, r := range a.pass {
+		s.setKey(r)
+		a.waiting.ReplaceOrInsert(r)
 	}
-	return false
 }
 
-func (s *Scheduler) withinQuota(r *run) bool {
-	for _, t := range s.teams {
-		if t.Account != r.Account || t.Name != r.Team || t.Quota == 0 {
-			continue
-		}
-		held := r.Shape.Total()
-		for _, other := range s.jobs {
-			if other.Account == r.Account && other.Team == r.Team && other.members != nil {
-				held += other.Shape.Total()
-			}
+// WakeMillis is when time alone can change the decisions; 0 means never.
+func (s *Scheduler) WakeMillis() int64 {
+	wake := int64(0)
+	for _, at := range [...]int64{s.reservation.wakeMillis(s.config.Bounds.BackfillDelayMillis), s.nextProbe()} {
+		if at > 0 && (wake == 0 || at < wake) {
+			wake = at
 		}
-		return held <= t.Quota
 	}
-	return true
+	return wake
+}
+
+// FreeCells is what is free on one worker.
+type FreeCells struct {
+	Rack string
+	// Mask has bit i set when accelerator i is free.
+	Mask uint32
 }
 
-// find returns the first fitting members on the accelerators that usable allows, nil when there are none.
-func (s *Scheduler) find(r *run, usable func(*workerState) uint32) []Member {
-	var members []Member
-	var inWorker, inRack string
-	for _, w := range s.workers {
-		if w.condition != Healthy || slices.Contains(r.FailedWorkers, w.Name) {
-			continue
+// Fragmentation returns how many of the free accelerators none of the shapes can use, and how many are free. A shape
+// can use a free cell when enough such cells are free for all its members within its adjacency.
+func Fragmentation(free []FreeCells, shapes []Shape) (unusable, total int) {
+	inRack := make(map[string]*[sizeClasses]int)
+	var inAll [sizeClasses]int
+	for _, f := range free {
+		total += bits.OnesCount32(f.Mask)
+		rack := inRack[f.Rack]
+		if rack == nil {
+			rack = &[sizeClasses]int{}
+			inRack[f.Rack] = rack
 		}
-		if r.Shape.Adjacency == SameWorker && w.Name != inWorker || r.Shape.Adjacency == SameRack && w.Rack != inRack {
-			members = members[:0]
+		for class := range cellSizes {
+			count := countCells(f.Mask, class)
+			rack[class] += count
+			inAll[class] += count
 		}
-		inWorker, inRack = w.Name, w.Rack
-		mask := usable(w) & allAccelerators(w.Accelerators)
-		for range s.fitting(r, w, mask) {
-			cell := takeCell(mask, classOf(r.Shape.Accelerators))
-			if r.Shape.Accelerators == 0 {
-				cell = 0
+	}
+	shapes = slices.Clone(shapes)
+	slices.SortFunc(shapes, func(a, b Shape) int {
+		return cmp.Or(cmp.Compare(a.Accelerators, b.Accelerators), cmp.Compare(a.Members, b.Members), cmp.Compare(a.Adjacency, b.Adjacency))
+	})
+	shapes = slices.Compact(shapes)
+	for _, f := range free {
+		var usable uint32
+		for _, shape := range shapes {
+			if shape.Accelerators == 0 {
+				continue
 			}
-			mask &^= cell
-			members = append(members, Member{Worker: w.Name, Mask: cell})
-			if len(members) == r.Shape.Members {
-				return members
+			class := classOf(shape.Accelerators)
+			near := [...]int{SameWorker: countCells(f.Mask, class), SameRack: inRack[f.Rack][class], SameDataCentre: inAll[class]}
+			if near[shape.Adjacency] >= shape.Members {
+				usable |= firstBits(f.Mask, class) * (1<<cellSizes[class] - 1)
 			}
 		}
+		unusable += bits.OnesCount32(f.Mask &^ usable)
 	}
-	return nil
-}
-
-func (s *Scheduler) fitting(r *run, w *workerState, mask uint32) int {
-	count := r.Shape.Members
-	if r.Shape.Accelerators > 0 {
-		count = min(count, bits.OnesCount32(firstBits(mask, classOf(r.Shape.Accelerators))))
-	}
-	if r.Cores > 0 {
-		count = min(count, max(w.cores, 0)/r.Cores)
-	}
-	if r.MemoryMiB > 0 {
-		count = min(count, max(w.memoryMiB, 0)/r.MemoryMiB)
-	}
-	return count
-}
-
-// WakeMillis is when time alone can change the decisions.
-func (s *Scheduler) WakeMillis() int64 {
-	return 0
-}
-
-// Explain says why a waiting job waits.
-func (s *Scheduler) Explain(jobID string) string {
-	if r := s.jobs[jobID]; r != nil && r.state == waiting {
-		return r.reason
-	}
-	return ""
+	return unusable, total
 }
