--- a/internal/policy/index.go
+++ b/internal/policy/index.go
@@ -105,7 +105,11 @@
 	i := x.size + leaf
 	x.leaves[leaf].summarise(&x.tree[i])
 	for i /= 2; i >= 1; i /= 2 {
+		was := x.tree[i]
 		x.tree[i].combine(&x.tree[2*i], &x.tree[2*i+1])
+		if x.tree[i] == was {
+			return
+		}
 	}
 }
 
--- a/internal/policy/lifecycle.go
+++ b/internal/policy/lifecycle.go
@@ -50,12 +50,11 @@
 	}
 }
 
-// use turns the run's claimed accelerators into used ones.
+// use turns the run's claimed accelerators into used ones; what is available stays the same.
 func (s *Scheduler) use(r *run) {
 	for _, sp := range r.spots {
 		sp.worker.claimed &^= sp.mask
 		sp.worker.used |= sp.mask
-		s.refresh(sp.worker)
 	}
 	r.state = starting
 }
