--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -23,6 +23,7 @@
 	s.startReady()
 	s.stopDeferred()
 	s.judge()
+	s.settle()
 	for _, a := range s.accountList {
 		if a.roomier {
 			s.promote(a)
@@ -72,11 +73,7 @@
 	attempts := 0
 	headSeen := false
 	for r := s.nextWaiting(); r != nil; r = s.nextWaiting() {
-		if r.state != waiting {
-			continue
-		}
-		if !r.withinQuota() {
-			r.why = reason{kind: waitsForQuota}
+		if s.mayNotRun(r) {
 			continue
 		}
 		if attempts >= attemptsPerPass {
@@ -95,15 +92,27 @@
 	}
 }
 
+// mayNotRun reports whether there is no use in looking for room for the job, and notes why.
+func (s *Scheduler) mayNotRun(r *run) bool {
+	switch {
+	case r.state != waiting || s.runs[r.ID] != r:
+		return true
+	case r.atFault:
+		r.why = reason{kind: waitsForVerdict}
+		return true
+	case !r.withinQuota():
+		r.why = reason{kind: waitsForQuota}
+		return true
+	default:
+		return false
+	}
+}
+
 // passFresh tries the jobs that came since the last pass, when nothing became free.
 func (s *Scheduler) passFresh() {
 	attempts := 0
 	for _, r := range s.fresh {
-		if r.state != waiting || s.runs[r.ID] != r {
-			continue
-		}
-		if !r.withinQuota() {
-			r.why = reason{kind: waitsForQuota}
+		if s.mayNotRun(r) {
 			continue
 		}
 		s.tryRun(r, true, &attempts)
--- a/internal/policy/evidence.go
+++ b/internal/policy/evidence.go
@@ -31,7 +31,7 @@
 // evidence is what speaks against a worker.
 type evidence struct {
 	failures []failure
-	// verdict is set while a Verdict decision waits for MarkWorker.
+	// verdict is set while the proposed return of a worker waits for MarkWorker.
 	verdict bool
 	// quarantines counts the quarantines since the worker last finished a job.
 	quarantines  int
@@ -173,8 +173,10 @@
 // judge proposes the quarantine of suspected workers, probes those in quarantine and proposes their return.
 func (s *Scheduler) judge() {
 	s.reportFaulty()
-	s.suspects = slices.DeleteFunc(s.suspects, func(w *workerState) bool {
+	for _, w := range s.suspects {
 		s.judgeWorker(w)
+	}
+	s.suspects = slices.DeleteFunc(s.suspects, func(w *workerState) bool {
 		return w.condition != Quarantined && len(w.evidence.failures) == 0
 	})
 }
@@ -182,8 +184,8 @@
 func (s *Scheduler) judgeWorker(w *workerState) {
 	e := &w.evidence
 	switch {
-	case w.condition == Healthy && !e.verdict && len(e.failures) >= suspectJobs && s.standsOut(w):
-		e.verdict = true
+	case w.condition == Healthy && len(e.failures) >= suspectJobs && s.standsOut(w):
+		s.MarkWorker(w.Name, Quarantined)
 		s.decisions = append(s.decisions, Decision{Verdict: &Verdict{
 			Worker: w.Name, Condition: Quarantined,
 			Reason: fmt.Sprintf("%d different jobs failed there and none got on", len(e.failures)),
--- a/internal/policy/explain.go
+++ b/internal/policy/explain.go
@@ -15,6 +15,7 @@
 	waitsForCells
 	waitsForVictims
 	waitsForReservation
+	waitsForVerdict
 )
 
 // reason is what the last decision found out about a waiting job.
@@ -40,6 +41,8 @@
 	case waitsForQuota:
 		return fmt.Sprintf("waits for the quota of team %s of account %s: %d of %d accelerators are held, %d more are needed",
 			r.Team, r.Account, r.team.held, r.team.Quota, r.total())
+	case waitsForVerdict:
+		return "is not started again, for it failed on several workers that run other jobs: correct it and submit it again"
 	case waitsForOrder:
 		return "waits for jobs that come before it by class, deadline, run time and age"
 	case waitsForVictims:
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -144,8 +144,8 @@
 	WithinMillis int64
 }
 
-// Verdict asks for a worker's condition to be changed for the reason given. The scheduler changes nothing
-// until MarkWorker is called.
+// Verdict asks for a worker's condition to be changed for the reason given. A worker to be quarantined gets no
+// new work from then on; one to be healthy again gets work once MarkWorker says so.
 type Verdict struct {
 	Worker    string
 	Condition Condition
@@ -157,7 +157,8 @@
 	Worker string
 }
 
-// AtFault reports a waiting job that failed on several workers while others succeeded there. The caller ends it.
+// AtFault reports a waiting job that failed on several workers while others succeeded there. It is not started
+// again; the caller ends it.
 type AtFault struct {
 	JobID  string
 	Reason string
