--- a/internal/policy/baseline/core.go
+++ b/internal/policy/baseline/core.go
@@ -132,6 +132,13 @@
 	c.enqueue(ended)
 }
 
+// StartFailed keeps the job away from a worker that failed it.
+func (c *core) StartFailed(jobID, worker string, _ int64) {
+	if hit := c.jobs[jobID]; hit != nil && !slices.Contains(hit.FailedWorkers, worker) {
+		hit.FailedWorkers = append(slices.Clone(hit.FailedWorkers), worker)
+	}
+}
+
 // Decide returns the starts that the strategy chooses.
 func (c *core) Decide(nowMillis int64) []policy.Decision {
 	if !c.changed {
--- a/internal/replay/checker.go
+++ b/internal/replay/checker.go
@@ -46,6 +46,8 @@
 	// failing workers fail every task that they start.
 	failing bool
 	left    capacity
+	// rack counts the racks from 0.
+	rack int
 }
 
 // checker keeps its own account of who holds what, and judges every start by it.
@@ -54,6 +56,7 @@
 	workers    map[string]*checkedWorker
 	// order lists the workers as the trace does.
 	order      []*checkedWorker
+	racks      int
 	quotas     map[teamName]int
 	held       map[teamName]int
 	checks     int
@@ -72,11 +75,16 @@
 		quotas:     map[teamName]int{},
 		held:       map[teamName]int{},
 	}
+	racks := map[string]int{}
 	for _, worker := range site.workers {
-		added := &checkedWorker{Worker: worker, left: emptyCapacity(worker)}
+		if _, known := racks[worker.Rack]; !known {
+			racks[worker.Rack] = len(racks)
+		}
+		added := &checkedWorker{Worker: worker, left: emptyCapacity(worker), rack: racks[worker.Rack]}
 		c.workers[worker.Name] = added
 		c.order = append(c.order, added)
 	}
+	c.racks = len(racks)
 	return c
 }
 
--- a/internal/replay/domain.go
+++ b/internal/replay/domain.go
@@ -73,6 +73,8 @@
 	health  *health
 	meter   *meter
 	wake    int64
+	// changed says that something waits, starts or is freed that did not before.
+	changed bool
 	// evidence is the policy itself where it judges workers, else nil; then health does.
 	evidence policy.EvidenceKeeper
 }
@@ -85,8 +87,8 @@
 		jobs:    map[string]*job{},
 		checker: newChecker(site),
 		health:  newHealth(),
-		meter:   newMeter(measured),
 	}
+	d.meter = newMeter(measured, d.checker)
 	d.evidence, _ = tested.(policy.EvidenceKeeper)
 	d.claims = newClaimChecker(d.checker, measured)
 	d.configure(&site.configuration)
@@ -109,12 +111,16 @@
 		}
 		d.decide()
 		d.claims.update(d.nowMillis)
-		d.meter.observe(d.checker, d.claims)
+		if d.changed {
+			d.changed = false
+			d.meter.observe(d.checker, d.claims)
+		}
 	}
 	d.claims.finish()
 }
 
 func (d *domain) configure(replaced *configuration) {
+	d.changed = true
 	d.policy.Configure(replaced.accounts, replaced.teams, replaced.guarantees)
 	d.checker.configure(replaced)
 	d.claims.configure(replaced)
@@ -171,6 +177,7 @@
 	}
 	d.jobs[added.spec.ID] = added
 	d.order = append(d.order, added)
+	d.changed = true
 	d.claims.waits(added)
 	d.policy.Submit(added.spec)
 }
@@ -229,6 +236,7 @@
 }
 
 func (d *domain) mark(name string, condition policy.Condition) {
+	d.changed = true
 	d.checker.workers[name].condition = condition
 	d.policy.MarkWorker(name, condition)
 }
--- a/internal/replay/fragmentation.go
+++ b/internal/replay/fragmentation.go
@@ -20,7 +20,7 @@
 			}
 		}
 		for _, target := range account.waiting {
-			if target.spec.Shape.Accelerators > 0 {
+			if target.phase == waiting && target.spec.Shape.Accelerators > 0 {
 				set[target.spec.Shape] = true
 			}
 		}
@@ -44,21 +44,40 @@
 	checker *checker
 	// most holds for each worker the accelerators that one of the shapes can use there.
 	most []int
+	// room holds for each rack the free cells of the shape looked at.
+	room []int
 }
 
 func newUsable(checker *checker) *usable {
-	return &usable{checker: checker, most: make([]int, len(checker.order))}
+	return &usable{
+		checker: checker,
+		most:    make([]int, len(checker.order)),
+		room:    make([]int, checker.racks),
+	}
 }
 
+func (u *usable) reset() { clear(u.most) }
+
 // add counts the cells of the shape wherever a whole gang of it fits.
 func (u *usable) add(shape policy.Shape) {
-	room := map[string]int{}
+	clear(u.room)
+	everywhere := 0
 	for _, worker := range u.checker.order {
-		room[groupName(shape.Adjacency, worker.Worker)] += worker.freeCells(shape)
+		cells := worker.freeCells(shape)
+		u.room[worker.rack] += cells
+		everywhere += cells
 	}
 	for at, worker := range u.checker.order {
-		if room[groupName(shape.Adjacency, worker.Worker)] >= shape.Members {
-			u.most[at] = max(u.most[at], worker.freeCells(shape)*shape.Accelerators)
+		cells := worker.freeCells(shape)
+		room := cells
+		switch shape.Adjacency {
+		case policy.SameRack:
+			room = u.room[worker.rack]
+		case policy.SameDataCentre:
+			room = everywhere
+		}
+		if room >= shape.Members {
+			u.most[at] = max(u.most[at], cells*shape.Accelerators)
 		}
 	}
 }
@@ -73,7 +92,7 @@
 
 // freeCells counts the free cells that a member of the shape could take.
 func (w *checkedWorker) freeCells(shape policy.Shape) int {
-	if w.condition != policy.Healthy {
+	if w.condition != policy.Healthy || w.left.free == 0 {
 		return 0
 	}
 	return w.left.cells(shape.Accelerators)
--- a/internal/replay/meter.go
+++ b/internal/replay/meter.go
@@ -8,6 +8,7 @@
 type meter struct {
 	measured window
 	last     int64
+	usable   *usable
 	// free, unusable and unusableLargest are accelerators from the last observation on.
 	free            int64
 	unusable        int64
@@ -27,7 +28,9 @@
 	decisions           int
 }
 
-func newMeter(measured window) *meter { return &meter{measured: measured} }
+func newMeter(measured window, checker *checker) *meter {
+	return &meter{measured: measured, usable: newUsable(checker)}
+}
 
 // advance sums up to the time given.
 func (m *meter) advance(nowMillis int64) {
@@ -61,14 +64,13 @@
 			m.free += int64(worker.left.freeCount())
 		}
 	}
-	usable := newUsable(checker)
-	for _, shape := range shapes {
-		usable.add(shape)
-	}
-	m.unusable = m.free - usable.total()
-	largest := newUsable(checker)
-	if len(shapes) > 0 {
-		largest.add(shapes[0])
+	m.usable.reset()
+	m.unusableLargest = m.free
+	for at, shape := range shapes {
+		m.usable.add(shape)
+		if at == 0 {
+			m.unusableLargest = m.free - m.usable.total()
+		}
 	}
-	m.unusableLargest = m.free - largest.total()
+	m.unusable = m.free - m.usable.total()
 }
--- a/internal/replay/plan.go
+++ b/internal/replay/plan.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/go-faster/errors"
+
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
 )
@@ -64,7 +66,10 @@
 		p.addWorker(worker)
 	}
 	for _, site := range p.plan.sites {
-		site.configuration = configurationOf(sheet, site.name)
+		var err error
+		if site.configuration, err = site.packed(sheet); err != nil {
+			return nil, err
+		}
 	}
 	p.plan.window.from = trace.Header.GetMeasureFromUnixMs()
 	for _, line := range trace.Events {
@@ -99,14 +104,31 @@
 	case *apiv1.TraceLine_Rack:
 		p.addRack(event.Rack, now)
 	case *apiv1.TraceLine_Sheet:
-		for _, site := range p.plan.sites {
-			replaced := configurationOf(event.Sheet.GetSheet(), site.name)
-			site.add(input{timeMillis: now, configuration: &replaced})
+		return p.addSheet(event.Sheet.GetSheet(), now)
+	}
+	return nil
+}
+
+func (p *planner) addSheet(sheet *apiv1.Sheet, nowMillis int64) error {
+	for _, site := range p.plan.sites {
+		replaced, err := site.packed(sheet)
+		if err != nil {
+			return err
 		}
+		site.add(input{timeMillis: nowMillis, configuration: &replaced})
 	}
 	return nil
 }
 
+// packed is the configuration of a sheet whose guarantees pack on the data centre's workers.
+func (s *site) packed(sheet *apiv1.Sheet) (configuration, error) {
+	result := configurationOf(sheet, s.name)
+	if _, err := policy.PackGuarantees(s.workers, result.guarantees); err != nil {
+		return configuration{}, errors.Wrapf(err, "the sheet's guarantees in %s", s.name)
+	}
+	return result, nil
+}
+
 func (p *planner) addRack(rack *apiv1.TraceRack, nowMillis int64) {
 	site := p.byName[rack.GetDataCentre()]
 	for _, worker := range site.workers {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -65,7 +65,7 @@
 }
 
 // Run replays the trace once for each policy. A nil sheet means the one in the trace's header.
-// Errors wrap ErrNoSheet, ErrNoPolicies or are *JobError.
+// Errors wrap ErrNoSheet, ErrNoPolicies, *JobError or, when the guarantees don't pack, *policy.PackError.
 func Run(trace *Trace, sheet *apiv1.Sheet, options Options) (*Result, error) {
 	if sheet == nil {
 		sheet = trace.Header.GetSheet()
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -24,6 +24,7 @@
 	target.run++
 	target.members = slices.Clone(decision.Members)
 	d.checker.take(target)
+	d.changed = true
 	d.push(target, startDue, d.options.StartMillis)
 }
 
@@ -114,8 +115,8 @@
 		culprit = target.members[0].Worker
 	}
 	target.failures++
-	if d.evidence != nil {
-		d.evidence.StartFailed(target.spec.ID, culprit, d.nowMillis)
+	if told, ok := d.policy.(failureObserver); ok {
+		told.StartFailed(target.spec.ID, culprit, d.nowMillis)
 	}
 	d.end(target, policy.Failed, target.keptMillis)
 	if d.evidence == nil && d.health.failed(culprit, target.spec.ID) {
@@ -127,6 +128,11 @@
 	}
 }
 
+// failureObserver is implemented by policies that keep a job away from workers that failed it.
+type failureObserver interface {
+	StartFailed(jobID, worker string, nowMillis int64)
+}
+
 // giveUp ends a waiting job that failed too often.
 func (d *domain) giveUp(target *job) {
 	d.policy.Ended(target.spec.ID, policy.Cancelled, d.ppm(target), d.nowMillis)
@@ -159,6 +165,7 @@
 
 func (d *domain) free(target *job) {
 	d.checker.give(target)
+	d.changed = true
 	d.claims.gone(target)
 	target.members = nil
 	target.run++
@@ -166,6 +173,7 @@
 
 func (d *domain) close(target *job, how outcome) {
 	d.claims.gone(target)
+	d.changed = true
 	target.phase = ended
 	target.outcome = how
 	target.endMillis = d.nowMillis
