policy: a gang counts against one guaranteed shape that holds it, and gangs change slots within their account

A gang spread over cells of several guaranteed shapes, or stood in a larger shape than it needed, and the shape that was left by count was not left in fact; beyond 64 failed attempts claims were not looked at. Now a gang is inside the guarantee when one shape holds it member for member; when a shape is left by count, gangs of the account are given other slots along an augmenting path, without moving where homes can be exchanged; claims are looked at without limit.

--- a/internal/policy/account.go
+++ b/internal/policy/account.go
@@ -15,12 +15,12 @@
 	Account
 	// waiting is the queue, in the order of lessWaiting.
 	waiting *btree.BTreeG[*run]
-	// units holds the account's cells by the class of their largest unprotected part.
-	units [sizeClasses]*btree.BTreeG[unitKey]
 	// guarantees of the account, the smallest shape first.
 	guarantees []*guaranteeState
 	// borrowers are the runs outside the guarantee, in order of their sequence.
 	borrowers *btree.BTreeG[*run]
+	// shapes counts the account's gangs with accelerators by shape, the largest first.
+	shapes []shapeCount
 	// borrowed is the number of accelerators of the borrowers.
 	borrowed int
 	// roomier is set when protected room became free.
@@ -30,6 +30,65 @@
 	pass []*run
 }
 
+// shapeCount is the number of gangs of a shape that hold accelerators.
+type shapeCount struct {
+	shape Shape
+	count int
+}
+
+// countShape adds to the number of gangs of the shape.
+func (a *accountState) countShape(shape Shape, change int) {
+	if shape.Accelerators == 0 {
+		return
+	}
+	at, found := slices.BinarySearchFunc(a.shapes, shape, func(c shapeCount, s Shape) int { return compareShapes(c.shape, s) })
+	if !found {
+		a.shapes = slices.Insert(a.shapes, at, shapeCount{shape: shape})
+	}
+	a.shapes[at].count += change
+	if a.shapes[at].count == 0 {
+		a.shapes = slices.Delete(a.shapes, at, at+1)
+	}
+}
+
+// compareShapes puts larger shapes first.
+func compareShapes(a, b Shape) int {
+	return cmp.Or(
+		cmp.Compare(b.Total(), a.Total()),
+		cmp.Compare(b.Members, a.Members),
+		cmp.Compare(a.Adjacency, b.Adjacency),
+	)
+}
+
+// entitled reports whether a guaranteed shape that holds the shape is left when every gang of the account is counted
+// against the smallest one that holds it, the largest gangs first.
+func (a *accountState) entitled(shape Shape) bool {
+	for _, g := range a.guarantees {
+		g.left = g.Count
+	}
+	for _, c := range a.shapes {
+		for count := c.count; count > 0; {
+			g := a.smallestLeft(c.shape)
+			if g == nil {
+				break
+			}
+			used := min(count, g.left)
+			g.left -= used
+			count -= used
+		}
+	}
+	return a.smallestLeft(shape) != nil
+}
+
+func (a *accountState) smallestLeft(shape Shape) *guaranteeState {
+	for _, g := range a.guarantees {
+		if g.left > 0 && g.Shape.holds(shape) {
+			return g
+		}
+	}
+	return nil
+}
+
 // teamState is a team with the accelerators that its gangs hold.
 type teamState struct {
 	Team
@@ -39,17 +98,17 @@
 // guaranteeState is a guarantee with its unused shapes.
 type guaranteeState struct {
 	Guarantee
-	// idle holds the numbers of the shapes that no gang uses any part of.
+	// idle holds the slots that no gang uses any part of, used the others.
 	idle *btree.BTreeG[*slot]
+	used *btree.BTreeG[*slot]
+	// left is what entitled has not counted yet.
+	left int
 }
 
 func newAccount(name string) *accountState {
 	a := &accountState{Account: Account{Name: name, Weight: 1}}
 	a.waiting = btree.NewG(treeDegree, lessWaiting)
 	a.borrowers = btree.NewG(treeDegree, func(x, y *run) bool { return x.sequence < y.sequence })
-	for class := range a.units {
-		a.units[class] = btree.NewG(treeDegree, lessUnit)
-	}
 	return a
 }
 
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		if attempts >= attemptsPerPass {
-			r.why = reason{kind: waitsForOrder}
+			s.tryLate(r)
 			continue
 		}
 		if s.tryRun(r, headSeen, &attempts) {
@@ -139,6 +139,15 @@
 	return backfill && s.tryBackfill(r)
 }
 
+// tryLate looks only at the guarantee of a job for which there are too many before it.
+func (s *Scheduler) tryLate(r *run) {
+	q := r.request()
+	if !s.failing[r.signature()] && s.tryGuaranteed(r, &q) {
+		return
+	}
+	r.why = reason{kind: waitsForOrder}
+}
+
 // tryFree starts the job as a borrower on free accelerators.
 func (s *Scheduler) tryFree(r *run, q *request) bool {
 	if !s.place(q) {
@@ -159,49 +168,6 @@
 	s.claimSpots(r, spots, v)
 }
 
-// tryGuaranteed starts or claims room for the job inside its account's guarantee: on free accelerators when there
-// are some, else from the borrowers that cost least.
-func (s *Scheduler) tryGuaranteed(r *run, q *request) bool {
-	if !s.findGuaranteed(r, q) {
-		return false
-	}
-	s.nominal = append(s.nominal[:0], s.trial.spots...)
-	nominalPrice := s.price(&s.trial)
-	r.protected = true
-	defer func() { r.protected = r.state != waiting }()
-	if !s.victimsOn(r, s.nominal, &s.nominalVictims) {
-		return false
-	}
-	inUse := s.sharesUnits(r.account, s.nominal)
-	if !inUse && s.place(q) && (len(s.nominalVictims.runs) > 0 || s.bestPrice < nominalPrice) && s.protect(r, s.best.spots) {
-		s.launch(r, s.best.spots, nil)
-		return true
-	}
-	if !inUse && len(s.nominalVictims.runs) > 0 && s.claimCheaper(r, q) {
-		return true
-	}
-	if !s.protect(r, s.nominal) {
-		return false
-	}
-	s.launch(r, s.nominal, &s.nominalVictims)
-	return true
-}
-
-// claimCheaper claims other spots than the nominal ones when their victims cost less.
-func (s *Scheduler) claimCheaper(r *run, q *request) bool {
-	if _, fits := s.gather(q, s.cheapBorrowers(r)); !fits {
-		return false
-	}
-	if !s.victimsOn(r, s.trial.spots, &s.candidateVictims) || !s.candidateVictims.cheaper(&s.nominalVictims) {
-		return false
-	}
-	if !s.protect(r, s.trial.spots) {
-		return false
-	}
-	s.launch(r, s.trial.spots, &s.candidateVictims)
-	return true
-}
-
 // tryUrgent claims accelerators of borrowers that are not urgent for urgent work outside the guarantee.
 func (s *Scheduler) tryUrgent(r *run, q *request) bool {
 	if _, fits := s.gather(q, s.cheapBorrowers(r)); !fits {
--- a/internal/policy/guaranteed.go
+++ b/internal/policy/guaranteed.go
@@ -3,122 +3,68 @@
 import (
 	"math/bits"
 	"slices"
+
+	"github.com/google/btree"
 )
 
-// unitTries bounds the cells of one account that are looked at as the room of a gang, for each size class.
-const unitTries = 32
+// slotTries bounds the slots of one guarantee that are looked at.
+const slotTries = 16
 
-// findGuaranteed looks for room for the gang in the unprotected cells of its account, whatever borrowers stand
-// there, and leaves it in s.trial. Cells that the account uses already come before unused ones.
-func (s *Scheduler) findGuaranteed(r *run, q *request) bool {
-	if q.class < 0 || len(r.account.guarantees) == 0 {
+// holds reports whether every gang of the other shape fits, member for member, where one of this shape does.
+func (s Shape) holds(other Shape) bool {
+	if other.Members > s.Members || other.Accelerators > s.Accelerators || other.Accelerators == 0 {
 		return false
 	}
-	if sl := r.exactSlot(); sl != nil && s.guaranteedIn(sl, q) {
-		return true
-	}
-	switch q.adjacency {
-	case SameWorker:
-		return s.guaranteedInWorker(r, q)
-	case SameRack:
-		return s.guaranteedInRack(r, q)
-	default:
-		return s.guaranteedAnywhere(r, q)
-	}
+	return other.Members <= 1 || other.Adjacency >= s.Adjacency
 }
 
-// guaranteedIn takes the whole slot.
-func (s *Scheduler) guaranteedIn(sl *slot, q *request) bool {
-	s.trial.reset()
-	for _, u := range sl.units {
-		s.takeHome(q, u.worker, u.mask&^u.worker.protected)
+// findGuaranteed looks for room for the gang in a slot of its account that holds its shape, whatever borrowers stand
+// there, and leaves it in s.trial: an unused slot, the smallest first, which is returned; else room beside the gangs
+// of a used one, when the slot returned is nil.
+func (s *Scheduler) findGuaranteed(r *run, q *request) (*slot, bool) {
+	for _, g := range r.account.guarantees {
+		if g.Shape.holds(r.Shape) {
+			if sl := s.slotWithRoom(g.idle, q); sl != nil {
+				return sl, true
+			}
+		}
 	}
-	return len(s.trial.spots) == q.members
-}
-
-func (s *Scheduler) guaranteedInWorker(r *run, q *request) bool {
-	found := s.eachUnit(r.account, q.class, unitTries, func(u *homeUnit) bool {
-		return s.guaranteedOn(r, q, u.worker)
-	})
-	return found || s.eachIdle(r, func(sl *slot) bool {
-		return slices.ContainsFunc(sl.units, func(u *homeUnit) bool { return s.guaranteedOn(r, q, u.worker) })
-	})
-}
-
-func (s *Scheduler) guaranteedOn(r *run, q *request, w *workerState) bool {
-	s.trial.reset()
-	s.takeHome(q, w, w.homeOf(r.account))
-	return len(s.trial.spots) == q.members
+	for _, g := range r.account.guarantees {
+		if g.Shape.holds(r.Shape) && s.slotWithRoom(g.used, q) != nil {
+			return nil, true
+		}
+	}
+	return nil, false
 }
 
-func (s *Scheduler) guaranteedInRack(r *run, q *request) bool {
-	var last *rackState
-	found := s.eachUnit(r.account, q.class, unitTries, func(u *homeUnit) bool {
-		if u.worker.rack == last {
-			return false
+func (s *Scheduler) slotWithRoom(slots *btree.BTreeG[*slot], q *request) *slot {
+	var found *slot
+	left := slotTries
+	slots.Ascend(func(sl *slot) bool {
+		if s.takeSlot(sl, q) {
+			found = sl
 		}
-		last = u.worker.rack
-		return s.guaranteedWithin(r, q, last)
-	})
-	return found || s.eachIdle(r, func(sl *slot) bool {
-		return s.guaranteedWithin(r, q, sl.units[0].worker.rack)
+		left--
+		return found == nil && left > 0
 	})
+	return found
 }
 
-func (s *Scheduler) guaranteedWithin(r *run, q *request, rack *rackState) bool {
+// takeSlot fills the trial with room in the slot; false when the whole gang does not find it.
+func (s *Scheduler) takeSlot(sl *slot, q *request) bool {
 	s.trial.reset()
-	for _, w := range rack.workers {
-		if w.condition == Healthy {
-			s.takeHome(q, w, w.homeOf(r.account))
+	for _, u := range sl.units {
+		if len(s.trial.spots) > 0 && !q.reaches(s.trial.spots[0].worker, u.worker) {
+			s.trial.reset()
 		}
-	}
-	return len(s.trial.spots) == q.members
-}
-
-func (s *Scheduler) guaranteedAnywhere(r *run, q *request) bool {
-	s.trial.reset()
-	return s.eachUnit(r.account, q.class, 2*MaxMembers, func(u *homeUnit) bool {
 		s.takeHome(q, u.worker, u.mask&^u.worker.protected)
-		return len(s.trial.spots) == q.members
-	})
-}
-
-// eachUnit calls visit for the account's units that have an unprotected cell of the class until it returns true;
-// at most limit units of each class.
-func (s *Scheduler) eachUnit(a *accountState, class, limit int, visit func(*homeUnit) bool) bool {
-	found := false
-	for ; class < sizeClasses && !found; class++ {
-		left := limit
-		a.units[class].Ascend(func(key unitKey) bool {
-			found = visit(key.unit)
-			left--
-			return !found && left > 0
-		})
-	}
-	return found
-}
-
-// eachIdle calls visit for one unused slot of each guarantee that takes the whole gang.
-func (s *Scheduler) eachIdle(r *run, visit func(*slot) bool) bool {
-	for _, g := range r.account.guarantees {
-		if sl, found := g.idle.Min(); found && sl.coversShape(r.Shape) && visit(sl) {
+		if len(s.trial.spots) == q.members {
 			return true
 		}
 	}
 	return false
 }
 
-// homeOf returns the unprotected accelerators of the account's units on the worker.
-func (w *workerState) homeOf(a *accountState) uint32 {
-	var mask uint32
-	for _, u := range w.units {
-		if u.slot.account == a && u.slot.guarantee != nil {
-			mask |= u.mask
-		}
-	}
-	return mask &^ w.protected
-}
-
 // takeHome adds members on the mask to the trial, free accelerators first, as many as the worker's firm capacity allows.
 func (s *Scheduler) takeHome(q *request, w *workerState, mask uint32) {
 	if slices.Contains(q.avoid, w.Name) {
@@ -146,15 +92,3 @@
 		s.trial.add(w, cell)
 	}
 }
-
-// sharesUnits reports whether the spots lie in units that the account uses already.
-func (s *Scheduler) sharesUnits(a *accountState, spots []spot) bool {
-	for _, sp := range spots {
-		for _, u := range sp.worker.units {
-			if u.busy && u.slot.account == a && sp.mask&u.mask != 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/policy/homes.go
+++ b/internal/policy/homes.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"cmp"
 	"math/bits"
 	"slices"
 
@@ -18,18 +17,16 @@
 	// busy counts the units that protected gangs use; blocked counts those on workers that take no work.
 	busy    int
 	blocked int
-	// size orders slots by how hard they are to replace: gangs of one worker or rack count twice.
-	size int
 	// oneRack slots keep all units in one rack; fixedRack slots never change it, for its spare worker is there.
 	oneRack   bool
 	fixedRack bool
-	filed     bool
+	// filed is the set of its guarantee that the slot is in.
+	filed *btree.BTreeG[*slot]
 }
 
 // homeUnit is the part of a slot that has to stay together on one worker.
 type homeUnit struct {
 	slot   *slot
-	number int
 	worker *workerState
 	mask   uint32
 	// region is the smallest cell around mask; 0 when there is none, and the unit can't change places.
@@ -38,37 +35,6 @@
 	class   int
 	busy    bool
 	blocked bool
-	filed   bool
-	key     unitKey
-}
-
-// unitUse says how far a unit is used already; gangs take the most used ones first.
-type unitUse uint8
-
-const (
-	unitUsed unitUse = iota
-	slotUsed
-	slotIdle
-)
-
-// unitKey orders the units of one account whose largest unprotected part has the same class: used ones first, then
-// those of slots that are easily replaced.
-type unitKey struct {
-	class  int
-	use    unitUse
-	size   int
-	slot   int
-	number int
-	unit   *homeUnit
-}
-
-func lessUnit(a, b unitKey) bool {
-	return cmp.Or(
-		cmp.Compare(a.use, b.use),
-		cmp.Compare(a.size, b.size),
-		cmp.Compare(a.slot, b.slot),
-		cmp.Compare(a.number, b.number),
-	) < 0
 }
 
 func lessSlot(a, b *slot) bool {
@@ -84,10 +50,6 @@
 		sl.oneRack = g.Shape.rackBound()
 		sl.fixedRack = sl.oneRack && g.Spare
 		together = g.Shape.Adjacency == SameWorker
-		sl.size = g.Shape.Total()
-		if g.Shape.Members > 1 && g.Shape.Adjacency != SameDataCentre {
-			sl.size *= 2
-		}
 	} else {
 		sl.fixedRack = true
 	}
@@ -96,7 +58,7 @@
 			sl.units[last].mask |= m.mask
 			continue
 		}
-		sl.units = append(sl.units, &homeUnit{slot: sl, number: len(sl.units), worker: m.worker, mask: m.mask})
+		sl.units = append(sl.units, &homeUnit{slot: sl, worker: m.worker, mask: m.mask})
 	}
 	for _, u := range sl.units {
 		u.setRegion()
@@ -125,7 +87,6 @@
 // dropSlot gives the cells up.
 func (s *Scheduler) dropSlot(sl *slot) {
 	for _, u := range sl.units {
-		s.unfileUnit(u)
 		w := u.worker
 		w.units = slices.DeleteFunc(w.units, func(other *homeUnit) bool { return other == u })
 		w.home &^= u.mask
@@ -134,17 +95,10 @@
 	s.slots = slices.DeleteFunc(s.slots, func(other *slot) bool { return other == sl })
 }
 
-func (s *Scheduler) unfileUnit(u *homeUnit) {
-	if u.filed {
-		u.slot.account.units[u.key.class].Delete(u.key)
-		u.filed = false
-	}
-}
-
 func (s *Scheduler) unfileSlot(sl *slot) {
-	if sl.filed {
-		sl.guarantee.idle.Delete(sl)
-		sl.filed = false
+	if sl.filed != nil {
+		sl.filed.Delete(sl)
+		sl.filed = nil
 	}
 }
 
@@ -155,13 +109,12 @@
 	}
 }
 
-// fileUnit enters the unit where searches for protected room look.
+// fileUnit notes whether gangs use the unit, and whether its worker takes work.
 func (s *Scheduler) fileUnit(u *homeUnit) {
 	sl, w := u.slot, u.worker
 	if sl.guarantee == nil {
 		return
 	}
-	wasBusy := sl.busy > 0
 	if busy := u.mask&w.protected != 0; busy != u.busy {
 		u.busy = busy
 		sl.busy += signOf(busy)
@@ -170,43 +123,24 @@
 		u.blocked = blocked
 		sl.blocked += signOf(blocked)
 	}
-	if wasBusy == (sl.busy > 0) {
-		s.enterUnit(u)
-	} else {
-		for _, other := range sl.units {
-			s.enterUnit(other)
-		}
-	}
 	s.enterSlot(sl)
 }
 
-func (s *Scheduler) enterUnit(u *homeUnit) {
-	s.unfileUnit(u)
-	class := largestClass(u.mask &^ u.worker.protected)
-	if class < 0 || u.blocked {
-		return
-	}
-	use := slotIdle
+// enterSlot notes whether the slot is unused, used or out of reach.
+func (s *Scheduler) enterSlot(sl *slot) {
+	set := sl.guarantee.idle
 	switch {
-	case u.busy:
-		use = unitUsed
-	case u.slot.busy > 0:
-		use = slotUsed
+	case sl.blocked > 0:
+		set = nil
+	case sl.busy > 0:
+		set = sl.guarantee.used
 	}
-	u.key = unitKey{class: class, use: use, size: u.slot.size, slot: u.slot.number, number: u.number, unit: u}
-	u.filed = true
-	u.slot.account.units[class].ReplaceOrInsert(u.key)
-}
-
-// enterSlot notes whether the slot is unused.
-func (s *Scheduler) enterSlot(sl *slot) {
-	idle := sl.busy == 0 && sl.blocked == 0
-	if !idle {
+	if set != sl.filed {
 		s.unfileSlot(sl)
-	}
-	if idle && !sl.filed {
-		sl.filed = true
-		sl.guarantee.idle.ReplaceOrInsert(sl)
+		sl.filed = set
+		if set != nil {
+			set.ReplaceOrInsert(sl)
+		}
 	}
 	if sl.busy == 0 && sl.blocked > 0 {
 		s.unpacked = true
@@ -303,7 +237,7 @@
 	w.home |= u.mask
 }
 
-// newIdle returns an empty set of unused slots.
-func newIdle() *btree.BTreeG[*slot] {
+// newSlotSet returns an empty set of slots.
+func newSlotSet() *btree.BTreeG[*slot] {
 	return btree.NewG(treeDegree, lessSlot)
 }
--- a/internal/policy/lifecycle.go
+++ b/internal/policy/lifecycle.go
@@ -17,6 +17,7 @@
 			r.slowest = max(sp.worker.SpeedPermille, 1)
 		}
 	}
+	r.account.countShape(r.Shape, 1)
 	if r.team != nil {
 		r.team.held += r.total()
 	}
@@ -132,7 +133,8 @@
 	spots := r.spots
 	r.spots = nil
 	s.freeCapacity(r, spots, r.state == claiming)
-	if r.team != nil && len(spots) > 0 {
+	r.account.countShape(r.Shape, -1)
+	if r.team != nil {
 		r.team.held -= r.total()
 	}
 	for _, claimant := range r.waiters {
--- a/internal/policy/preemption.go
+++ b/internal/policy/preemption.go
@@ -13,7 +13,8 @@
 	runs []*run
 	// lost is the work that stopping them loses, in accelerator milliseconds.
 	lost int64
-	// graced is the number of runs that were preempted only lately.
+	// graced is the number of runs that were preempted only lately, or are inside their account's guarantee and
+	// about to be given another place in it.
 	graced int
 }
 
@@ -24,7 +25,7 @@
 	v.graced = 0
 }
 
-// cheaper reports whether clearing v costs less than clearing other: fewer runs preempted lately, then less work lost.
+// cheaper reports whether clearing v costs less than clearing other: fewer runs that are to be spared, then less work lost.
 func (v *victimSet) cheaper(other *victimSet) bool {
 	return cmp.Or(cmp.Compare(v.graced, other.graced), cmp.Compare(v.lost, other.lost), cmp.Compare(len(v.runs), len(other.runs))) < 0
 }
@@ -38,7 +39,7 @@
 		return
 	}
 	v.lost += r.lostIfStopped(s.now)
-	if s.graced(r) {
+	if s.graced(r) || r.tenant {
 		v.graced++
 	}
 }
--- a/internal/policy/protect.go
+++ b/internal/policy/protect.go
@@ -2,9 +2,6 @@
 
 import "math/bits"
 
-// coverTries bounds the unused cells that are tried as the home of one member.
-const coverTries = 8
-
 // transaction records what protect did, so that it can be undone.
 type transaction struct {
 	exchanges []exchange
@@ -12,83 +9,20 @@
 	moved     []*slot
 }
 
-// protect brings the spots inside the guarantee of the run's account: it exchanges unused homes until every spot
-// lies in an unused home of the account, and marks the spots. On false nothing has changed.
-func (s *Scheduler) protect(r *run, spots []spot) bool {
-	if r.Shape.Accelerators == 0 || len(r.account.guarantees) == 0 {
+// protect brings the spots inside the guarantee of the run's account: it moves the unused slot under the spots,
+// exchanging homes, and marks the spots; without a slot the spots must lie in one that is used already. On false
+// nothing has changed.
+func (s *Scheduler) protect(r *run, spots []spot, sl *slot) bool {
+	if r.Shape.Accelerators == 0 || len(spots) == 0 {
 		return false
 	}
 	roomier := r.account.roomier
-	done := false
-	if sl := r.exactSlot(); sl != nil {
-		done = s.protectSlot(r, spots, sl)
-	} else {
-		done = s.protectCells(r, spots) || s.protectRack(r, spots)
-	}
-	if !done {
-		r.account.roomier = roomier
-	}
-	return done
-}
-
-// exactSlot returns an unused slot of the run's own shape, nil when there is none.
-func (r *run) exactSlot() *slot {
-	for _, g := range r.account.guarantees {
-		if g.Shape != r.Shape {
-			continue
-		}
-		if sl, found := g.idle.Min(); found {
-			return sl
-		}
-	}
-	return nil
-}
-
-// protectSlot moves the unused slot under the spots and marks them.
-func (s *Scheduler) protectSlot(r *run, spots []spot, sl *slot) bool {
 	s.transaction.reset()
-	if s.moveSlot(sl, spots, spots[0].worker.rack) && s.markAll(r, spots) {
+	if (sl == nil || s.moveSlot(sl, spots, spots[0].worker.rack)) && s.markAll(r, spots) {
 		return true
 	}
 	s.rollback(r)
-	return false
-}
-
-func (s *Scheduler) protectCells(r *run, spots []spot) bool {
-	tx := &s.transaction
-	tx.reset()
-	for _, sp := range spots {
-		if !s.coverSpot(r, sp) || !s.markProtected(r, sp) {
-			s.rollback(r)
-			return false
-		}
-	}
-	for _, sl := range tx.moved {
-		if !sl.keepsRack() {
-			s.rollback(r)
-			return false
-		}
-	}
-	return true
-}
-
-// protectRack moves a whole unused slot that is bound to one rack to the rack of the spots, and tries again.
-func (s *Scheduler) protectRack(r *run, spots []spot) bool {
-	rack := spots[0].worker.rack
-	for _, sp := range spots {
-		if sp.worker.rack != rack {
-			return false
-		}
-	}
-	for _, g := range r.account.guarantees {
-		sl, found := g.idle.Min()
-		if !found || !sl.oneRack || !sl.coversShape(r.Shape) {
-			continue
-		}
-		if s.protectSlot(r, spots, sl) {
-			return true
-		}
-	}
+	r.account.roomier = roomier
 	return false
 }
 
@@ -166,15 +100,6 @@
 	return false
 }
 
-// coversShape reports whether a gang of the shape fits into the unused slot.
-func (sl *slot) coversShape(shape Shape) bool {
-	own := sl.guarantee.Shape
-	if shape.Accelerators == 0 || shape.Accelerators > own.Accelerators {
-		return false
-	}
-	return own.Accelerators/shape.Accelerators*own.Members >= shape.Members
-}
-
 func (sl *slot) keepsRack() bool {
 	if !sl.oneRack {
 		return true
@@ -188,56 +113,25 @@
 }
 
 func (s *Scheduler) markAll(r *run, spots []spot) bool {
+	var first *slot
 	for _, sp := range spots {
-		if !s.coveredBy(r.account, sp) || !s.markProtected(r, sp) {
+		sl := coveredBy(r.account, sp)
+		if sl == nil || first != nil && sl != first || !s.markProtected(r, sp) {
 			return false
 		}
+		first = sl
 	}
 	return true
 }
 
-func (s *Scheduler) coveredBy(a *accountState, sp spot) bool {
+// coveredBy returns the account's slot in whose unprotected cells the spot lies, nil when there is none.
+func coveredBy(a *accountState, sp spot) *slot {
 	for _, u := range sp.worker.units {
 		if u.slot.account == a && u.slot.guarantee != nil && u.coversSpot(sp) {
-			return true
-		}
-	}
-	return false
-}
-
-// coverSpot exchanges an unused cell of the account against the one around the spot, unless it is covered already.
-func (s *Scheduler) coverSpot(r *run, sp spot) bool {
-	if s.coveredBy(r.account, sp) {
-		return true
-	}
-	for class := classOf(r.Shape.Accelerators); class < sizeClasses; class++ {
-		var candidates [coverTries]*homeUnit
-		count := 0
-		r.account.units[class].Ascend(func(key unitKey) bool {
-			if key.use != unitUsed && key.unit.class >= 0 {
-				candidates[count] = key.unit
-				count++
-			}
-			return count < len(candidates)
-		})
-		for _, u := range candidates[:count] {
-			if s.exchangeUnder(u, sp) {
-				return true
-			}
+			return u.slot
 		}
 	}
-	return false
-}
-
-// exchangeUnder puts the unit under the spot; false, with nothing changed, when it can't cover it.
-func (s *Scheduler) exchangeUnder(u *homeUnit, sp spot) bool {
-	region := enclosing(bits.TrailingZeros32(sp.mask), u.class)
-	offset := bits.TrailingZeros32(region)
-	moved := u.mask >> bits.TrailingZeros32(u.region) << offset
-	if sp.mask&^moved != 0 {
-		return false
-	}
-	return s.exchange(u, sp.worker, region)
+	return nil
 }
 
 // exchange swaps the homes of the unit's region and of the region given, and records it.
--- a/internal/policy/repack.go
+++ b/internal/policy/repack.go
@@ -33,7 +33,7 @@
 		if g.Count == 0 {
 			continue
 		}
-		state := &guaranteeState{Guarantee: g, idle: newIdle()}
+		state := &guaranteeState{Guarantee: g, idle: newSlotSet(), used: newSlotSet()}
 		s.guarantees = append(s.guarantees, state)
 		a := s.accountOf(g.Account)
 		a.guarantees = append(a.guarantees, state)
@@ -227,7 +227,7 @@
 	s.restored = nil
 	slices.SortStableFunc(restored, func(a, b *run) int { return cmp.Compare(a.sequence, b.sequence) })
 	for _, r := range restored {
-		if !r.protected && len(r.spots) > 0 && !r.stopping && s.protect(r, r.spots) {
+		if !r.protected && len(r.spots) > 0 && !r.stopping && s.protectWhereItIs(r) {
 			s.makeProtected(r)
 		}
 	}
@@ -249,16 +249,16 @@
 		return count < len(candidates)
 	})
 	for _, r := range candidates[:count] {
-		q := r.request()
-		if !s.findGuaranteed(r, &q) {
-			continue
-		}
-		if s.sharesUnits(a, s.trial.spots) && !s.sharesUnits(a, r.spots) {
-			continue
-		}
-		if s.protect(r, r.spots) {
+		if s.protectWhereItIs(r) {
 			s.makeProtected(r)
 			a.roomier = true
 		}
 	}
 }
+
+// protectWhereItIs brings a borrower inside its account's guarantee without moving it.
+func (s *Scheduler) protectWhereItIs(r *run) bool {
+	q := r.request()
+	sl, found := s.findGuaranteed(r, &q)
+	return found && s.protect(r, r.spots, sl)
+}
