--- a/internal/policy/claim.go
+++ b/internal/policy/claim.go
@@ -7,13 +7,52 @@
 	"github.com/google/btree"
 )
 
+// elsewhereTries bounds the places that an unused slot is tried to be moved to.
+const elsewhereTries = 8
+
 // tryGuaranteed starts or claims room for the job inside its account's guarantee: on free accelerators when there
 // are some, else from the borrowers that cost least.
 func (s *Scheduler) tryGuaranteed(r *run, q *request) bool {
 	if sl, found := s.findGuaranteed(r, q); found {
 		return s.claimGuaranteed(r, q, sl)
 	}
-	return s.rearrange(r, q)
+	return s.claimMoved(r, q) || s.rearrange(r, q)
+}
+
+// claimMoved claims an unused slot that holds the job but stands where the job can't run.
+func (s *Scheduler) claimMoved(r *run, q *request) bool {
+	for _, g := range r.account.guarantees {
+		if !g.Shape.holds(r.Shape) {
+			continue
+		}
+		if sl, found := g.idle.Min(); found {
+			return s.claimElsewhere(r, q, sl)
+		}
+	}
+	return false
+}
+
+// claimElsewhere moves the unused slot under free accelerators, or under those of borrowers, and claims them.
+func (s *Scheduler) claimElsewhere(r *run, q *request, sl *slot) bool {
+	r.protected = true
+	defer func() { r.protected = r.state != waiting }()
+	if s.place(q) && s.protect(r, s.best.spots, sl) {
+		s.launch(r, s.best.spots, nil)
+		return true
+	}
+	candidates := s.cheapBorrowers(r)
+	for range elsewhereTries {
+		enough, fits := s.gather(q, candidates)
+		if !fits {
+			return false
+		}
+		if s.victimsOn(r, s.trial.spots, &s.candidateVictims) && s.protect(r, s.trial.spots, sl) {
+			s.launch(r, s.trial.spots, &s.candidateVictims)
+			return true
+		}
+		candidates = candidates[enough:]
+	}
+	return false
 }
 
 // claimGuaranteed claims the room in s.trial, or better accelerators that the unused slot sl can be moved under.
@@ -83,7 +122,7 @@
 		s.unprotect(m.run, m.run.spots)
 		m.run.protected, m.run.tenant = false, true
 	}
-	done := s.takeSlot(sl, q) && s.claimGuaranteed(r, q, sl)
+	done := s.takeSlot(sl, q) && s.claimGuaranteed(r, q, sl) || s.claimElsewhere(r, q, sl)
 	for _, m := range plan.moves {
 		m.run.tenant = false
 		if done {
--- a/internal/policy/lifecycle.go
+++ b/internal/policy/lifecycle.go
@@ -69,6 +69,7 @@
 // confirm notes that the run has started.
 func (s *Scheduler) confirm(r *run, nowMillis int64) {
 	r.state = running
+	r.claimedMillis = 0
 	r.startedMillis, r.checkpointMillis = nowMillis, nowMillis
 	r.startedPPM = r.CheckpointPPM
 	r.endMillis = nowMillis + s.expectRemaining(r, nowMillis, typical)
--- a/internal/policy/preemption.go
+++ b/internal/policy/preemption.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// shortestStopMillis is what a victim gets at least, when the claimant had to claim again.
+const shortestStopMillis = 100
+
 // victimTries bounds the borrowers that are weighed as victims of one claim.
 const victimTries = 48
 
@@ -192,6 +195,9 @@
 // claimSpots holds the spots for the run, tells the victims to leave, and starts the run at once when there are none.
 func (s *Scheduler) claimSpots(r *run, spots []spot, v *victimSet) {
 	victims := slices.Clone(v.runs)
+	if r.claimedMillis == 0 {
+		r.claimedMillis = s.now
+	}
 	for _, victim := range victims {
 		if victim.state == claiming {
 			s.withdraw(victim)
@@ -235,7 +241,9 @@
 	victim.stopIssued = true
 	stop := &Stop{JobID: victim.ID, Reason: victim.stop, WithinMillis: s.config.Bounds.PreemptWithinMillis}
 	if victim.stop == Preempted {
-		stop.For = victim.waiters[0].ID
+		claimant := victim.waiters[0]
+		stop.For = claimant.ID
+		stop.WithinMillis = max(stop.WithinMillis-(s.now-claimant.claimedMillis), shortestStopMillis)
 	}
 	s.decisions = append(s.decisions, Decision{Stop: stop})
 }
--- a/internal/policy/run.go
+++ b/internal/policy/run.go
@@ -38,6 +38,8 @@
 	waiters []*run
 	// victims is how many runs this one waits for.
 	victims int
+	// claimedMillis is when the job first claimed accelerators since it waits; 0 when it has not.
+	claimedMillis int64
 	// destination is held for a run that is being moved.
 	destination []spot
 
