--- a/internal/policy/lifecycle.go
+++ b/internal/policy/lifecycle.go
@@ -17,6 +17,7 @@
 			r.slowest = max(sp.worker.SpeedPermille, 1)
 		}
 	}
+	r.account.countShape(r.Shape, 1)
 	if r.team != nil {
 		r.team.held += r.total()
 	}
@@ -68,6 +69,7 @@
 // confirm notes that the run has started.
 func (s *Scheduler) confirm(r *run, nowMillis int64) {
 	r.state = running
+	r.claimedMillis = 0
 	r.startedMillis, r.checkpointMillis = nowMillis, nowMillis
 	r.startedPPM = r.CheckpointPPM
 	r.endMillis = nowMillis + s.expectRemaining(r, nowMillis, typical)
@@ -132,7 +134,8 @@
 	spots := r.spots
 	r.spots = nil
 	s.freeCapacity(r, spots, r.state == claiming)
-	if r.team != nil && len(spots) > 0 {
+	r.account.countShape(r.Shape, -1)
+	if r.team != nil {
 		r.team.held -= r.total()
 	}
 	for _, claimant := range r.waiters {
--- a/internal/policy/preemption.go
+++ b/internal/policy/preemption.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// shortestStopMillis is what a victim gets at least, when the claimant had to claim again.
+const shortestStopMillis = 100
+
 // victimTries bounds the borrowers that are weighed as victims of one claim.
 const victimTries = 48
 
@@ -13,7 +16,8 @@
 	runs []*run
 	// lost is the work that stopping them loses, in accelerator milliseconds.
 	lost int64
-	// graced is the number of runs that were preempted only lately.
+	// graced is the number of runs that were preempted only lately, or are inside their account's guarantee and
+	// about to be given another place in it.
 	graced int
 }
 
@@ -24,7 +28,7 @@
 	v.graced = 0
 }
 
-// cheaper reports whether clearing v costs less than clearing other: fewer runs preempted lately, then less work lost.
+// cheaper reports whether clearing v costs less than clearing other: fewer runs that are to be spared, then less work lost.
 func (v *victimSet) cheaper(other *victimSet) bool {
 	return cmp.Or(cmp.Compare(v.graced, other.graced), cmp.Compare(v.lost, other.lost), cmp.Compare(len(v.runs), len(other.runs))) < 0
 }
@@ -38,7 +42,7 @@
 		return
 	}
 	v.lost += r.lostIfStopped(s.now)
-	if s.graced(r) {
+	if s.graced(r) || r.tenant {
 		v.graced++
 	}
 }
@@ -191,6 +195,9 @@
 // claimSpots holds the spots for the run, tells the victims to leave, and starts the run at once when there are none.
 func (s *Scheduler) claimSpots(r *run, spots []spot, v *victimSet) {
 	victims := slices.Clone(v.runs)
+	if r.claimedMillis == 0 {
+		r.claimedMillis = s.now
+	}
 	for _, victim := range victims {
 		if victim.state == claiming {
 			s.withdraw(victim)
@@ -234,7 +241,9 @@
 	victim.stopIssued = true
 	stop := &Stop{JobID: victim.ID, Reason: victim.stop, WithinMillis: s.config.Bounds.PreemptWithinMillis}
 	if victim.stop == Preempted {
-		stop.For = victim.waiters[0].ID
+		claimant := victim.waiters[0]
+		stop.For = claimant.ID
+		stop.WithinMillis = max(stop.WithinMillis-(s.now-claimant.claimedMillis), shortestStopMillis)
 	}
 	s.decisions = append(s.decisions, Decision{Stop: stop})
 }
--- a/internal/policy/run.go
+++ b/internal/policy/run.go
@@ -26,6 +26,8 @@
 	spots []spot
 	// protected runs are inside their account's guarantee and never victims.
 	protected bool
+	// tenant is set while the run's slot is being given to another gang of its account.
+	tenant bool
 	// backfilled runs stand on cells held for the reservation.
 	backfilled bool
 	// stop is the decision that the run must leave; stopIssued when it is out.
@@ -36,6 +38,8 @@
 	waiters []*run
 	// victims is how many runs this one waits for.
 	victims int
+	// claimedMillis is when the job first claimed accelerators since it waits; 0 when it has not.
+	claimedMillis int64
 	// destination is held for a run that is being moved.
 	destination []spot
 
