--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -2,7 +2,7 @@
 
 import "container/heap"
 
-// Bound is what no policy can do better, for the measured jobs that can finish.
+// Bound is what no policy can do better for the measured jobs that the trace neither cancels nor fails.
 type Bound struct {
 	// MeanIdealMillis is the mean completion if every job ran at once, alone on the fastest fitting workers.
 	MeanIdealMillis int64 `json:"mean_ideal_ms"`
@@ -13,7 +13,7 @@
 	LastEndMillis int64 `json:"last_end_unix_ms"`
 }
 
-// bound leaves out jobs that fail or are cancelled, measured or not, so it stays a lower bound.
+// bound leaves out the work of all other jobs, so it stays a lower bound.
 func (p *plan) bound() Bound {
 	var sum Bound
 	jobs := int64(0)
@@ -53,14 +53,8 @@
 	for _, worker := range b.site.workers {
 		b.rate += float64(worker.Accelerators) * float64(worker.SpeedPermille) / unit
 	}
-	dropped := map[string]bool{}
 	for _, due := range b.site.inputs {
-		dropped[due.cancelled] = true
-	}
-	for _, due := range b.site.inputs {
-		job := due.submitted
-		measured := due.timeMillis >= b.measured.from
-		if job == nil || job.GetFails() || dropped[job.GetId()] || !measured {
+		if due.submitted == nil || !due.steady || due.timeMillis < b.measured.from {
 			continue
 		}
 		b.jobs++
--- a/internal/replay/claims.go
+++ b/internal/replay/claims.go
@@ -4,13 +4,14 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
 )
 
-// claimChecker checks that guarantees are honoured. It matches the running jobs of an account to the
-// account's guaranteed shapes, one job a shape; as many waiting jobs as the shapes left over can hold
-// are claims, and each claim must be met by a start within MaxReclaimMillis.
+// claimChecker checks that guarantees are honoured. The running jobs of an account are packed into its
+// guaranteed shapes, as far as they fit; the waiting jobs that fit into what is left are claims, and as
+// many starts must come within MaxReclaimMillis.
 type claimChecker struct {
 	checker  *checker
 	measured window
@@ -27,8 +28,15 @@
 	guarantees []policy.Guarantee
 	waiting    []*job
 	running    []*job
-	// since holds the time of each open claim, oldest first.
-	since []int64
+	// claims are open, oldest first.
+	claims []claim
+}
+
+// claim is the right of an account to one more start.
+type claim struct {
+	sinceMillis int64
+	// jobs are the waiting jobs that any of the open claims could be met with.
+	jobs []string
 }
 
 func newClaimChecker(checker *checker, measured window) *claimChecker {
@@ -56,11 +64,6 @@
 		account := c.account(guarantee.Account)
 		account.guarantees = append(account.guarantees, guarantee)
 	}
-	for _, account := range c.accounts {
-		slices.SortStableFunc(account.guarantees, func(a, b policy.Guarantee) int {
-			return cmp.Compare(sizeOf(a.Shape), sizeOf(b.Shape))
-		})
-	}
 }
 
 func (c *claimChecker) account(name string) *accountClaims {
@@ -95,12 +98,12 @@
 	for _, name := range sortedNames(c.changed) {
 		account := c.accounts[name]
 		open := c.open(account)
-		for len(account.since) < open {
-			account.since = append(account.since, nowMillis)
+		for len(account.claims) < len(open) {
+			account.claims = append(account.claims, claim{sinceMillis: nowMillis, jobs: open})
 		}
-		for len(account.since) > open {
-			c.settle(name, account.since[0], nowMillis)
-			account.since = account.since[1:]
+		for len(account.claims) > len(open) {
+			c.settle(name, account.claims[0], nowMillis)
+			account.claims = account.claims[1:]
 		}
 	}
 	clear(c.changed)
@@ -109,68 +112,63 @@
 // finish reports the claims that no start ever met.
 func (c *claimChecker) finish() {
 	for _, name := range sortedNames(c.accounts) {
-		for _, since := range c.accounts[name].since {
-			detail := fmt.Sprintf("account %s: never met", name)
-			c.checker.violate(GuaranteeMissed, "", detail, since)
+		for _, unmet := range c.accounts[name].claims {
+			c.miss(name, "never met", unmet, unmet.sinceMillis)
 		}
 	}
 }
 
-func (c *claimChecker) settle(account string, since, nowMillis int64) {
+func (c *claimChecker) settle(account string, met claim, nowMillis int64) {
 	c.met++
-	if took := nowMillis - since; took > MaxReclaimMillis {
-		detail := fmt.Sprintf("account %s: met after %d ms", account, took)
-		c.checker.violate(GuaranteeMissed, "", detail, nowMillis)
+	if took := nowMillis - met.sinceMillis; took > MaxReclaimMillis {
+		c.miss(account, fmt.Sprintf("met after %d ms", took), met, nowMillis)
 	}
 }
 
-// open counts the waiting jobs that the account's unused guaranteed shapes can hold.
-func (c *claimChecker) open(account *accountClaims) int {
-	left := make([]int, len(account.guarantees))
-	for at, guarantee := range account.guarantees {
-		left[at] = guarantee.Count
-	}
+func (c *claimChecker) miss(account, how string, missed claim, nowMillis int64) {
+	detail := fmt.Sprintf("account %s: claim of %s %s", account, strings.Join(missed.jobs, " or "), how)
+	c.checker.violate(GuaranteeMissed, missed.jobs[0], detail, nowMillis)
+}
+
+// open lists the waiting jobs that fit into the account's guaranteed shapes beside the running ones.
+func (c *claimChecker) open(account *accountClaims) []string {
+	left := newShapePool(account.guarantees)
 	for _, target := range largestFirst(account.running) {
-		c.use(account, left, target)
+		c.use(left, target)
 	}
 	planned := map[teamName]int{}
-	open := 0
+	var open []string
 	for _, target := range largestFirst(account.waiting) {
-		if !c.checker.withinQuota(target, planned[target.teamName()]) || !c.use(account, left, target) {
+		if target.atFault() || !c.checker.withinQuota(target, planned[target.teamName()]) || !c.use(left, target) {
 			continue
 		}
 		planned[target.teamName()] += target.accelerators()
-		open++
+		open = append(open, target.spec.ID)
 	}
 	return open
 }
 
-// use takes the smallest guaranteed shape left that holds the job.
-func (c *claimChecker) use(account *accountClaims, left []int, target *job) bool {
-	for at, guarantee := range account.guarantees {
-		if left[at] > 0 && c.holds(guarantee.Shape, &target.spec) {
-			left[at]--
-			return true
-		}
-	}
-	return false
-}
+// atFault tells whether the job has shown that it cannot run; the account is owed nothing for it.
+func (j *job) atFault() bool { return j.fails && j.failures > 0 }
 
-// holds tells whether the guaranteed shape holds the job within the shape's share of each worker.
-func (c *claimChecker) holds(shape policy.Shape, wanted *policy.Job) bool {
-	tooLarge := wanted.Shape.Members > shape.Members || wanted.Shape.Accelerators > shape.Accelerators
-	tooFar := wanted.Shape.Members > 1 && wanted.Shape.Adjacency < shape.Adjacency
-	if tooLarge || tooFar || wanted.Shape.Accelerators == 0 {
+// use packs a job that keeps to the share of cores and memory of its accelerators.
+func (c *claimChecker) use(left *shapePool, target *job) bool {
+	wanted := &target.spec
+	size := wanted.Shape.Accelerators
+	share := func(total int) int { return total * size / c.smallest.Accelerators }
+	if size == 0 || wanted.Cores > share(c.smallest.Cores) || wanted.MemoryMiB > share(c.smallest.MemoryMiB) {
 		return false
 	}
-	share := func(total int) int { return total * shape.Accelerators / c.smallest.Accelerators }
-	return wanted.Cores <= share(c.smallest.Cores) && wanted.MemoryMiB <= share(c.smallest.MemoryMiB)
+	return left.take(wanted.Shape)
 }
 
 func largestFirst(jobs []*job) []*job {
 	sorted := slices.Clone(jobs)
 	slices.SortStableFunc(sorted, func(a, b *job) int {
-		return cmp.Compare(sizeOf(b.spec.Shape), sizeOf(a.spec.Shape))
+		return cmp.Or(
+			cmp.Compare(sizeOf(b.spec.Shape), sizeOf(a.spec.Shape)),
+			cmp.Compare(b.spec.Shape.Accelerators, a.spec.Shape.Accelerators),
+		)
 	})
 	return sorted
 }
--- a/internal/replay/domain.go
+++ b/internal/replay/domain.go
@@ -1,13 +1,15 @@
 package replay
 
 import (
-	"container/heap"
 	"slices"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
 )
 
+// maxIdleMillis ends a replay in which jobs wait for workers that never come back.
+const maxIdleMillis = 24 * 60 * 60 * 1000
+
 // phase is where a job of the replay stands.
 type phase uint8
 
@@ -38,6 +40,7 @@
 	checkpointEvery int64
 	checkpointTakes int64
 	fails           bool
+	steady          bool
 
 	phase   phase
 	outcome outcome
@@ -64,8 +67,10 @@
 	options Options
 
 	nowMillis int64
-	queue     eventQueue
-	jobs      map[string]*job
+	// activeMillis is when events other than wakes and probes were last due or to come.
+	activeMillis int64
+	queue        eventQueue
+	jobs         map[string]*job
 	// order lists the jobs by submission.
 	order   []*job
 	checker *checker
@@ -105,9 +110,12 @@
 func (d *domain) run() {
 	for len(d.queue.events) > 0 {
 		d.nowMillis = d.queue.events[0].timeMillis
+		if d.idle() {
+			break
+		}
 		d.meter.advance(d.nowMillis)
 		for len(d.queue.events) > 0 && d.queue.events[0].timeMillis == d.nowMillis {
-			d.handle(heap.Pop(&d.queue).(event))
+			d.handle(d.queue.pop())
 		}
 		d.decide()
 		d.claims.update(d.nowMillis)
@@ -119,6 +127,14 @@
 	d.claims.finish()
 }
 
+// idle tells that nothing but wakes and probes is left, and that they have led to nothing for long.
+func (d *domain) idle() bool {
+	if d.queue.active > 0 {
+		d.activeMillis = d.nowMillis
+	}
+	return d.nowMillis-d.activeMillis > maxIdleMillis
+}
+
 func (d *domain) configure(replaced *configuration) {
 	d.changed = true
 	d.policy.Configure(replaced.accounts, replaced.teams, replaced.guarantees)
@@ -174,6 +190,7 @@
 		checkpointEvery: submitted.GetCheckpointEveryMs(),
 		checkpointTakes: submitted.GetCheckpointMs(),
 		fails:           submitted.GetFails(),
+		steady:          due.steady,
 	}
 	d.jobs[added.spec.ID] = added
 	d.order = append(d.order, added)
--- a/internal/replay/events.go
+++ b/internal/replay/events.go
@@ -35,11 +35,26 @@
 type eventQueue struct {
 	events   []event
 	sequence int
+	// active counts the events that are neither wakes nor probes.
+	active int
+}
+
+func (e *event) isActive() bool { return e.kind != wakeDue && e.kind != probeDue }
+
+func (q *eventQueue) pop() event {
+	due := heap.Pop(q).(event)
+	if due.isActive() {
+		q.active--
+	}
+	return due
 }
 
 func (q *eventQueue) push(added event) {
 	added.sequence = q.sequence
 	q.sequence++
+	if added.isActive() {
+		q.active++
+	}
 	heap.Push(q, added)
 }
 
--- a/internal/replay/meter.go
+++ b/internal/replay/meter.go
@@ -14,18 +14,23 @@
 	unusable        int64
 	unusableLargest int64
 	present         int64
+	// speed is the sum of the speeds of the present accelerators, per mille.
+	speed int64
 
 	freeTime            int64
 	unusableTime        int64
 	unusableLargestTime int64
 	presentTime         int64
 	usedTime            int64
-	lostToPreemption    int64
-	lostToMoves         int64
-	lostToFailures      int64
-	preemptions         int
-	moves               int
-	decisions           int
+	// speedTime and workedTime are times by speed: what the present accelerators could do, and what was done and kept.
+	speedTime        int64
+	workedTime       int64
+	lostToPreemption int64
+	lostToMoves      int64
+	lostToFailures   int64
+	preemptions      int
+	moves            int
+	decisions        int
 }
 
 func newMeter(measured window, checker *checker) *meter {
@@ -39,6 +44,7 @@
 	m.unusableTime += m.unusable * span
 	m.unusableLargestTime += m.unusableLargest * span
 	m.presentTime += m.present * span
+	m.speedTime += m.speed * span
 	m.last = nowMillis
 }
 
@@ -48,18 +54,21 @@
 	if result != policy.Finished && result != policy.Cancelled {
 		until = target.startedMillis + scaled(target.keptMillis-target.keptAtStart, target.speedPermille)
 	}
-	m.usedTime += m.measured.overlap(target.startedMillis, min(until, nowMillis)) * int64(target.accelerators())
+	used := m.measured.overlap(target.startedMillis, min(until, nowMillis)) * int64(target.accelerators())
+	m.usedTime += used
+	m.workedTime += used * int64(target.speedPermille)
 }
 
 // observe takes the free accelerators of the healthy workers, and which of them no shape can use.
 func (m *meter) observe(checker *checker, claims *claimChecker) {
 	shapes := claims.shapes()
-	m.free, m.present = 0, 0
+	m.free, m.present, m.speed = 0, 0, 0
 	for _, worker := range checker.order {
 		if worker.condition == policy.Lost {
 			continue
 		}
 		m.present += int64(worker.Accelerators)
+		m.speed += int64(worker.Accelerators) * int64(worker.SpeedPermille)
 		if worker.condition == policy.Healthy {
 			m.free += int64(worker.left.freeCount())
 		}
--- a/internal/replay/plan.go
+++ b/internal/replay/plan.go
@@ -44,6 +44,8 @@
 	configuration *configuration
 	// idealMillis is the run time of the submitted job alone on the fastest workers that fit.
 	idealMillis int64
+	// steady jobs are neither cancelled nor failing in the trace, so they end under every policy.
+	steady bool
 }
 
 type planner struct {
@@ -51,16 +53,19 @@
 	byName   map[string]*site
 	ofWorker map[string]*site
 	ofJob    map[string]*site
+	// cancelled holds the jobs that the trace cancels.
+	cancelled map[string]bool
 	// offered is the accelerator time that each data centre was given, to place jobs without one.
 	offered map[*site]float64
 }
 
 func newPlan(trace *Trace, sheet *apiv1.Sheet) (*plan, error) {
 	p := &planner{
-		byName:   map[string]*site{},
-		ofWorker: map[string]*site{},
-		ofJob:    map[string]*site{},
-		offered:  map[*site]float64{},
+		byName:    map[string]*site{},
+		ofWorker:  map[string]*site{},
+		ofJob:     map[string]*site{},
+		cancelled: map[string]bool{},
+		offered:   map[*site]float64{},
 	}
 	for _, worker := range trace.Header.GetWorkers() {
 		p.addWorker(worker)
@@ -71,6 +76,11 @@
 			return nil, err
 		}
 	}
+	for _, line := range trace.Events {
+		if line.GetCancelled() != nil {
+			p.cancelled[line.GetCancelled().GetId()] = true
+		}
+	}
 	p.plan.window.from = trace.Header.GetMeasureFromUnixMs()
 	for _, line := range trace.Events {
 		if err := p.addEvent(line); err != nil {
@@ -149,7 +159,8 @@
 		return &JobError{Job: submitted.GetId(), DataCentre: submitted.GetSpec().GetDataCentre()}
 	}
 	ideal := scaled(submitted.GetRunMs(), fastestSpeed(chosen.workers, &job))
-	chosen.add(input{timeMillis: nowMillis, submitted: submitted, idealMillis: ideal})
+	steady := !submitted.GetFails() && !p.cancelled[submitted.GetId()]
+	chosen.add(input{timeMillis: nowMillis, submitted: submitted, idealMillis: ideal, steady: steady})
 	p.ofJob[submitted.GetId()] = chosen
 	p.offered[chosen] += workOf(submitted) / float64(len(chosen.workers))
 	p.plan.window.to = nowMillis
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -25,7 +25,8 @@
 	return nil
 }
 
-// ClassResult is the slowdown of the measured jobs of one class that finished: the time from
+// ClassResult is the slowdown of the measured jobs of one class that finished and that the trace does not
+// cancel, so that every policy is judged by the same jobs: the time from
 // submission to the end over the run time alone on the fastest fitting workers, the latter taken as
 // at least SlowdownFloorMillis.
 type ClassResult struct {
@@ -52,6 +53,7 @@
 	// WronglyFailed counts failed jobs that would have succeeded on sound workers.
 	WronglyFailed int `json:"wrongly_failed"`
 
+	// MeanCompletionMillis is the mean time from submission to the end, over the same jobs as the slowdowns.
 	MeanCompletionMillis int64 `json:"mean_completion_ms"`
 	// LastEndMillis is when the last job ended, Unix milliseconds.
 	LastEndMillis int64 `json:"last_end_unix_ms"`
@@ -64,6 +66,8 @@
 	FragmentationLargest float64 `json:"fragmentation_largest"`
 	// Utilisation is the share of the present accelerators on which work was done and kept.
 	Utilisation float64 `json:"utilisation"`
+	// WorkDone is the share of what the present accelerators could do at their speeds that was done and kept.
+	WorkDone float64 `json:"work_done"`
 
 	Preemptions           int     `json:"preemptions"`
 	Moves                 int     `json:"moves"`
@@ -165,6 +169,9 @@
 }
 
 func (t *totals) addFinished(ended *job) {
+	if !ended.steady {
+		return
+	}
 	took := ended.endMillis - ended.spec.SubmittedMillis
 	t.completion += took
 	slowdown := max(1, float64(took)/float64(max(ended.idealMillis, SlowdownFloorMillis)))
@@ -175,7 +182,7 @@
 
 func (t *totals) addDeadline(ended *job) {
 	deadline := ended.spec.DeadlineMillis
-	if deadline == 0 || ended.fails {
+	if deadline == 0 || !ended.steady {
 		return
 	}
 	t.sum.Deadlines++
@@ -205,6 +212,8 @@
 	m.unusableLargestTime += other.unusableLargestTime
 	m.presentTime += other.presentTime
 	m.usedTime += other.usedTime
+	m.speedTime += other.speedTime
+	m.workedTime += other.workedTime
 	m.lostToPreemption += other.lostToPreemption
 	m.lostToMoves += other.lostToMoves
 	m.lostToFailures += other.lostToFailures
@@ -219,12 +228,13 @@
 	for _, class := range []string{"urgent", "ordinary", "patient", AllClasses} {
 		r.Classes = append(r.Classes, classResult(class, t.slowdowns[class]))
 	}
-	if r.Finished > 0 {
-		r.MeanCompletionMillis = t.completion / int64(r.Finished)
+	if counted := len(t.slowdowns[AllClasses]); counted > 0 {
+		r.MeanCompletionMillis = t.completion / int64(counted)
 	}
 	r.Fragmentation = share(t.meter.unusableTime, t.meter.freeTime)
 	r.FragmentationLargest = share(t.meter.unusableLargestTime, t.meter.freeTime)
 	r.Utilisation = share(t.meter.usedTime, t.meter.presentTime)
+	r.WorkDone = share(t.meter.workedTime, t.meter.speedTime)
 	r.Preemptions, r.Moves, r.Decisions = t.meter.preemptions, t.meter.moves, t.meter.decisions
 	r.LostToPreemptionHours = hours(t.meter.lostToPreemption)
 	r.LostToMovesHours = hours(t.meter.lostToMoves)
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -58,6 +58,7 @@
 	{"fragmentation", func(r *PolicyResult) string { return percent(r.Fragmentation) }},
 	{"fragmentation, largest shape", func(r *PolicyResult) string { return percent(r.FragmentationLargest) }},
 	{"utilisation", func(r *PolicyResult) string { return percent(r.Utilisation) }},
+	{"work done of capacity by speed", func(r *PolicyResult) string { return percent(r.WorkDone) }},
 	{"preemptions/moves", func(r *PolicyResult) string { return fmt.Sprintf("%d/%d", r.Preemptions, r.Moves) }},
 	{"lost to preemption/moves/failures, accelerator hours", func(r *PolicyResult) string {
 		return fmt.Sprintf("%.1f/%.1f/%.1f", r.LostToPreemptionHours, r.LostToMovesHours, r.LostToFailuresHours)
