policy: claims come before borrowers in a pass, starting gangs can be victims

Cause (trial of the replay): a borrower was started in the same pass on cells that a claim of its own account needed; a starting gang was no victim, and the claim waited for it, 2,971 ms in all.

--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -61,6 +61,7 @@
 func (s *Scheduler) passAll() {
 	s.freed = false
 	clear(s.failing)
+	clear(s.unclaimed)
 	for _, a := range s.accountList {
 		clear(a.pass)
 		a.pass = a.pass[:0]
@@ -70,6 +71,7 @@
 		})
 	}
 	s.unhold()
+	s.claimAll()
 	attempts := 0
 	headSeen := false
 	for r := s.nextWaiting(); r != nil; r = s.nextWaiting() {
@@ -77,7 +79,7 @@
 			continue
 		}
 		if attempts >= attemptsPerPass {
-			s.tryLate(r)
+			r.why = reason{kind: waitsForOrder}
 			continue
 		}
 		if s.tryRun(r, headSeen, &attempts) {
@@ -92,6 +94,37 @@
 	}
 }
 
+// claimAll lets the jobs claim what is left of their accounts' guarantees, before others borrow.
+func (s *Scheduler) claimAll() {
+	for _, a := range s.accountList {
+		if len(a.guarantees) == 0 {
+			continue
+		}
+		for _, r := range a.pass {
+			if s.mayNotRun(r) || r.Shape.Accelerators == 0 {
+				continue
+			}
+			s.tryClaim(r)
+		}
+	}
+}
+
+// tryClaim is tryGuaranteed for jobs unlike those that failed since capacity was last freed.
+func (s *Scheduler) tryClaim(r *run) bool {
+	sig, memo := r.signature(), len(r.FailedWorkers) == 0
+	if memo && s.unclaimed[sig] {
+		return false
+	}
+	q := r.request()
+	if s.tryGuaranteed(r, &q) {
+		return true
+	}
+	if memo {
+		s.unclaimed[sig] = true
+	}
+	return false
+}
+
 // mayNotRun reports whether there is no use in looking for room for the job, and notes why.
 func (s *Scheduler) mayNotRun(r *run) bool {
 	switch {
@@ -128,7 +161,7 @@
 		return backfill && s.tryBackfill(r)
 	}
 	q := r.request()
-	if s.tryGuaranteed(r, &q) || s.tryFree(r, &q) || r.Class == Urgent && s.tryUrgent(r, &q) {
+	if s.tryClaim(r) || s.tryFree(r, &q) || r.Class == Urgent && s.tryUrgent(r, &q) {
 		return true
 	}
 	*attempts++
@@ -139,15 +172,6 @@
 	return backfill && s.tryBackfill(r)
 }
 
-// tryLate looks only at the guarantee of a job for which there are too many before it.
-func (s *Scheduler) tryLate(r *run) {
-	q := r.request()
-	if !s.failing[r.signature()] && s.tryGuaranteed(r, &q) {
-		return
-	}
-	r.why = reason{kind: waitsForOrder}
-}
-
 // tryFree starts the job as a borrower on free accelerators.
 func (s *Scheduler) tryFree(r *run, q *request) bool {
 	if !s.place(q) {
--- a/internal/policy/lifecycle.go
+++ b/internal/policy/lifecycle.go
@@ -63,21 +63,27 @@
 // start asks for the start of a run whose spots are free.
 func (s *Scheduler) start(r *run) {
 	s.use(r)
+	s.begin(r, s.now)
 	s.decisions = append(s.decisions, Decision{Start: &Start{JobID: r.ID, Members: memberList(r.spots)}})
 }
 
+// begin counts the run's time from now on.
+func (s *Scheduler) begin(r *run, nowMillis int64) {
+	s.unfileRun(r)
+	r.startedMillis, r.checkpointMillis = nowMillis, nowMillis
+	r.startedPPM = r.CheckpointPPM
+	r.endMillis = nowMillis + s.expectRemaining(r, nowMillis, typical)
+	s.fileRun(r)
+}
+
 // confirm notes that the run has started.
 func (s *Scheduler) confirm(r *run, nowMillis int64) {
 	r.state = running
 	r.claimedMillis = 0
-	r.startedMillis, r.checkpointMillis = nowMillis, nowMillis
-	r.startedPPM = r.CheckpointPPM
-	r.endMillis = nowMillis + s.expectRemaining(r, nowMillis, typical)
+	s.begin(r, nowMillis)
 	if r.stopping {
 		s.deferred = append(s.deferred, r)
-		return
 	}
-	s.fileRun(r)
 }
 
 // expectRemaining is the expected time to the run's end in milliseconds at the speed of its slowest member. Seen
@@ -95,9 +101,9 @@
 	return max(whole*full/speed-elapsed, 0)
 }
 
-// fileRun enters a running gang in the sets of victims and of ends.
+// fileRun enters a starting or running gang in the sets of victims and of ends.
 func (s *Scheduler) fileRun(r *run) {
-	if r.filed || r.stopping || r.state != running {
+	if r.filed || r.stopping || r.state != running && r.state != starting {
 		return
 	}
 	r.filed = true
--- a/internal/policy/preemption.go
+++ b/internal/policy/preemption.go
@@ -28,7 +28,7 @@
 	v.graced = 0
 }
 
-// cheaper reports whether clearing v costs less than clearing other: fewer runs that are to be spared, then less work lost.
+// cheaper reports whether clearing v costs less than clearing other: fewer runs to be spared, then less work lost.
 func (v *victimSet) cheaper(other *victimSet) bool {
 	return cmp.Or(cmp.Compare(v.graced, other.graced), cmp.Compare(v.lost, other.lost), cmp.Compare(len(v.runs), len(other.runs))) < 0
 }
@@ -47,9 +47,9 @@
 	}
 }
 
-// graced reports whether the run was preempted so lately that others are to be preferred as victims.
+// graced reports whether others are to be preferred as victims: the run is still starting, or was preempted lately.
 func (s *Scheduler) graced(r *run) bool {
-	return r.preemptedMillis > 0 && s.now-r.startedMillis < s.config.Bounds.RestartGraceMillis
+	return r.state == starting || r.preemptedMillis > 0 && s.now-r.startedMillis < s.config.Bounds.RestartGraceMillis
 }
 
 // victimsOn finds what must leave the spots so that the gang can start there. It returns false when a run that may
--- a/internal/policy/scheduler.go
+++ b/internal/policy/scheduler.go
@@ -49,8 +49,9 @@
 	deferred []*run
 	faulty   []*run
 	restored []*run
-	// failing holds what did not fit since capacity was last freed.
+	// failing holds what did not fit since capacity was last freed, unclaimed what no guarantee had room for.
 	failing     map[signature]bool
+	unclaimed   map[signature]bool
 	reservation reservation
 	moves       moveBudget
 	suspects    []*workerState
@@ -86,6 +87,7 @@
 		borrowers:   btree.NewG(treeDegree, lessBorrower),
 		ends:        btree.NewG(treeDegree, lessEnds),
 		failing:     make(map[signature]bool),
+		unclaimed:   make(map[signature]bool),
 	}
 }
 
