policy: best fit by holes, and small gangs share a used guaranteed cell that is free beside them

Cause: a worker was sorted by its largest free cell, so that a fitting smaller hole on it was found late; two gangs of one accelerator inside guarantees of two each took a cell of their own.

--- a/internal/policy/cells.go
+++ b/internal/policy/cells.go
@@ -50,6 +50,21 @@
 	return bits.OnesCount32(firstBits(mask, class))
 }
 
+// holes returns the accelerators of the mask that lie in cells of the class which are free as a whole while the next
+// larger cell around them is not.
+func holes(mask uint32, class int) uint32 {
+	whole := wholeCells(mask, class)
+	if class == sizeClasses-1 {
+		return whole
+	}
+	return whole &^ wholeCells(mask, class+1)
+}
+
+// wholeCells returns the accelerators of the mask that lie in whole cells of the class.
+func wholeCells(mask uint32, class int) uint32 {
+	return firstBits(mask, class) * (1<<cellSizes[class] - 1)
+}
+
 // largestClass returns the class of the largest cell within the mask, -1 for an empty mask.
 func largestClass(mask uint32) int {
 	for class := sizeClasses - 1; class >= 0; class-- {
--- a/internal/policy/guaranteed.go
+++ b/internal/policy/guaranteed.go
@@ -19,29 +19,37 @@
 }
 
 // findGuaranteed looks for room for the gang in a slot of its account that holds its shape, whatever borrowers stand
-// there, and leaves it in s.trial: an unused slot, the smallest first, which is returned; else room beside the gangs
-// of a used one, when the slot returned is nil.
+// there, and leaves it in s.trial: free room beside the gangs of a used slot of the smallest such shape; else an
+// unused slot, the smallest first, which is returned; else any room in a used one. Without a slot returned the room
+// is in a used one.
 func (s *Scheduler) findGuaranteed(r *run, q *request) (*slot, bool) {
+	smallest := true
 	for _, g := range r.account.guarantees {
-		if g.Shape.holds(r.Shape) {
-			if sl := s.slotWithRoom(g.idle, q); sl != nil {
-				return sl, true
-			}
+		if !g.Shape.holds(r.Shape) {
+			continue
+		}
+		if smallest && s.slotWithRoom(g.used, q, true) != nil {
+			return nil, true
+		}
+		smallest = false
+		if sl := s.slotWithRoom(g.idle, q, false); sl != nil {
+			return sl, true
 		}
 	}
 	for _, g := range r.account.guarantees {
-		if g.Shape.holds(r.Shape) && s.slotWithRoom(g.used, q) != nil {
+		if g.Shape.holds(r.Shape) && s.slotWithRoom(g.used, q, false) != nil {
 			return nil, true
 		}
 	}
 	return nil, false
 }
 
-func (s *Scheduler) slotWithRoom(slots *btree.BTreeG[*slot], q *request) *slot {
+// slotWithRoom returns the first slot with room for the gang; with free only room that nobody uses counts.
+func (s *Scheduler) slotWithRoom(slots *btree.BTreeG[*slot], q *request, free bool) *slot {
 	var found *slot
 	left := slotTries
 	slots.Ascend(func(sl *slot) bool {
-		if s.takeSlot(sl, q) {
+		if s.takeSlot(sl, q) && (!free || s.trial.free(q)) {
 			found = sl
 		}
 		left--
@@ -50,6 +58,18 @@
 	return found
 }
 
+// free reports whether nobody uses what the plan needs.
+func (p *plan) free(q *request) bool {
+	for _, sp := range p.spots {
+		w := sp.worker
+		_, members := p.on(w)
+		if sp.mask&(w.used|w.claimed) != 0 || w.freeCores < members*q.cores || w.freeMemory < members*q.memory {
+			return false
+		}
+	}
+	return true
+}
+
 // takeSlot fills the trial with room in the slot; false when the whole gang does not find it.
 func (s *Scheduler) takeSlot(sl *slot, q *request) bool {
 	s.trial.reset()
--- a/internal/policy/index.go
+++ b/internal/policy/index.go
@@ -1,13 +1,14 @@
 package policy
 
-// groups are the values of the largest free cell of a worker: none, and one for each size class.
+// groups sort workers by their holes: group 0 has nothing free, group class+1 has a free cell of the size class that
+// is not part of a larger free one. A worker is in several groups when it has holes of several classes.
 const groups = sizeClasses + 1
 
 // summary describes the free capacity of a range of workers.
 type summary struct {
 	// cells is the number of free cells of each size class.
 	cells [sizeClasses]int32
-	// groups describes the workers of the range by the class of their largest free cell.
+	// groups describes the workers of the range that have holes of a class.
 	groups [groups]groupSummary
 }
 
@@ -40,7 +41,7 @@
 	}
 }
 
-// need is what one leaf must have: a largest free cell of the group, a number of cells of the class, cores and memory.
+// need is what one leaf must have: a hole of the group, a number of cells of the class, cores and memory.
 type need struct {
 	group  int
 	class  int
@@ -90,13 +91,19 @@
 		return
 	}
 	free := w.available()
-	g := &s.groups[largestClass(free)+1]
-	g.cores = int32(max(w.freeCores, 0))
-	g.memory = int32(max(w.freeMemory, 0))
+	own := groupSummary{cores: int32(max(w.freeCores, 0)), memory: int32(max(w.freeMemory, 0))}
 	for class := range cellSizes {
 		count := countCells(free, class)
 		s.cells[class] = int32(count)
-		g.cells[class] = int16(count)
+		own.cells[class] = int16(count)
+	}
+	if free == 0 {
+		s.groups[0] = own
+	}
+	for class := range cellSizes {
+		if holes(free, class) != 0 {
+			s.groups[class+1] = own
+		}
 	}
 }
 
--- a/internal/policy/placement.go
+++ b/internal/policy/placement.go
@@ -83,7 +83,7 @@
 		for leaf := x.next(lo, hi, n); leaf >= 0 && skipped < leafTries; leaf = x.next(leaf+1, hi, n) {
 			w := x.leaves[leaf]
 			before := len(s.trial.spots)
-			s.trial.take(q, w, w.available(), w.freeCores, w.freeMemory)
+			s.takeHoles(q, w, n.group-1)
 			if len(s.trial.spots) == q.members {
 				return
 			}
@@ -94,6 +94,17 @@
 	}
 }
 
+// takeHoles adds members on the worker's holes of up to the class, beside those that the trial has there already.
+func (s *Scheduler) takeHoles(q *request, w *workerState, largest int) {
+	free := w.available()
+	var mask uint32
+	for class := max(q.class, 0); class <= largest; class++ {
+		mask |= holes(free, class)
+	}
+	taken, members := s.trial.on(w)
+	s.trial.take(q, w, mask&^taken, w.freeCores-members*q.cores, w.freeMemory-members*q.memory)
+}
+
 // placeInRack weighs the racks with the fewest free cells that are enough, and the racks of the fastest workers.
 func (s *Scheduler) placeInRack(q *request) {
 	var tried [2 * rackTries]*rackState
