--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -18,6 +18,8 @@
 	PreemptWithinMillis int64
 	// MovesPerHour bounds the gangs moved by defragmentation.
 	MovesPerHour int
+	// MergeHoles lets single gangs be moved to make free cells whole, beside the moves for the first waiting job.
+	MergeHoles bool
 	// BackfillDelayMillis bounds how long backfilled gangs can delay the gang that holds the reservation.
 	BackfillDelayMillis int64
 	// RestartGraceMillis is how long a restarted victim is spared while another victim will do.
@@ -58,9 +60,12 @@
 
 // GalleryConfig puts whole free cells first.
 func GalleryConfig() Config {
+	bounds := defaultBounds()
+	bounds.MergeHoles = true
+	bounds.MovesPerHour = 60
 	return Config{
 		Weights: Weights{Speed: 1, Fragmentation: 400, ShortFirst: 6},
-		Bounds:  defaultBounds(),
+		Bounds:  bounds,
 	}
 }
 
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -34,6 +34,7 @@
 	}
 	if s.freed {
 		s.passAll()
+		s.mergeHoles()
 	} else {
 		s.passFresh()
 	}
--- a/internal/policy/defrag.go
+++ b/internal/policy/defrag.go
@@ -53,7 +53,9 @@
 	s.reservation = reservation{}
 	s.dequeue(r)
 	for _, m := range movers {
-		s.move(m, r)
+		r.victims++
+		m.waiters = append(m.waiters[:0], r)
+		s.move(m)
 	}
 	s.occupy(r, spots)
 	r.state = claiming
@@ -151,10 +153,8 @@
 }
 
 // move makes the run leave for its destination.
-func (s *Scheduler) move(m, claimant *run) {
-	claimant.victims++
+func (s *Scheduler) move(m *run) {
 	m.stopping, m.stop = true, Moved
-	m.waiters = append(m.waiters[:0], claimant)
 	s.unfileRun(m)
 	s.issueStop(m)
 }
@@ -163,6 +163,9 @@
 func (s *Scheduler) arrive(r *run, destination []spot) {
 	s.freeCapacity(r, destination, true)
 	s.occupy(r, destination)
+	if s.protect(r, r.spots, nil) {
+		s.makeProtected(r)
+	}
 	r.state = claiming
 	s.ready = append(s.ready, r)
 }
