--- a/internal/policy/claim.go
+++ b/internal/policy/claim.go
@@ -118,12 +118,17 @@
 	if sl == nil {
 		return false
 	}
-	for _, m := range plan.moves {
+	return s.claimFrom(r, q, sl, plan.moves)
+}
+
+// claimFrom claims the slot after its gangs are taken out of it, to settle in other slots. On false nothing changed.
+func (s *Scheduler) claimFrom(r *run, q *request, sl *slot, moves []rehoused) bool {
+	for _, m := range moves {
 		s.unprotect(m.run, m.run.spots)
 		m.run.protected, m.run.tenant = false, true
 	}
 	done := s.takeSlot(sl, q) && s.claimGuaranteed(r, q, sl) || s.claimElsewhere(r, q, sl)
-	for _, m := range plan.moves {
+	for _, m := range moves {
 		m.run.tenant = false
 		if done {
 			s.settleIn(m)
@@ -135,6 +140,43 @@
 	return done
 }
 
+// tryOwn gives urgent work a slot that less urgent gangs of its own account use. They become borrowers, and leave only
+// when they are the cheapest victims.
+func (s *Scheduler) tryOwn(r *run, q *request) bool {
+	sl := s.leastUrgentSlot(r, q)
+	if sl == nil {
+		return false
+	}
+	var plan rehousing
+	for _, t := range sl.tenants() {
+		plan.moves = append(plan.moves, rehoused{run: t, to: sl})
+	}
+	return s.claimFrom(r, q, sl, plan.moves)
+}
+
+// leastUrgentSlot returns the used slot that holds the run and whose gangs, none of them urgent, would lose the least
+// work; nil when there is none.
+func (s *Scheduler) leastUrgentSlot(r *run, q *request) *slot {
+	var best *slot
+	var bestLost int64
+	for _, g := range r.account.guarantees {
+		if q.class < 0 || !g.Shape.holds(r.Shape) || best != nil {
+			continue
+		}
+		for _, sl := range firstSlots(g.used) {
+			lost, urgent := int64(0), false
+			for _, t := range sl.tenants() {
+				lost += t.lostIfStopped(s.now)
+				urgent = urgent || t.Class == Urgent
+			}
+			if !urgent && (best == nil || lost < bestLost) {
+				best, bestLost = sl, lost
+			}
+		}
+	}
+	return best
+}
+
 // displace returns a slot for the gang: an unused one, or one whose gangs can all be displaced in turn.
 func (s *Scheduler) displace(r *run, plan *rehousing) *slot {
 	for _, g := range r.account.guarantees {
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -162,7 +162,7 @@
 		return backfill && s.tryBackfill(r)
 	}
 	q := r.request()
-	if s.tryClaim(r) || s.tryFree(r, &q) || r.Class == Urgent && s.tryUrgent(r, &q) {
+	if s.tryClaim(r) || s.tryFree(r, &q) || r.Class == Urgent && (s.tryUrgent(r, &q) || s.tryOwn(r, &q)) {
 		return true
 	}
 	*attempts++
