--- a/internal/policy/claim.go
+++ b/internal/policy/claim.go
@@ -25,8 +25,39 @@
 		if !g.Shape.holds(r.Shape) {
 			continue
 		}
-		if sl, found := g.idle.Min(); found {
-			return s.claimElsewhere(r, q, sl)
+		sl, found := g.idle.Min()
+		if !found {
+			continue
+		}
+		if s.claimElsewhere(r, q, sl) {
+			return true
+		}
+		if s.leaveWorkers(sl, q) && s.takeSlot(sl, q) {
+			return s.claimGuaranteed(r, q, sl)
+		}
+	}
+	return false
+}
+
+// leaveWorkers moves the units of an unused slot off the workers that the gang must avoid, if only under borrowers.
+func (s *Scheduler) leaveWorkers(sl *slot, q *request) bool {
+	for _, u := range sl.units {
+		if slices.Contains(q.avoid, u.worker.Name) && !s.leaveWorker(u, q) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) leaveWorker(u *homeUnit, q *request) bool {
+	s.transaction.reset()
+	if s.moveWithin(u, u.worker.rack, q.avoid) {
+		return true
+	}
+	for at := range min(len(s.racks), rackTries) {
+		rack := s.racks[(u.worker.rack.at+1+at)%len(s.racks)]
+		if !u.slot.oneRack && s.moveWithin(u, rack, q.avoid) {
+			return true
 		}
 	}
 	return false
--- a/internal/policy/protect.go
+++ b/internal/policy/protect.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math/bits"
+import (
+	"math/bits"
+	"slices"
+)
 
 // transaction records what protect did, so that it can be undone.
 type transaction struct {
@@ -45,7 +48,7 @@
 		}
 	}
 	for _, u := range sl.units {
-		if sl.oneRack && u.worker.rack != rack && !s.moveIntoRack(u, rack) {
+		if sl.oneRack && u.worker.rack != rack && !s.moveWithin(u, rack, nil) {
 			return false
 		}
 	}
@@ -57,8 +60,15 @@
 	return true
 }
 
-func (s *Scheduler) moveIntoRack(u *homeUnit, rack *rackState) bool {
+// moveWithin moves the unit to any place on the rack's workers but those to avoid.
+func (s *Scheduler) moveWithin(u *homeUnit, rack *rackState, avoid []string) bool {
+	if u.class < 0 {
+		return false
+	}
 	for _, w := range rack.workers {
+		if slices.Contains(avoid, w.Name) {
+			continue
+		}
 		for first := 0; first < w.Accelerators; first += cellSizes[u.class] {
 			region := enclosing(first, u.class)
 			if !u.slot.touches(w, region) && s.exchange(u, w, region) {
@@ -112,11 +122,13 @@
 	return true
 }
 
+// markAll marks the spots when one slot that holds the run's shape covers them all. On false some may be marked, as
+// the transaction records.
 func (s *Scheduler) markAll(r *run, spots []spot) bool {
 	var first *slot
 	for _, sp := range spots {
 		sl := coveredBy(r.account, sp)
-		if sl == nil || first != nil && sl != first || !s.markProtected(r, sp) {
+		if sl == nil || first != nil && sl != first || !sl.guarantee.Shape.holds(r.Shape) || !s.markProtected(r, sp) {
 			return false
 		}
 		first = sl
