policy: guarantees are packed off a worker that fails tasks when a claim needs it

Now the homes are packed again without that worker. Ruled out: quarantine after two jobs, for two faulty jobs would take a good worker out.

--- a/internal/policy/claim.go
+++ b/internal/policy/claim.go
@@ -16,7 +16,14 @@
 	if sl, found := s.findGuaranteed(r, q); found {
 		return s.claimGuaranteed(r, q, sl)
 	}
-	return s.claimMoved(r, q) || s.rearrange(r, q)
+	if s.claimMoved(r, q) || s.rearrange(r, q) {
+		return true
+	}
+	if len(q.avoid) == 0 || !r.account.entitled(r.Shape) || !s.packWithout(r) {
+		return false
+	}
+	sl, found := s.findGuaranteed(r, q)
+	return found && s.claimGuaranteed(r, q, sl) || s.rearrange(r, q)
 }
 
 // claimMoved claims an unused slot that holds the job but stands where the job can't run.
--- a/internal/policy/evidence.go
+++ b/internal/policy/evidence.go
@@ -87,8 +87,8 @@
 	if r.state != running {
 		return
 	}
+	s.noteProgress(r)
 	for _, sp := range r.spots {
-		sp.worker.evidence.failures = sp.worker.evidence.failures[:0]
 		sp.worker.evidence.quarantines = 0
 	}
 	const full = 1000
@@ -101,6 +101,7 @@
 func (s *Scheduler) noteProgress(r *run) {
 	for _, sp := range r.spots {
 		sp.worker.evidence.failures = sp.worker.evidence.failures[:0]
+		sp.worker.distrusted = false
 	}
 }
 
@@ -227,6 +228,7 @@
 func (s *Scheduler) noteCondition(w *workerState) {
 	e := &w.evidence
 	e.verdict = false
+	w.distrusted = false
 	if w.condition == Quarantined {
 		e.quarantines++
 		e.goodProbes, e.probePending = 0, false
--- a/internal/policy/homes.go
+++ b/internal/policy/homes.go
@@ -185,7 +185,7 @@
 
 // movable reports whether all homes that touch the region can leave it, for a worker alike in rack and width or not.
 func (w *workerState) movable(region uint32, alike bool) bool {
-	if region == 0 || region&^w.all != 0 || w.protected&region != 0 || w.condition != Healthy {
+	if region == 0 || region&^w.all != 0 || w.protected&region != 0 || w.condition != Healthy || w.distrusted {
 		return false
 	}
 	for _, u := range w.units {
--- a/internal/policy/repack.go
+++ b/internal/policy/repack.go
@@ -114,6 +114,33 @@
 	s.adopt(around, true)
 }
 
+// packWithout packs the homes on other workers than those where the job failed and nothing got on since. False, with
+// nothing changed, means that there are none, or that not all guarantees pack without them.
+func (s *Scheduler) packWithout(r *run) bool {
+	var distrusted []*workerState
+	for _, name := range r.FailedWorkers {
+		w := s.byName[name]
+		if w != nil && w.condition == Healthy && !w.distrusted && w.home != 0 && len(w.evidence.failures) > 0 {
+			w.distrusted = true
+			distrusted = append(distrusted, w)
+		}
+	}
+	if len(distrusted) == 0 {
+		return false
+	}
+	for _, keep := range [...]bool{true, false} {
+		if p := s.pack(keep); len(p.missing) == 0 {
+			s.adopt(p, keep)
+			s.protectRestored()
+			return true
+		}
+	}
+	for _, w := range distrusted {
+		w.distrusted = false
+	}
+	return false
+}
+
 // pack packs on the healthy workers as much as fits; with keep around the slots in use.
 func (s *Scheduler) pack(keep bool) *packer {
 	guarantees := make([]Guarantee, len(s.guarantees))
@@ -137,7 +164,7 @@
 func (s *Scheduler) newLivePacker(guarantees []Guarantee, keep bool) *packer {
 	var workers []Worker
 	for _, w := range s.workers {
-		if w.condition == Healthy {
+		if w.condition == Healthy && !w.distrusted {
 			workers = append(workers, w.Worker)
 		}
 	}
--- a/internal/policy/worker.go
+++ b/internal/policy/worker.go
@@ -28,6 +28,8 @@
 	units      []*homeUnit
 	runs       []*run
 	evidence   evidence
+	// distrusted workers get no homes: tasks failed there, and a claim can't be met otherwise.
+	distrusted bool
 	// leaf and rackLeaf are the positions in the two indexes.
 	leaf     int
 	rackLeaf int
