policy: packing keeps all slots in reach before it moves any; verdicts come before starts

Found by the random histories. (1) After the loss of a worker all unused homes were packed anew, and the greedy search lost a guaranteed shape although its spare worker was there: once in 1,629 histories. Now slots in reach stay, and only what was lost is packed. (2) A slot moved off a worker to be avoided could pull a slot that is bound to a rack apart: such an exchange is taken back. (3) A claim was started on a worker that the same decision put in quarantine: verdicts come first.

--- a/internal/policy/claim.go
+++ b/internal/policy/claim.go
@@ -57,15 +57,20 @@
 }
 
 func (s *Scheduler) leaveWorker(u *homeUnit, q *request) bool {
-	s.transaction.reset()
-	if s.moveWithin(u, u.worker.rack, q.avoid) {
-		return true
+	home := u.worker.rack.at
+	tries := 1
+	if !u.slot.oneRack {
+		tries = min(len(s.racks), rackTries)
 	}
-	for at := range min(len(s.racks), rackTries) {
-		rack := s.racks[(u.worker.rack.at+1+at)%len(s.racks)]
-		if !u.slot.oneRack && s.moveWithin(u, rack, q.avoid) {
+	for at := range tries {
+		s.transaction.reset()
+		if !s.moveWithin(u, s.racks[(home+at)%len(s.racks)], q.avoid) {
+			continue
+		}
+		if s.transaction.keepsRacks() {
 			return true
 		}
+		s.undoExchanges()
 	}
 	return false
 }
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -20,10 +20,10 @@
 func (s *Scheduler) Decide(nowMillis int64) []Decision {
 	s.now = max(s.now, nowMillis)
 	s.settle()
-	s.startReady()
-	s.stopDeferred()
 	s.judge()
 	s.settle()
+	s.startReady()
+	s.stopDeferred()
 	for _, a := range s.accountList {
 		if a.roomier {
 			s.promote(a)
--- a/internal/policy/protect.go
+++ b/internal/policy/protect.go
@@ -52,8 +52,13 @@
 			return false
 		}
 	}
-	for _, moved := range s.transaction.moved {
-		if !moved.keepsRack() {
+	return s.transaction.keepsRacks()
+}
+
+// keepsRacks reports whether all slots that were moved and are bound to one rack are within one.
+func (tx *transaction) keepsRacks() bool {
+	for _, sl := range tx.moved {
+		if !sl.keepsRack() {
 			return false
 		}
 	}
@@ -206,8 +211,12 @@
 }
 
 func (s *Scheduler) rollback(r *run) {
+	s.unprotect(r, s.transaction.marked)
+	s.undoExchanges()
+}
+
+func (s *Scheduler) undoExchanges() {
 	tx := &s.transaction
-	s.unprotect(r, tx.marked)
 	for i := len(tx.exchanges) - 1; i >= 0; i-- {
 		e := tx.exchanges[i]
 		s.swap(e.a, e.ra, e.b, e.rb)
--- a/internal/policy/repack.go
+++ b/internal/policy/repack.go
@@ -101,17 +101,44 @@
 	r.backfilled = false
 }
 
-// packHomes sets cells aside for all guarantees again: around the slots in use when that is possible, else anew.
+// keepMode says which slots packing leaves where they are, when all their workers take work.
+type keepMode uint8
+
+const (
+	keepAll keepMode = iota
+	keepUsed
+	keepNone
+)
+
+// packHomes sets cells aside for all guarantees again, and changes no more than needed: slots in reach stay, else those
+// in use, else none.
 func (s *Scheduler) packHomes() {
 	s.unpacked = false
-	around := s.pack(true)
-	if len(around.missing) > 0 {
-		if anew := s.pack(false); len(anew.missing) < len(around.missing) {
-			s.adopt(anew, false)
-			return
+	var best *packer
+	var mode keepMode
+	for keep := keepAll; keep <= keepNone; keep++ {
+		if p := s.pack(keep); best == nil || p.lacks() < best.lacks() {
+			best, mode = p, keep
+		}
+		if best.lacks() == 0 {
+			break
 		}
 	}
-	s.adopt(around, true)
+	s.adopt(best, mode)
+}
+
+// lacks weighs what found no room: a shape more than all spare workers.
+func (p *packer) lacks() int {
+	const shape = 1000
+	lacks := 0
+	for i := range p.missing {
+		if p.missing[i].SpareMissing {
+			lacks++
+		} else {
+			lacks += shape * (p.missing[i].Count - p.missing[i].Fitting)
+		}
+	}
+	return lacks
 }
 
 // packWithout packs the homes on other workers than those where the job failed and nothing got on since. False, with
@@ -128,7 +155,7 @@
 	if len(distrusted) == 0 {
 		return false
 	}
-	for _, keep := range [...]bool{true, false} {
+	for keep := keepAll; keep <= keepNone; keep++ {
 		if p := s.pack(keep); len(p.missing) == 0 {
 			s.adopt(p, keep)
 			s.protectRestored()
@@ -141,8 +168,8 @@
 	return false
 }
 
-// pack packs on the healthy workers as much as fits; with keep around the slots in use.
-func (s *Scheduler) pack(keep bool) *packer {
+// pack packs as much as fits on the healthy workers, around the slots to keep.
+func (s *Scheduler) pack(keep keepMode) *packer {
 	guarantees := make([]Guarantee, len(s.guarantees))
 	for i, g := range s.guarantees {
 		guarantees[i] = g.Guarantee
@@ -151,17 +178,17 @@
 	for _, order := range packOrders {
 		p := s.newLivePacker(slices.Clone(guarantees), keep)
 		_ = p.pack(order)
-		if best == nil || len(p.missing) < len(best.missing) {
+		if best == nil || p.lacks() < best.lacks() {
 			best = p
 		}
-		if len(best.missing) == 0 {
+		if best.lacks() == 0 {
 			break
 		}
 	}
 	return best
 }
 
-func (s *Scheduler) newLivePacker(guarantees []Guarantee, keep bool) *packer {
+func (s *Scheduler) newLivePacker(guarantees []Guarantee, keep keepMode) *packer {
 	var workers []Worker
 	for _, w := range s.workers {
 		if w.condition == Healthy && !w.distrusted {
@@ -170,17 +197,14 @@
 	}
 	p := newPacker(workers, guarantees)
 	p.partial = true
-	if !keep {
-		return p
-	}
 	for _, sl := range s.slots {
-		if sl.stays() {
+		if sl.stays(keep) {
 			p.keep(slices.Index(s.guarantees, sl.guarantee), sl)
 		}
 	}
 	for i := range p.workers {
 		w := s.byName[p.workers[i].Name]
-		staying := w.staying()
+		staying := w.staying(keep)
 		for p.free[i] != 0 && !w.firmWith(staying+bits.OnesCount32(p.free[i]), 0, 0) {
 			p.free[i] &= p.free[i] - 1
 		}
@@ -189,19 +213,27 @@
 }
 
 // staying returns the number of accelerators of the worker in slots that stay where they are.
-func (w *workerState) staying() int {
+func (w *workerState) staying(keep keepMode) int {
 	count := 0
 	for _, u := range w.units {
-		if u.slot.stays() {
+		if u.slot.stays(keep) {
 			count += bits.OnesCount32(u.mask)
 		}
 	}
 	return count
 }
 
-// stays reports whether packing leaves the slot where it is: gangs use it, and all its workers take work.
-func (sl *slot) stays() bool {
-	return sl.guarantee != nil && sl.busy > 0 && sl.blocked == 0
+// stays reports whether packing leaves the slot where it is.
+func (sl *slot) stays(keep keepMode) bool {
+	if sl.guarantee == nil || sl.blocked > 0 || sl.distrusted() {
+		return false
+	}
+	return keep == keepAll || keep == keepUsed && sl.busy > 0
+}
+
+// distrusted reports whether an unused slot has a unit on a worker that is to get no homes.
+func (sl *slot) distrusted() bool {
+	return sl.busy == 0 && slices.ContainsFunc(sl.units, func(u *homeUnit) bool { return u.worker.distrusted })
 }
 
 // keep leaves a slot where it is.
@@ -219,10 +251,10 @@
 	}
 }
 
-// adopt replaces the slots by the packed ones; with keep the slots in use stay.
-func (s *Scheduler) adopt(p *packer, keep bool) {
+// adopt replaces the slots but for those to keep by the packed ones.
+func (s *Scheduler) adopt(p *packer, keep keepMode) {
 	for _, sl := range slices.Clone(s.slots) {
-		if !keep || !sl.stays() {
+		if !sl.stays(keep) {
 			s.vacate(sl)
 		}
 	}
