--- a/internal/policy/claim.go
+++ b/internal/policy/claim.go
@@ -16,7 +16,14 @@
 	if sl, found := s.findGuaranteed(r, q); found {
 		return s.claimGuaranteed(r, q, sl)
 	}
-	return s.claimMoved(r, q) || s.rearrange(r, q)
+	if s.claimMoved(r, q) || s.rearrange(r, q) {
+		return true
+	}
+	if len(q.avoid) == 0 || !r.account.entitled(r.Shape) || !s.packWithout(r) {
+		return false
+	}
+	sl, found := s.findGuaranteed(r, q)
+	return found && s.claimGuaranteed(r, q, sl) || s.rearrange(r, q)
 }
 
 // claimMoved claims an unused slot that holds the job but stands where the job can't run.
@@ -25,9 +32,45 @@
 		if !g.Shape.holds(r.Shape) {
 			continue
 		}
-		if sl, found := g.idle.Min(); found {
-			return s.claimElsewhere(r, q, sl)
+		sl, found := g.idle.Min()
+		if !found {
+			continue
+		}
+		if s.claimElsewhere(r, q, sl) {
+			return true
+		}
+		if s.leaveWorkers(sl, q) && s.takeSlot(sl, q) {
+			return s.claimGuaranteed(r, q, sl)
+		}
+	}
+	return false
+}
+
+// leaveWorkers moves the units of an unused slot off the workers that the gang must avoid, if only under borrowers.
+func (s *Scheduler) leaveWorkers(sl *slot, q *request) bool {
+	for _, u := range sl.units {
+		if slices.Contains(q.avoid, u.worker.Name) && !s.leaveWorker(u, q) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) leaveWorker(u *homeUnit, q *request) bool {
+	home := u.worker.rack.at
+	tries := 1
+	if !u.slot.oneRack {
+		tries = min(len(s.racks), rackTries)
+	}
+	for at := range tries {
+		s.transaction.reset()
+		if !s.moveWithin(u, s.racks[(home+at)%len(s.racks)], q.avoid) {
+			continue
+		}
+		if s.transaction.keepsRacks() {
+			return true
 		}
+		s.undoExchanges()
 	}
 	return false
 }
@@ -118,12 +161,17 @@
 	if sl == nil {
 		return false
 	}
-	for _, m := range plan.moves {
+	return s.claimFrom(r, q, sl, plan.moves)
+}
+
+// claimFrom claims the slot after its gangs are taken out of it, to settle in other slots. On false nothing changed.
+func (s *Scheduler) claimFrom(r *run, q *request, sl *slot, moves []rehoused) bool {
+	for _, m := range moves {
 		s.unprotect(m.run, m.run.spots)
 		m.run.protected, m.run.tenant = false, true
 	}
 	done := s.takeSlot(sl, q) && s.claimGuaranteed(r, q, sl) || s.claimElsewhere(r, q, sl)
-	for _, m := range plan.moves {
+	for _, m := range moves {
 		m.run.tenant = false
 		if done {
 			s.settleIn(m)
@@ -135,6 +183,43 @@
 	return done
 }
 
+// tryOwn gives urgent work a slot that less urgent gangs of its own account use. They become borrowers, and leave only
+// when they are the cheapest victims.
+func (s *Scheduler) tryOwn(r *run, q *request) bool {
+	sl := s.leastUrgentSlot(r, q)
+	if sl == nil {
+		return false
+	}
+	var plan rehousing
+	for _, t := range sl.tenants() {
+		plan.moves = append(plan.moves, rehoused{run: t, to: sl})
+	}
+	return s.claimFrom(r, q, sl, plan.moves)
+}
+
+// leastUrgentSlot returns the used slot that holds the run and whose gangs, none of them urgent, would lose the least
+// work; nil when there is none.
+func (s *Scheduler) leastUrgentSlot(r *run, q *request) *slot {
+	var best *slot
+	var bestLost int64
+	for _, g := range r.account.guarantees {
+		if q.class < 0 || !g.Shape.holds(r.Shape) || best != nil {
+			continue
+		}
+		for _, sl := range firstSlots(g.used) {
+			lost, urgent := int64(0), false
+			for _, t := range sl.tenants() {
+				lost += t.lostIfStopped(s.now)
+				urgent = urgent || t.Class == Urgent
+			}
+			if !urgent && (best == nil || lost < bestLost) {
+				best, bestLost = sl, lost
+			}
+		}
+	}
+	return best
+}
+
 // displace returns a slot for the gang: an unused one, or one whose gangs can all be displaced in turn.
 func (s *Scheduler) displace(r *run, plan *rehousing) *slot {
 	for _, g := range r.account.guarantees {
--- a/internal/policy/protect.go
+++ b/internal/policy/protect.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math/bits"
+import (
+	"math/bits"
+	"slices"
+)
 
 // transaction records what protect did, so that it can be undone.
 type transaction struct {
@@ -45,20 +48,32 @@
 		}
 	}
 	for _, u := range sl.units {
-		if sl.oneRack && u.worker.rack != rack && !s.moveIntoRack(u, rack) {
+		if sl.oneRack && u.worker.rack != rack && !s.moveWithin(u, rack, nil) {
 			return false
 		}
 	}
-	for _, moved := range s.transaction.moved {
-		if !moved.keepsRack() {
+	return s.transaction.keepsRacks()
+}
+
+// keepsRacks reports whether all slots that were moved and are bound to one rack are within one.
+func (tx *transaction) keepsRacks() bool {
+	for _, sl := range tx.moved {
+		if !sl.keepsRack() {
 			return false
 		}
 	}
 	return true
 }
 
-func (s *Scheduler) moveIntoRack(u *homeUnit, rack *rackState) bool {
+// moveWithin moves the unit to any place on the rack's workers but those to avoid.
+func (s *Scheduler) moveWithin(u *homeUnit, rack *rackState, avoid []string) bool {
+	if u.class < 0 {
+		return false
+	}
 	for _, w := range rack.workers {
+		if slices.Contains(avoid, w.Name) {
+			continue
+		}
 		for first := 0; first < w.Accelerators; first += cellSizes[u.class] {
 			region := enclosing(first, u.class)
 			if !u.slot.touches(w, region) && s.exchange(u, w, region) {
@@ -112,11 +127,13 @@
 	return true
 }
 
+// markAll marks the spots when one slot that holds the run's shape covers them all. On false some may be marked, as
+// the transaction records.
 func (s *Scheduler) markAll(r *run, spots []spot) bool {
 	var first *slot
 	for _, sp := range spots {
 		sl := coveredBy(r.account, sp)
-		if sl == nil || first != nil && sl != first || !s.markProtected(r, sp) {
+		if sl == nil || first != nil && sl != first || !sl.guarantee.Shape.holds(r.Shape) || !s.markProtected(r, sp) {
 			return false
 		}
 		first = sl
@@ -194,8 +211,12 @@
 }
 
 func (s *Scheduler) rollback(r *run) {
+	s.unprotect(r, s.transaction.marked)
+	s.undoExchanges()
+}
+
+func (s *Scheduler) undoExchanges() {
 	tx := &s.transaction
-	s.unprotect(r, tx.marked)
 	for i := len(tx.exchanges) - 1; i >= 0; i-- {
 		e := tx.exchanges[i]
 		s.swap(e.a, e.ra, e.b, e.rb)
