--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	go vet $(PACKAGES)
 
 unit:
-	go test -race $(PACKAGES)
+	scripts/unit.sh $(PACKAGES)
 
 # test runs the formatter, the linter, vet and all tests with the race detector.
 test: format lint vet unit
--- a/internal/replay/regression_test.go
+++ b/internal/replay/regression_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"fmt"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -113,6 +114,7 @@
 // checkAlways checks the outcomes that hold on every trace and seed.
 func checkAlways(t *testing.T, run *replay.PolicyResult) {
 	t.Helper()
+	t.Logf("%s", run.Policy)
 	if run.ClaimsChecked == 0 || run.StartsChecked == 0 {
 		t.Errorf("nothing was checked: %d claims, %d starts", run.ClaimsChecked, run.StartsChecked)
 	}
@@ -137,23 +139,29 @@
 	const seeds = 4
 	for _, name := range tracegen.Names() {
 		for seed := uint64(1); seed <= seeds; seed++ {
-			trace, err := tracegen.Make(name, seed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			candidates := []replay.Candidate{preset(policy.PresetLounge), preset(policy.PresetGallery)}
-			result, err := replay.Run(trace, nil, replay.Options{Policies: candidates})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for at := range result.Runs {
-				t.Logf("%s seed %d, %s", name, seed, result.Runs[at].Policy)
-				checkAlways(t, &result.Runs[at])
-			}
+			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				checkSeed(t, name, seed)
+			})
 		}
 	}
 }
 
+func checkSeed(t *testing.T, name string, seed uint64) {
+	trace, err := tracegen.Make(name, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	candidates := []replay.Candidate{preset(policy.PresetLounge), preset(policy.PresetGallery)}
+	result, err := replay.Run(trace, nil, replay.Options{Policies: candidates})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range result.Runs {
+		checkAlways(t, &result.Runs[at])
+	}
+}
+
 func TestLoungeSlowdown(t *testing.T) {
 	all := result(t, "lounge-day")
 	run, backfill := find(t, all, policy.PresetLounge), find(t, all, nameBackfill)
