--- a/internal/policy/backfill.go
+++ b/internal/policy/backfill.go
@@ -9,7 +9,7 @@
 	// releaseTries bounds the running gangs whose ends are looked at for a reservation.
 	releaseTries = 256
 	// shortestBackfillMillis is the least time that a gang which may have to leave again is started for.
-	shortestBackfillMillis = int64(10 * time.Minute / time.Millisecond)
+	shortestBackfillMillis = int64(time.Minute / time.Millisecond)
 )
 
 // reservation keeps cells for the first waiting job that can't start. Other gangs may stand on them meanwhile, but
