--- a/internal/policy/repack.go
+++ b/internal/policy/repack.go
@@ -202,6 +202,9 @@
 			p.keep(slices.Index(s.guarantees, sl.guarantee), sl)
 		}
 	}
+	if keep == keepNone {
+		return p
+	}
 	for i := range p.workers {
 		w := s.byName[p.workers[i].Name]
 		staying := w.staying(keep)
