--- a/internal/replay/trace_test.go
+++ b/internal/replay/trace_test.go
@@ -111,3 +111,23 @@
 		t.Errorf("error %v, want ErrNoPolicies", err)
 	}
 }
+
+func FuzzRead(f *testing.F) {
+	f.Add(goodHeader + "\n" + goodJob + "\n")
+	f.Add(goodHeader + "\n" + `{"cancelled":{"id":"j9"}}` + "\n{}\n")
+	f.Add(`{"timeUnixMs":"1","rack":{"dataCentre":"d","rack":"r","condition":"TRACE_CONDITION_LOST"}}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		trace, err := replay.Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		var written bytes.Buffer
+		if err := replay.Write(&written, trace); err != nil {
+			t.Fatal(err)
+		}
+		again, err := replay.Read(&written)
+		if err != nil || len(again.Events) != len(trace.Events) {
+			t.Fatalf("reading what was written: %v", err)
+		}
+	})
+}
