--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := bin
 PACKAGES := ./... ./api/...
 
-.PHONY: build demo test bench faults generate format lint vet unit
+.PHONY: build demo test bench faults generate events format lint vet unit
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -37,3 +37,7 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+# events writes docs/EVENTS.md from the catalogue.
+events:
+	go test ./internal/events -run TestPageMatchesCatalogue -update
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,48 @@
+package events
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+)
+
+const page = "../../docs/EVENTS.md"
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md")
+
+func TestPageMatchesCatalogue(t *testing.T) {
+	if *update {
+		if err := os.WriteFile(page, []byte(Document()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != Document() {
+		t.Error("docs/EVENTS.md differs from the catalogue: run make events")
+	}
+}
+
+func TestNumbersRise(t *testing.T) {
+	last := 0
+	for _, event := range Catalogue() {
+		if event.Number <= last {
+			t.Errorf("event %d follows %d", event.Number, last)
+		}
+		last = event.Number
+	}
+}
+
+func TestLogWritesNumberAndAttributes(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, "i1").Log(PeerSilent, "peer", "i2")
+	for _, want := range []string{"event=301", "instance=i1", "peer=i2", "peer silent"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("line %q lacks %q", out.String(), want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+)
+
+// Server answers peers on one UDP address.
+type Server struct {
+	listener *quic.Listener
+	handler  Handler
+	handlers sync.WaitGroup
+}
+
+// Listen binds address (IP:port). Serve must be called.
+func Listen(address, secret string, handler Handler) (*Server, error) {
+	tlsSettings, err := tlsConfig(secret)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := quic.ListenAddr(address, tlsSettings, quicConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers: choose a free address for addresses.peers")
+	}
+	return &Server{listener: listener, handler: handler}, nil
+}
+
+// Address returns the bound IP:port.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Serve answers peers until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	defer s.handlers.Wait()
+	defer s.listener.Close() //nolint:errcheck // Nothing is lost with the listener.
+	for {
+		connection, err := s.listener.Accept(ctx)
+		if err != nil {
+			return ctx.Err()
+		}
+		s.handlers.Go(func() { s.serveConnection(ctx, connection) })
+	}
+}
+
+func (s *Server) serveConnection(ctx context.Context, connection *quic.Conn) {
+	defer connection.CloseWithError(0, "") //nolint:errcheck // The peer sees the end.
+	for {
+		stream, err := connection.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		s.handlers.Go(func() { s.serveStream(ctx, stream) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *quic.Stream) {
+	request := &apiv1.PeerRequest{}
+	if err := readMessage(stream, request); err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	reply, err := s.handler.Handle(ctx, request)
+	if err != nil {
+		reply = &apiv1.PeerReply{Error: err.Error()}
+	}
+	if err := writeMessage(stream, reply); err != nil {
+		stream.CancelWrite(0)
+	}
+}
