--- /dev/null
+++ b/internal/routing/membership.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+)
+
+// AccountWeight is a client account's part of the queue; accounts without one weigh 1.
+type AccountWeight struct {
+	Account string
+	// Weight is at least 1.
+	Weight int
+}
+
+// SetWorkers replaces the workers by those of the instance list. A worker that refused because it leaves
+// gets nothing new until the list has shown it leaving, absent or at another address.
+func (r *Router) SetWorkers(list []*apiv1.Worker) {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	r.sched.setWorkers(list, r.config.Workers)
+	r.sched.pump()
+}
+
+// SetInstances replaces the live instances, among which the limits of the workers are divided by weight.
+func (r *Router) SetInstances(list []*apiv1.Instance) {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	r.sched.instances = liveInstances(list)
+	r.sched.divide()
+	r.sched.pump()
+}
+
+// SetQuarantined names the workers that the ledger holds quarantined or drained; they get nothing.
+func (r *Router) SetQuarantined(names []string) {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	r.sched.setQuarantined(names)
+	r.sched.pump()
+}
+
+// SetAccounts replaces the weights of the client accounts.
+func (r *Router) SetAccounts(weights []AccountWeight) {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	r.sched.weights = make(map[string]int, len(weights))
+	for _, w := range weights {
+		r.sched.weights[w.Account] = max(w.Weight, 1)
+	}
+}
+
+// instanceWeight is one live instance.
+type instanceWeight struct {
+	name   string
+	weight int
+}
+
+func liveInstances(list []*apiv1.Instance) []instanceWeight {
+	var live []instanceWeight
+	for _, i := range list {
+		if i.GetPresence() == apiv1.Presence_PRESENCE_LEAVING {
+			continue
+		}
+		weight := max(int(i.GetWeight()), 1)
+		live = append(live, instanceWeight{name: i.GetName(), weight: weight})
+	}
+	return live
+}
+
+// shareOf divides a worker's limit among the instances by weight and returns the part of the named one.
+// Parts that rounding leaves over go to the largest remainders; ties are broken by a hash of
+// worker and instance, so that they fall to another instance at each worker. The part is at least 1, so
+// that each instance can try: a worker that is full refuses, which proves that the request did not run.
+func shareOf(instances []instanceWeight, name, workerName string, limit int) int {
+	total := 0
+	own := 0
+	for _, i := range instances {
+		total += i.weight
+		if i.name == name {
+			own = i.weight
+		}
+	}
+	if own == 0 {
+		// The list lags: this instance isn't on it yet.
+		own = 1
+		total++
+	}
+	whole := limit * own / total
+	if hasRemainder(instances, name, workerName, limit, total, own) {
+		whole++
+	}
+	return max(whole, 1)
+}
+
+// hasRemainder says whether the named instance gets one of the parts that rounding left over.
+func hasRemainder(instances []instanceWeight, name, workerName string, limit, total, own int) bool {
+	left := limit
+	ahead := 0
+	ownRest := limit * own % total
+	ownHash := xxhash.Sum64String(workerName + "/" + name)
+	for _, i := range instances {
+		left -= limit * i.weight / total
+		rest := limit * i.weight % total
+		hash := xxhash.Sum64String(workerName + "/" + i.name)
+		if rest > ownRest || rest == ownRest && hash > ownHash {
+			ahead++
+		}
+	}
+	return ownRest > 0 && ahead < left
+}
