--- a/internal/platform/standin/worker/history.go
+++ b/internal/platform/standin/worker/history.go
@@ -24,10 +24,12 @@
 
 // RequestRun is one short request that the worker started.
 type RequestRun struct {
-	RequestID string    `json:"request_id"`
-	Attempt   uint32    `json:"attempt"`
-	Account   string    `json:"account"`
-	Start     time.Time `json:"start"`
+	RequestID string `json:"request_id"`
+	Attempt   uint32 `json:"attempt"`
+	Account   string `json:"account"`
+	// Checksum is the XXH64 of the payload.
+	Checksum uint64    `json:"checksum"`
+	Start    time.Time `json:"start"`
 }
 
 // TaskRun is one interval in which a task ran. End is zero while it runs.
--- a/internal/platform/standin/worker/worker.go
+++ b/internal/platform/standin/worker/worker.go
@@ -127,6 +127,7 @@
 		RequestID: request.GetRequestId(),
 		Attempt:   request.GetAttempt(),
 		Account:   request.GetAccount(),
+		Checksum:  request.GetChecksum(),
 		Start:     time.Now(),
 	})
 	return apiv1.RunStatus_RUN_STATUS_UNSPECIFIED
--- /dev/null
+++ b/internal/trial/check.go
@@ -0,0 +1,156 @@
+package trial
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/worker"
+)
+
+// Violation is an invariant that did not hold.
+type Violation struct {
+	Invariant string
+	Detail    string
+}
+
+// Invariant counts the checks of one promise and their violations.
+type Invariant struct {
+	Name       string
+	Checks     int
+	Violations []Violation
+}
+
+// check counts one check and, when it fails, a violation.
+func (i *Invariant) check(holds bool, format string, arguments ...any) {
+	i.Checks++
+	if !holds {
+		i.Violations = append(i.Violations, Violation{Invariant: i.Name, Detail: fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// CheckAtMostOnce checks the non-idempotent requests of the outcomes against what the workers ran: none ran
+// twice, none that was told not run ran after that answer or before, and each that is done ran once.
+func CheckAtMostOnce(outcomes []Outcome, histories []worker.History) []*Invariant {
+	ran := make(map[uint64]int)
+	for _, history := range histories {
+		for _, request := range history.Requests {
+			ran[request.Checksum]++
+		}
+	}
+	once := &Invariant{Name: "a non-idempotent request runs at most once"}
+	truth := &Invariant{Name: "a request told not run did not run"}
+	for _, outcome := range outcomes {
+		count := ran[xxhash.Sum64String(outcome.Payload)]
+		if !outcome.Idempotent {
+			once.check(count <= 1, "%s ran %d times", outcome.Payload, count)
+		}
+		if outcome.Result == NotRun {
+			truth.check(count == 0, "%s was told not run and ran %d times", outcome.Payload, count)
+		}
+		if outcome.Result == Done {
+			truth.check(count >= 1, "%s was told done and never ran", outcome.Payload)
+		}
+	}
+	return []*Invariant{once, truth}
+}
+
+// CheckAnswers checks that each caller got the whole answer to its own request or a truthful refusal.
+func CheckAnswers(outcomes []Outcome) []*Invariant {
+	own := &Invariant{Name: "each caller receives the whole answer to its own request"}
+	none := &Invariant{Name: "every request is answered"}
+	for _, outcome := range outcomes {
+		none.check(outcome.Result != Lost, "%s was never answered: %s", outcome.Payload, outcome.Detail)
+		if outcome.Result == Done || outcome.Result == Foreign {
+			own.check(outcome.Result == Done, "%s was answered with %q", outcome.Payload, outcome.Detail)
+		}
+	}
+	return []*Invariant{own, none}
+}
+
+// runKey names one run of a gang.
+type runKey struct {
+	job string
+	run uint32
+}
+
+// edge is a member that starts or ends.
+type edge struct {
+	at     time.Time
+	change int
+}
+
+// CheckGangs checks from what the workers ran that no gang ran with only some of its members for longer
+// than the window, in which members start one after another and a cut gang lapses. members gives the size
+// of each job's gang; now ends what still runs.
+func CheckGangs(members func(job string) int, histories []worker.History, window time.Duration, now time.Time) []*Invariant {
+	edges := make(map[runKey][]edge)
+	for _, history := range histories {
+		for _, task := range history.Tasks {
+			key := runKey{job: task.Job, run: task.Run}
+			end := task.End
+			if end.IsZero() {
+				end = now
+			}
+			edges[key] = append(edges[key], edge{task.Start, 1}, edge{end, -1})
+		}
+	}
+	whole := &Invariant{Name: "no gang runs with only some of its members"}
+	for key, changes := range edges {
+		partial := longestPartial(changes, members(key.job))
+		whole.check(partial <= window, "job %s run %d ran in part for %s", key.job, key.run, partial)
+	}
+	return []*Invariant{whole, overlap(edges, now)}
+}
+
+// longestPartial returns the longest time in which some but not all members ran.
+func longestPartial(changes []edge, size int) time.Duration {
+	sort.Slice(changes, func(i, j int) bool { return changes[i].at.Before(changes[j].at) })
+	longest := time.Duration(0)
+	running := 0
+	var since time.Time
+	for _, change := range changes {
+		wasPartial := running > 0 && running < size
+		if wasPartial {
+			longest = max(longest, change.at.Sub(since))
+		}
+		running += change.change
+		isPartial := running > 0 && running < size
+		if isPartial && !wasPartial {
+			since = change.at
+		}
+	}
+	return longest
+}
+
+// overlap checks that no two runs of one job ran at once.
+func overlap(edges map[runKey][]edge, _ time.Time) *Invariant {
+	invariant := &Invariant{Name: "two runs of a job never run at once"}
+	type span struct {
+		run        uint32
+		start, end time.Time
+	}
+	spans := make(map[string][]span)
+	for key, changes := range edges {
+		s := span{run: key.run, start: changes[0].at, end: changes[0].at}
+		for _, change := range changes {
+			if change.at.Before(s.start) {
+				s.start = change.at
+			}
+			if change.at.After(s.end) {
+				s.end = change.at
+			}
+		}
+		spans[key.job] = append(spans[key.job], s)
+	}
+	for job, runs := range spans {
+		sort.Slice(runs, func(i, j int) bool { return runs[i].run < runs[j].run })
+		invariant.Checks++
+		for i := 1; i < len(runs); i++ {
+			invariant.check(!runs[i].start.Before(runs[i-1].end), "job %s: run %d began before run %d ended", job, runs[i].run, runs[i-1].run)
+		}
+	}
+	return invariant
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,172 @@
+// Package trial asks requests and jobs of a running system as its callers do, and checks the answers
+// and what the stand-in workers ran against the promises of the system.
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/dotterelgauge/dotterelgauge/api/client"
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+)
+
+// Result is what a caller learned of a request.
+type Result string
+
+// Results of a request.
+const (
+	Done    Result = "done"
+	NotRun  Result = "not run"
+	Unknown Result = "unknown"
+	// Lost means that no instance gave an answer in time.
+	Lost Result = "lost"
+	// Foreign means that the answer is not that of the request.
+	Foreign Result = "foreign"
+)
+
+const (
+	// requestTimeout is how long one call waits.
+	requestTimeout = 5 * time.Second
+	// patience is how long a caller keeps asking.
+	patience = 25 * time.Second
+	// pause is the time between two calls for one request.
+	pause = 200 * time.Millisecond
+)
+
+// classes in the order of the table.
+var classes = []string{"urgent", "ordinary", "patient"}
+
+// Outcome is one request and what its caller learned.
+type Outcome struct {
+	Class      string
+	Idempotent bool
+	Payload    string
+	Result     Result
+	// Detail is the error or the foreign answer.
+	Detail string
+	// Calls counts the calls to instances.
+	Calls int
+	Took  time.Duration
+}
+
+// Config is what a trial needs.
+type Config struct {
+	// Callers are the callers' addresses of the instances, IP:port.
+	Callers []string
+	// Token of the client account.
+	Token string
+	// Requests is how many are asked.
+	Requests int
+	// PerSecond is how many are asked a second.
+	PerSecond int
+	Seed      uint64
+}
+
+// Requests asks all requests, each through another instance, and returns when all are answered or lost.
+func Requests(ctx context.Context, config Config) []Outcome {
+	outcomes := make([]Outcome, config.Requests)
+	random := rand.New(rand.NewPCG(config.Seed, 0)) //nolint:gosec // Not a secret.
+	ticker := time.NewTicker(time.Second / time.Duration(config.PerSecond))
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	for i := range outcomes {
+		c := &caller{config: config, next: random.IntN(len(config.Callers))}
+		outcomes[i] = Outcome{
+			Class:      classes[i%len(classes)],
+			Idempotent: i%2 == 0,
+			Payload:    fmt.Sprintf("trial %d request %d", config.Seed, i),
+		}
+		running.Go(func() { c.ask(ctx, &outcomes[i]) })
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	running.Wait()
+	return outcomes
+}
+
+// caller asks one request.
+type caller struct {
+	config Config
+	next   int
+}
+
+// instance returns the client of the next instance.
+func (c *caller) instance() *client.Client {
+	address := c.config.Callers[c.next%len(c.config.Callers)]
+	c.next++
+	return client.New(address, c.config.Token)
+}
+
+// ask calls one instance after another until the outcome is known.
+func (c *caller) ask(ctx context.Context, outcome *Outcome) {
+	started := time.Now()
+	defer func() { outcome.Took = time.Since(started) }()
+	key, err := uuid.NewV7()
+	if err != nil {
+		outcome.Result, outcome.Detail = Lost, err.Error()
+		return
+	}
+	request := client.Request{
+		Key:        key.String(),
+		Class:      outcome.Class,
+		Idempotent: outcome.Idempotent,
+		Timeout:    requestTimeout,
+		Payload:    []byte(outcome.Payload),
+	}
+	for time.Since(started) < patience && ctx.Err() == nil {
+		outcome.Calls++
+		callContext, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
+		answer, err := c.instance().Request(callContext, request)
+		cancel()
+		if c.settle(outcome, answer, err) {
+			return
+		}
+		request.Retry = true
+		time.Sleep(pause)
+	}
+	if outcome.Result == "" {
+		outcome.Result = Lost
+	}
+}
+
+// settle notes an answer and reports whether it is final.
+func (c *caller) settle(outcome *Outcome, answer client.Answer, err error) bool {
+	var problem *client.ProblemError
+	switch {
+	case err == nil && strings.HasSuffix(string(answer.Payload), ": "+outcome.Payload):
+		outcome.Result = Done
+		return true
+	case err == nil:
+		outcome.Result, outcome.Detail = Foreign, string(answer.Payload)
+		return true
+	case errors.As(err, &problem):
+		outcome.Detail = err.Error()
+		return settleProblem(outcome, problem.Problem)
+	default:
+		outcome.Detail = err.Error()
+		return false
+	}
+}
+
+// settleProblem notes an error answer. Without a key an unknown outcome can be asked again.
+func settleProblem(outcome *Outcome, problem *apiv1.Problem) bool {
+	switch problem.Outcome {
+	case apiv1.Outcome_OUTCOME_NOT_RUN:
+		outcome.Result = NotRun
+		return problem.RetryAfterMs == 0 && problem.Status < 500
+	case apiv1.Outcome_OUTCOME_UNKNOWN:
+		outcome.Result = Unknown
+		return !outcome.Idempotent && problem.Kind == "unknown"
+	default:
+		return false
+	}
+}
