ledger: encoding errors no longer stop the appender

And a record with invalid UTF-8 would have ended Run for every proposer: it is refused at Propose now. Before: TestProposeReturnsAfterReadBack and TestUnfitRecordsAreNotProposed failed. After: both pass with -race. Conclusion: no errors.Wrap on an error that may be nil.

--- a/internal/ledger/appender.go
+++ b/internal/ledger/appender.go
@@ -109,8 +109,7 @@
 	for _, p := range batch {
 		records = append(records, p.record)
 	}
-	payload, err := encodeEntry(r.config.Author, records)
-	return payload, errors.Wrap(err, "encode entry")
+	return encodeEntry(r.config.Author, records)
 }
 
 func (r *Replica) appendOnce(ctx context.Context, payload []byte) error {
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -34,5 +34,9 @@
 // encodeEntry encodes records of one author for one append.
 func encodeEntry(author *apiv1.Author, records []*apiv1.Record) ([]byte, error) {
 	entry := &apiv1.Entry{Author: author, Version: entryVersion, Records: records}
-	return proto.MarshalOptions{Deterministic: true}.Marshal(entry)
+	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(entry)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode entry")
+	}
+	return payload, nil
 }
--- a/internal/ledger/proposals.go
+++ b/internal/ledger/proposals.go
@@ -67,7 +67,11 @@
 // certainly never reached the log, else ErrOutcomeUnknown. The record belongs to the replica from here
 // on, which sets its sequence, and its time unless it has one.
 func (r *Replica) Propose(ctx context.Context, record *apiv1.Record) error {
-	if size := proto.Size(record) + recordOverheadBytes; size > MaxRecordBytes {
+	encoded, err := proto.Marshal(record)
+	if err != nil {
+		return errors.Wrapf(ErrNotProposed, "the record cannot be encoded, correct it (%v)", err)
+	}
+	if size := len(encoded) + recordOverheadBytes; size > MaxRecordBytes {
 		return &RecordTooLargeError{Bytes: size}
 	}
 	return r.propose(ctx, record)
--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -116,3 +116,21 @@
 		}
 	})
 }
+
+func TestUnfitRecordsAreNotProposed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logservice.New(logservice.Options{Retention: time.Hour})
+		a := start(t, log, "a", 1)
+		tooLarge := a.Propose(t.Context(), sheetRecord(0, string(make([]byte, ledger.MaxRecordBytes))))
+		var size *ledger.RecordTooLargeError
+		if !errors.As(tooLarge, &size) || !errors.Is(tooLarge, ledger.ErrNotProposed) {
+			t.Errorf("record above the bound: %v, want RecordTooLargeError that is ErrNotProposed", tooLarge)
+		}
+		if err := a.Propose(t.Context(), sheetRecord(0, "\xff")); !errors.Is(err, ledger.ErrNotProposed) {
+			t.Errorf("record that cannot be encoded: %v, want ErrNotProposed", err)
+		}
+		if err := a.apply(t.Context(), 0); err != nil {
+			t.Errorf("sound record after unfit ones: %v", err)
+		}
+	})
+}
