--- a/internal/routing/fakes_test.go
+++ b/internal/routing/fakes_test.go
@@ -235,7 +235,7 @@
 	f.answer = answer
 }
 
-// ran returns how often a payload was run; refusals don't count.
+// ran returns how often a payload was started; refusals don't count.
 func (f *fakeWorkers) ran(payload string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,15 +261,15 @@
 	f := w.fleet
 	f.mu.Lock()
 	f.calls[w.name]++
+	f.runs[string(request.GetPayload())]++
 	answer := f.answer
 	f.mu.Unlock()
 	out, err := answer(ctx, w.name, request)
-	if err == nil && !verdictOf(out.GetStatus()).answered() || errors.Is(err, platform.ErrUnavailable) {
-		return out, err
+	if errors.Is(err, platform.ErrUnavailable) || err == nil && verdictOf(out.GetStatus()).provesNotRun() {
+		f.mu.Lock()
+		f.runs[string(request.GetPayload())]--
+		f.mu.Unlock()
 	}
-	f.mu.Lock()
-	f.runs[string(request.GetPayload())]++
-	f.mu.Unlock()
 	return out, err
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/dotterelgauge/dotterelgauge/internal/claims"
 	"github.com/dotterelgauge/dotterelgauge/internal/platform"
 )
 
@@ -134,8 +135,10 @@
 	DefaultTimeout = 10 * time.Second
 	// MaxAttempts bounds the dispatches of one request.
 	MaxAttempts = 4
-	// MaxKeptAnswerBytes bounds the answers that are kept in the log.
-	MaxKeptAnswerBytes = 1 << 10
+	// MaxKeptAnswerBytes bounds the payload of an answer that is kept in the log.
+	MaxKeptAnswerBytes = claims.MaxAnswerBytes - packedAnswerBytes
+	// packedAnswerBytes bounds what packing adds to the payload of a kept answer.
+	packedAnswerBytes = 16
 	// FirstSendAge is the age of a key from which a request counts as a retry although it doesn't say so.
 	FirstSendAge = time.Second
 	// answerGrace is how long past the caller's deadline the answer to a non-idempotent request is
