--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -53,9 +53,12 @@
 }
 
 // readWait is how long the next read may wait: until a snapshot is due, at most longRead. Before the end
-// of the log was reached there is no wait.
+// of the log was reached, and after a failed read, there is no wait: the answer tells the standing.
 func (r *Replica) readWait() time.Duration {
-	if !r.Ready() {
+	r.mu.RLock()
+	atOnce := !r.ready || r.reach.lost
+	r.mu.RUnlock()
+	if atOnce {
 		return 0
 	}
 	due, at := r.snapshotDue()
--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/ledger"
@@ -134,3 +135,12 @@
 		}
 	})
 }
+
+func encode(t *testing.T, message proto.Message) []byte {
+	t.Helper()
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return payload
+}
