gang: whole gangs under cuts, late calls and takeovers; failures first, then mended

Tests over the worker stand-ins in virtual time (term 9 s, three rounds a term). They failed first, and showed: - a silent worker was called once in a term, because a call took a whole round: now four attempts a round; - a takeover renewed the reachable members of a gang for a term before it knew the others: 13.5 s with some members.

--- a/internal/gang/call.go
+++ b/internal/gang/call.go
@@ -84,9 +84,6 @@
 	for _, each := range members {
 		request.Leases = append(request.Leases, leaseFor(operation, each))
 	}
-	if prolongs(operation) {
-		m.markSent(members)
-	}
 	reply, err := m.send(ctx, worker, request)
 	if err == nil && len(reply.GetResults()) != len(members) {
 		err = platform.ErrUnknownEffect
@@ -110,22 +107,6 @@
 	return &apiv1.Lease{Task: each.lease.GetTask()}
 }
 
-// prolongs tells whether a worker may extend leases on the operation.
-func prolongs(operation apiv1.LeaseOperation) bool {
-	return operation == apiv1.LeaseOperation_LEASE_OPERATION_RESERVE ||
-		operation == apiv1.LeaseOperation_LEASE_OPERATION_START ||
-		operation == apiv1.LeaseOperation_LEASE_OPERATION_RENEW
-}
-
-func (m *Manager) markSent(members []*member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	for _, each := range members {
-		each.lastSent = now
-	}
-}
-
 // send completes a call with the owner's token, makes it, and notices a higher epoch in the answer.
 func (m *Manager) send(ctx context.Context, worker string, request *apiv1.LeaseRequest) (*apiv1.LeaseReply, error) {
 	address, known := m.config.Address(worker)
@@ -137,7 +118,7 @@
 		m.mu.Unlock()
 		return nil, ErrFenced
 	}
-	request.Round = max(request.GetRound(), m.round)
+	request.Round = m.round
 	m.mu.Unlock()
 
 	request.DataCentre = m.config.DataCentre
--- a/internal/gang/manager.go
+++ b/internal/gang/manager.go
@@ -19,8 +19,16 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/platform"
 )
 
-// roundsPerTerm is how often a lease is renewed in one term.
-const roundsPerTerm = 3
+const (
+	// roundsPerTerm is how often a lease is renewed in one term.
+	roundsPerTerm = 3
+	// attemptsPerRound is how often a worker that gives no answer is called in the time of one round.
+	attemptsPerRound = 4
+	// lapseTerms bounds how long a task runs after its worker last answered, in terms: the lease that was
+	// held then, and one round that was sent and took effect although no answer came. A worker prolongs a
+	// lease once for a round, and the holder opens the next round only on the answer.
+	lapseTerms = 2
+)
 
 // DefaultStartWindow bounds the time in which some members of a gang run and others do not yet.
 const DefaultStartWindow = time.Second
@@ -113,8 +121,8 @@
 	// acked: the worker confirmed the gang's current round.
 	acked    bool
 	finished bool
-	// lastSent is when a call that may prolong the lease was last sent.
-	lastSent time.Time
+	// answered is when the worker last confirmed the lease.
+	answered time.Time
 }
 
 // gang is one run of a job.
@@ -124,6 +132,9 @@
 	members []*member
 
 	phase phase
+	// started: members may run.
+	started bool
+	// round is that of the manager's rounds which the members are being renewed for.
 	round uint64
 	// sent is when the current round began, before its first call.
 	sent time.Time
@@ -142,6 +153,7 @@
 	gangs    map[string]*gang // by job
 	round    uint64
 	inFlight map[string]bool   // workers with a renewal under way
+	kick     chan struct{}     // asks for a round at once
 	versions map[string]uint64 // worker -> version of the last usage report
 	fetching map[string]bool
 	fenced   chan struct{}
@@ -161,6 +173,7 @@
 		versions: map[string]uint64{},
 		fetching: map[string]bool{},
 		fenced:   make(chan struct{}),
+		kick:     make(chan struct{}, 1),
 	}
 }
 
@@ -168,12 +181,14 @@
 // Leases that are held when it returns lapse unless another manager renews them.
 func (m *Manager) Run(ctx context.Context) error {
 	defer m.tasks.Wait()
-	ticker := time.NewTicker(m.period())
+	ticker := time.NewTicker(m.attempt())
 	defer ticker.Stop()
-	for {
-		m.tick(ctx)
+	for attempt := 0; ; attempt++ {
+		m.tick(ctx, attempt%attemptsPerRound == 0)
 		select {
 		case <-ticker.C:
+		case <-m.kick:
+			attempt = -1
 		case <-m.fenced:
 			return ErrFenced
 		case <-ctx.Done():
@@ -182,9 +197,14 @@
 	}
 }
 
-// period is the time between rounds and the longest that a call of a round takes.
-func (m *Manager) period() time.Duration {
-	return m.config.Term / roundsPerTerm
+// attempt is the time between the calls of a round to a worker that gives no answer.
+func (m *Manager) attempt() time.Duration {
+	return m.config.Term / (roundsPerTerm * attemptsPerRound)
+}
+
+// callTimeout bounds one call; it is over before the next attempt.
+func (m *Manager) callTimeout() time.Duration {
+	return m.attempt() * 4 / 5
 }
 
 // Holds tells whether the manager holds or is about to hold a gang of the job.
--- a/internal/gang/restore.go
+++ b/internal/gang/restore.go
@@ -7,24 +7,31 @@
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 )
 
-// Restore takes over the placed gangs of the data centre for a new owner: it renews their leases under
-// the manager's epoch, and starts members that the last owner had only reserved. Call it once, with
-// all placed jobs of the data centre, before Run. It returns when each gang runs or is being stopped; a
-// gang that is not held whole any more is stopped and reported as lost. Errors are ErrFenced and ErrBusy.
+// Restore takes over the placed gangs of the data centre for a new owner: it claims their leases under
+// the manager's epoch, starts members that the last owner had only reserved, and has the rounds renew
+// each gang that is held whole. It prolongs no lease of a gang before all its members are claimed. Call it once, with
+// all placed jobs of the data centre, before Run: tasks of other jobs are stopped as orphans. It does
+// not wait for the workers. A gang that is not held whole any more is stopped and reported as lost.
+// Errors are ErrFenced and ErrBusy.
 func (m *Manager) Restore(ctx context.Context, jobs []*apiv1.Job) error {
 	gangs := make([]*gang, 0, len(jobs))
+	now := time.Now()
 	for _, job := range jobs {
 		g := newGang(job)
+		g.started = true
+		for _, each := range g.members {
+			each.answered = now
+		}
 		if err := m.register(g, adopting); err != nil {
 			return err
 		}
 		gangs = append(gangs, g)
 	}
-	m.adopt(ctx, gangs)
+	m.tasks.Go(func() { m.adopt(ctx, gangs) })
 	return nil
 }
 
-// adopt renews the gangs, again and again for one term, until each is held whole or lost.
+// adopt claims the gangs, again and again for one term, until each is held whole or lost.
 func (m *Manager) adopt(ctx context.Context, gangs []*gang) {
 	end := time.Now().Add(m.config.Term)
 	for len(gangs) > 0 && !m.over(ctx) {
@@ -33,9 +40,10 @@
 			return
 		}
 		sent := time.Now()
-		outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_RENEW, allMembers(gangs), m.period())
+		outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_CLAIM, allMembers(gangs), m.callTimeout())
 		whole, silent := m.sortAdopted(ctx, outcomes)
 		m.startAdopted(ctx, whole, sent)
+		m.renewSoon()
 		gangs = silent
 		if len(gangs) > 0 {
 			sleep(ctx, m.retryPause())
@@ -43,6 +51,14 @@
 	}
 }
 
+// renewSoon asks for a round at once.
+func (m *Manager) renewSoon() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
 // sortAdopted tells gangs that are held whole from those with a member that gave no answer. Gangs that
 // lost a member are ended.
 func (m *Manager) sortAdopted(ctx context.Context, outcomes []outcome) (whole, silent []*gang) {
--- a/internal/gang/round.go
+++ b/internal/gang/round.go
@@ -19,75 +19,88 @@
 	whole bool
 }
 
-// tick ends the gangs whose lease is over, opens the next round of every gang whose last one is
-// complete, and renews what is still to be confirmed: one call a worker for all gangs.
-func (m *Manager) tick(ctx context.Context) {
-	for _, call := range m.planRound(ctx, time.Now()) {
+// tick ends the gangs whose lease is over, begins a round when it is time for one, and renews what is
+// still to be confirmed: one call a worker for all gangs.
+func (m *Manager) tick(ctx context.Context, begin bool) {
+	for _, call := range m.plan(ctx, time.Now(), begin) {
 		m.tasks.Go(func() { m.renew(ctx, call) })
 	}
 }
 
-// planRound returns the calls of a round.
-func (m *Manager) planRound(ctx context.Context, now time.Time) []*renewal {
+// plan returns the calls of a tick.
+func (m *Manager) plan(ctx context.Context, now time.Time, begin bool) []*renewal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.isFenced {
 		return nil
 	}
-	m.round++
+	if begin {
+		m.round++
+	}
 	calls := map[string]*renewal{}
 	known := map[string]int{}
 	for _, g := range m.sortedGangs() {
 		if g.phase.renewed() {
-			m.openRound(ctx, g, now)
+			m.endIfOver(ctx, g, now)
+		}
+		if g.phase.renewed() && begin && g.complete() {
+			g.openRound(m.round, now)
 		}
 		for _, each := range g.members {
 			known[each.worker]++
 			if g.phase.renewed() && !each.acked && !m.inFlight[each.worker] {
-				addRenewal(calls, each, now)
+				addRenewal(calls, each)
 			}
 		}
 	}
 	planned := make([]*renewal, 0, len(calls))
 	for _, worker := range slices.Sorted(maps.Keys(calls)) {
 		call := calls[worker]
-		call.whole = len(call.members) == known[worker]
+		call.whole = len(call.members) == known[worker] && call.isOfRound(m.round)
 		m.inFlight[worker] = true
 		planned = append(planned, call)
 	}
 	return planned
 }
 
-// openRound begins the next round of a gang if all members confirmed the last one. A gang whose lease
-// ran out before that is lost.
-func (m *Manager) openRound(ctx context.Context, g *gang, now time.Time) {
-	silent := slices.IndexFunc(g.members, func(each *member) bool { return !each.acked })
-	if !now.Before(g.deadline) {
-		worker := ""
-		if silent >= 0 {
-			worker = g.members[silent].worker
-		}
-		m.lose(ctx, g, apiv1.RunResult_RUN_RESULT_LOST, worker, apiv1.LeaseStatus_LEASE_STATUS_UNSPECIFIED)
+// endIfOver ends a gang whose lease ran out for its holder. The caller holds the lock.
+func (m *Manager) endIfOver(ctx context.Context, g *gang, now time.Time) {
+	if now.Before(g.deadline) {
 		return
 	}
-	if silent >= 0 {
-		return
+	worker := ""
+	if silent := slices.IndexFunc(g.members, func(each *member) bool { return !each.acked }); silent >= 0 {
+		worker = g.members[silent].worker
 	}
-	g.round++
+	m.lose(ctx, g, apiv1.RunResult_RUN_RESULT_LOST, worker, apiv1.LeaseStatus_LEASE_STATUS_UNSPECIFIED)
+}
+
+// complete tells whether all members confirmed the current round.
+func (g *gang) complete() bool {
+	return !slices.ContainsFunc(g.members, func(each *member) bool { return !each.acked })
+}
+
+// openRound begins the next round.
+func (g *gang) openRound(round uint64, now time.Time) {
+	g.round = round
 	g.sent = now
 	for _, each := range g.members {
 		each.acked = false
 	}
 }
 
+// isOfRound tells whether all members of the call are renewed for the round.
+func (call *renewal) isOfRound(round uint64) bool {
+	return !slices.ContainsFunc(call.rounds, func(other uint64) bool { return other != round })
+}
+
 // addRenewal puts a member into its worker's call.
-func addRenewal(calls map[string]*renewal, each *member, now time.Time) {
+func addRenewal(calls map[string]*renewal, each *member) {
 	call := calls[each.worker]
 	if call == nil {
 		call = &renewal{worker: each.worker}
 		calls[each.worker] = call
 	}
-	each.lastSent = now
 	call.members = append(call.members, each)
 	call.rounds = append(call.rounds, each.gang.round)
 }
@@ -115,7 +128,7 @@
 
 // sendRenewal renews the members of a call, by their digest if that is possible.
 func (m *Manager) sendRenewal(ctx context.Context, call *renewal) (*apiv1.LeaseReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.period())
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	reply, err := m.renewWhole(ctx, call)
 	if err != nil {
@@ -144,8 +157,8 @@
 // renewListed renews the members one by one in one call.
 func (m *Manager) renewListed(ctx context.Context, call *renewal) (*apiv1.LeaseReply, error) {
 	request := &apiv1.LeaseRequest{Operation: apiv1.LeaseOperation_LEASE_OPERATION_RENEW}
-	for _, each := range call.members {
-		request.Leases = append(request.Leases, &apiv1.Lease{Task: each.lease.GetTask()})
+	for i, each := range call.members {
+		request.Leases = append(request.Leases, &apiv1.Lease{Task: each.lease.GetTask(), Round: call.rounds[i]})
 	}
 	return m.send(ctx, call.worker, request)
 }
@@ -161,7 +174,8 @@
 		return
 	}
 	each.acked = true
-	if !slices.ContainsFunc(g.members, func(other *member) bool { return !other.acked }) {
+	each.answered = time.Now()
+	if g.complete() {
 		g.deadline = g.sent.Add(m.config.Term)
 	}
 }
--- a/internal/gang/start.go
+++ b/internal/gang/start.go
@@ -86,7 +86,7 @@
 // reserve asks for every member's lease. Once all are held the rounds renew them.
 func (m *Manager) reserve(ctx context.Context, g *gang) error {
 	sent := time.Now()
-	outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_RESERVE, g.members, m.period())
+	outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_RESERVE, g.members, m.callTimeout())
 	if failed, is := firstFailure(outcomes); is {
 		return startError(failed, false)
 	}
@@ -101,8 +101,10 @@
 	g.phase = next
 	g.sent = sent
 	g.deadline = sent.Add(term)
+	now := time.Now()
 	for _, each := range g.members {
 		each.acked = true
+		each.answered = now
 	}
 }
 
@@ -126,6 +128,9 @@
 // startMembers starts all members at once. Those whose answer is lost are started again, which is
 // idempotent, until the start window is over. It returns the first member that did not start.
 func (m *Manager) startMembers(ctx context.Context, g *gang) (outcome, bool) {
+	m.mu.Lock()
+	g.started = true
+	m.mu.Unlock()
 	end := time.Now().Add(m.config.StartWindow)
 	waiting := g.members
 	for {
@@ -143,7 +148,7 @@
 				waiting = append(waiting, each.member)
 			}
 		}
-		if !sleep(ctx, m.retryPause()) || !time.Now().Before(end) {
+		if time.Until(end) <= m.retryPause() || !sleep(ctx, m.retryPause()) {
 			return failed, true
 		}
 	}
@@ -166,7 +171,7 @@
 
 // retryPause is the wait before a call without an answer is made again.
 func (m *Manager) retryPause() time.Duration {
-	return min(m.period(), m.config.StartWindow) / 4
+	return min(m.attempt(), m.config.StartWindow) / 4
 }
 
 // sleep waits and reports whether the context still holds.
--- a/internal/gang/stop.go
+++ b/internal/gang/stop.go
@@ -4,18 +4,27 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 )
 
 // wholePPM is all the work of a job.
 const wholePPM = 1_000_000
 
+// errAdopting means that the takeover of a gang is not complete.
+var errAdopting = errors.New("the gang is being taken over: try again")
+
 // Stop checkpoints a running gang, stops it as a whole and returns the share of the work kept. When the
 // checkpoint takes longer than the bound, the gang is stopped without it and its last one counts. A
 // bound of 0 takes no checkpoint. It returns when no member runs any more: each worker has
-// confirmed the stop or its lease has lapsed. Errors are ErrNotHeld and ErrBusy.
+// confirmed the stop or its lease has lapsed. A gang that is being taken over is stopped once it is held.
+// ErrNotHeld and ErrBusy say that the gang ends otherwise: an event tells or has told how.
 func (m *Manager) Stop(ctx context.Context, jobID string, bound time.Duration) (uint32, error) {
 	g, err := m.beginStop(jobID)
+	for errors.Is(err, errAdopting) && sleep(ctx, m.retryPause()) {
+		g, err = m.beginStop(jobID)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -37,6 +46,9 @@
 	if g == nil {
 		return nil, ErrNotHeld
 	}
+	if g.phase == adopting {
+		return nil, errAdopting
+	}
 	if g.phase != running {
 		return nil, ErrBusy
 	}
@@ -75,16 +87,18 @@
 }
 
 // release ends the renewal of a gang and stops its members. It returns when none can run any more:
-// every worker has confirmed the stop, or the lease of a silent one has lapsed.
+// every worker has confirmed the stop, or the lease of a silent one has lapsed. Members that were only
+// reserved never run, so it does not wait for silent workers then.
 func (m *Manager) release(ctx context.Context, g *gang) {
 	m.mu.Lock()
 	g.phase = stopping
+	started := g.started
 	m.mu.Unlock()
 	waiting := g.members
 	for {
-		outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_STOP, waiting, m.period())
+		outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_STOP, waiting, m.callTimeout())
 		waiting = m.stillHeld(outcomes)
-		if len(waiting) == 0 || m.over(ctx) || !sleep(ctx, m.retryPause()) {
+		if len(waiting) == 0 || !started || m.over(ctx) || !sleep(ctx, m.retryPause()) {
 			return
 		}
 	}
@@ -97,16 +111,14 @@
 	return m.isFenced || ctx.Err() != nil
 }
 
-// stillHeld returns the members that may run in spite of the calls. A lease lapses at the latest one
-// term after the worker received the last call that prolonged it, and a call is received at the
-// latest when it is given up, one period after it was sent.
+// stillHeld returns the members that may run in spite of the calls.
 func (m *Manager) stillHeld(outcomes []outcome) []*member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	var held []*member
 	for _, each := range outcomes {
-		lapsed := each.member.lastSent.Add(m.period() + m.config.Term)
+		lapsed := each.member.answered.Add(lapseTerms * m.config.Term)
 		if each.err != nil && now.Before(lapsed) {
 			held = append(held, each.member)
 		}
--- a/internal/gang/usage.go
+++ b/internal/gang/usage.go
@@ -21,7 +21,7 @@
 	address, known := m.config.Address(worker)
 	var report *apiv1.UsageReport
 	if known {
-		fetchCtx, cancel := context.WithTimeout(ctx, m.period())
+		fetchCtx, cancel := context.WithTimeout(ctx, m.callTimeout())
 		defer cancel()
 		report, _ = m.config.Workers.Worker(address).Usage(fetchCtx)
 	}
--- a/internal/platform/standin/worker/lease.go
+++ b/internal/platform/standin/worker/lease.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"math/bits"
 	"time"
@@ -78,17 +79,17 @@
 		return
 	}
 	for _, t := range held {
-		t.renew(request, now)
+		t.renew(request, request.GetRound(), now)
 	}
 }
 
-// renew prolongs the lease from receipt, unless the worker has passed the round.
-func (t *task) renew(request *apiv1.LeaseRequest, now time.Time) {
-	if request.GetEpoch() == t.epoch && request.GetRound() < t.round {
+// renew prolongs the lease from receipt, once for a round of an epoch.
+func (t *task) renew(request *apiv1.LeaseRequest, round uint64, now time.Time) {
+	if request.GetEpoch() == t.epoch && round <= t.round {
 		return
 	}
 	t.epoch = request.GetEpoch()
-	t.round = request.GetRound()
+	t.round = round
 	t.expiry = now.Add(time.Duration(request.GetTermMs()) * time.Millisecond)
 }
 
@@ -106,7 +107,9 @@
 	case apiv1.LeaseOperation_LEASE_OPERATION_START:
 		status = w.start(request, t, now)
 	case apiv1.LeaseOperation_LEASE_OPERATION_RENEW:
-		t.renew(request, now)
+		t.renew(request, cmp.Or(lease.GetRound(), request.GetRound()), now)
+	case apiv1.LeaseOperation_LEASE_OPERATION_CLAIM:
+		// The epoch of the call was noted already.
 	case apiv1.LeaseOperation_LEASE_OPERATION_STOP:
 		w.drop(t, now, CauseStopped)
 	case apiv1.LeaseOperation_LEASE_OPERATION_CHECKPOINT:
@@ -119,12 +122,13 @@
 	return status, t.checkpoint
 }
 
-// reserve holds the accelerators, cores and memory of a task. A repeat of a held reservation renews it.
+// reserve holds the accelerators, cores and memory of a task. A repeat changes nothing.
 func (w *Worker) reserve(request *apiv1.LeaseRequest, lease *apiv1.Lease, now time.Time) apiv1.LeaseStatus {
 	key := keyOf(lease.GetTask())
-	if t := w.tasks[key]; t != nil {
-		t.renew(request, now)
+	if t := w.tasks[key]; t != nil && t.lease.GetAccelerators() == lease.GetAccelerators() {
 		return apiv1.LeaseStatus_LEASE_STATUS_OK
+	} else if t != nil {
+		return apiv1.LeaseStatus_LEASE_STATUS_OCCUPIED
 	}
 	switch {
 	case w.faults.Leave:
@@ -172,7 +176,6 @@
 		w.drop(t, now, CauseFailed)
 		return apiv1.LeaseStatus_LEASE_STATUS_START_FAILED
 	}
-	t.renew(request, now)
 	w.startTask(t, now, request.GetEpoch())
 	return apiv1.LeaseStatus_LEASE_STATUS_OK
 }
--- a/internal/platform/standin/worker/network.go
+++ b/internal/platform/standin/worker/network.go
@@ -19,6 +19,9 @@
 	LinkCut
 	// LinkAnswersLost carries the calls and loses the answers.
 	LinkAnswersLost
+	// LinkHeld keeps the calls and delivers them when the link changes, also those that their caller has
+	// given up: what a paused caller or a stalled connection does.
+	LinkHeld
 )
 
 // Network is how one caller reaches in-memory workers by address. It implements platform.Workers.
@@ -28,13 +31,15 @@
 	workers map[string]*Worker
 	links   map[string]LinkState
 	calls   int
+	// changed is closed and replaced when a link changes.
+	changed chan struct{}
 }
 
 var _ platform.Workers = (*Network)(nil)
 
 // NewNetwork returns a network on which each worker has the address of its description.
 func NewNetwork(workers ...*Worker) *Network {
-	network := &Network{workers: map[string]*Worker{}, links: map[string]LinkState{}}
+	network := &Network{workers: map[string]*Worker{}, links: map[string]LinkState{}, changed: make(chan struct{})}
 	for _, w := range workers {
 		network.workers[w.description.GetAddress()] = w
 	}
@@ -46,6 +51,28 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.links[address] = state
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// SetLinks changes the state of the links to all workers.
+func (n *Network) SetLinks(state LinkState) {
+	for address := range n.workers {
+		n.SetLink(address, state)
+	}
+}
+
+// pass waits while the link is held and returns its state.
+func (n *Network) pass(address string) LinkState {
+	for {
+		n.mu.Lock()
+		state, changed := n.links[address], n.changed
+		n.mu.Unlock()
+		if state != LinkHeld {
+			return state
+		}
+		<-changed
+	}
 }
 
 // Calls returns the number of calls made.
@@ -94,12 +121,16 @@
 		<-ctx.Done()
 		return nil, platform.ErrUnknownEffect
 	}
+	held := state == LinkHeld
 	type outcome struct {
 		answer *T
 		err    error
 	}
 	done := make(chan outcome, 1)
 	go func() {
+		if held && l.network.pass(l.address) == LinkCut {
+			return
+		}
 		answer, err := call(target)
 		done <- outcome{answer, err}
 	}()
