--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -142,6 +142,8 @@
 	deviationGain = 0.25
 	// hedgeDeviations is how many mean deviations above the mean an answer is late enough for a hedge.
 	hedgeDeviations = 4
+	// hedgeFactor is the least multiple of the mean.
+	hedgeFactor = 2
 	// minHedgeDelay bounds the hedge delay from below.
 	minHedgeDelay = 5 * time.Millisecond
 )
@@ -172,7 +174,7 @@
 func (l *latency) hedgeDelay() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delay := time.Duration(l.mean + hedgeDeviations*l.deviation)
+	delay := time.Duration(l.mean + max((hedgeFactor-1)*l.mean, hedgeDeviations*l.deviation))
 	return max(delay, minHedgeDelay), l.samples >= latencySamples
 }
 
--- a/internal/routing/fakes_test.go
+++ b/internal/routing/fakes_test.go
@@ -18,9 +18,11 @@
 
 // fakeLog is the claims table that all Routers of a test share, in the order of its lock.
 type fakeLog struct {
-	mu     sync.Mutex
-	keys   map[keyID]ClaimState
-	delay  time.Duration
+	mu    sync.Mutex
+	keys  map[keyID][]fakeState
+	delay time.Duration
+	// lag is how far Lookup is behind.
+	lag    time.Duration
 	down   bool
 	claims int
 	// loseAnswers makes claims take effect and return ErrClaimUnknown.
@@ -29,8 +31,30 @@
 	expireBefore time.Time
 }
 
+// fakeState is the state of a key from a time on.
+type fakeState struct {
+	at    time.Time
+	state ClaimState
+}
+
 func newFakeLog() *fakeLog {
-	return &fakeLog{keys: make(map[keyID]ClaimState), delay: 5 * time.Millisecond}
+	return &fakeLog{keys: make(map[keyID][]fakeState), delay: 5 * time.Millisecond}
+}
+
+// put appends a state; the lock is held.
+func (l *fakeLog) put(id keyID, state ClaimState) {
+	l.keys[id] = append(l.keys[id], fakeState{time.Now(), state})
+}
+
+// at returns the state of a key at a time; the lock is held.
+func (l *fakeLog) at(id keyID, when time.Time) ClaimState {
+	state := ClaimState{}
+	for _, s := range l.keys[id] {
+		if !s.at.After(when) {
+			state = s.state
+		}
+	}
+	return state
 }
 
 func (l *fakeLog) set(change func()) {
@@ -42,13 +66,15 @@
 func (l *fakeLog) state(account string, key uuid.UUID) ClaimState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.keys[keyID{account, key}]
+	return l.at(keyID{account, key}, time.Now())
 }
 
-// fakeClaims is one instance's view of the log; it reads without lag.
+// fakeClaims is one instance's view of the log.
 type fakeClaims struct {
 	log      *fakeLog
 	instance string
+	// read is the time up to which the instance has certainly read, because it read its own record back.
+	read time.Time
 }
 
 // append waits for the log as an append does.
@@ -75,15 +101,15 @@
 	defer l.mu.Unlock()
 	l.claims++
 	id := keyID{account, key}
-	state, held := l.keys[id]
-	if held {
+	c.read = time.Now()
+	if state := l.at(id, c.read); state.Status != ClaimFree {
 		return state, nil
 	}
 	seconds, nanos := key.Time().UnixTime()
 	if time.Unix(seconds, nanos).Before(l.expireBefore) {
 		return ClaimState{Status: ClaimExpired}, nil
 	}
-	l.keys[id] = ClaimState{Status: ClaimHeld, Checksum: checksum, Holder: c.instance}
+	l.put(id, ClaimState{Status: ClaimHeld, Checksum: checksum, Holder: c.instance})
 	if l.loseAnswers {
 		return ClaimState{}, errors.Wrap(ErrClaimUnknown, "injected")
 	}
@@ -97,8 +123,8 @@
 	c.log.mu.Lock()
 	defer c.log.mu.Unlock()
 	id := keyID{account, key}
-	if state := c.log.keys[id]; state.Status == ClaimHeld && state.Holder == c.instance {
-		delete(c.log.keys, id)
+	if state := c.log.at(id, time.Now()); state.Status == ClaimHeld && state.Holder == c.instance {
+		c.log.put(id, ClaimState{})
 	}
 	return nil
 }
@@ -110,15 +136,21 @@
 	c.log.mu.Lock()
 	defer c.log.mu.Unlock()
 	id := keyID{account, key}
-	state := c.log.keys[id]
+	state := c.log.at(id, time.Now())
 	state.Status = ClaimDone
 	state.Answer, state.AnswerKept, state.Failed = end.Answer, end.AnswerKept, end.Failed
-	c.log.keys[id] = state
+	c.log.put(id, state)
 	return nil
 }
 
 func (c *fakeClaims) Lookup(account string, key uuid.UUID) ClaimState {
-	return c.log.state(account, key)
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	when := time.Now().Add(-c.log.lag)
+	if c.read.After(when) {
+		when = c.read
+	}
+	return c.log.at(keyID{account, key}, when)
 }
 
 // fakeFleet is a number of Routers that share a log and workers and reach each other.
@@ -138,7 +170,7 @@
 	}
 	for i, name := range names {
 		r := New(Config{
-			Instance: name, Incarnation: 1, Claims: &fakeClaims{f.log, name},
+			Instance: name, Incarnation: 1, Claims: &fakeClaims{log: f.log, instance: name},
 			Holder: f, Workers: f.workers, Seed: uint64(i + 1),
 		})
 		r.SetInstances(list)
@@ -216,7 +248,8 @@
 
 func reply(request *apiv1.RunRequest, status apiv1.RunStatus) *apiv1.RunReply {
 	return &apiv1.RunReply{
-		RequestId: request.GetRequestId(), Attempt: request.GetAttempt(), Status: status, Payload: request.GetPayload(),
+		RequestId: request.GetRequestId(), Attempt: request.GetAttempt(),
+		Status: status, Payload: request.GetPayload(),
 	}
 }
 
@@ -242,6 +275,12 @@
 	return f.runs[payload]
 }
 
+func (f *fakeWorkers) callsTo(worker string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[worker]
+}
+
 func (f *fakeWorkers) total() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/routing/keyed_test.go
+++ b/internal/routing/keyed_test.go
@@ -150,7 +150,7 @@
 		runs   int
 	}{
 		{"between claim and dispatch", func(f *fakeFleet, request Request) {
-			claims := &fakeClaims{f.log, "a"}
+			claims := &fakeClaims{log: f.log, instance: "a"}
 			if _, err := claims.Claim(context.Background(), request.Account, request.Key, checksumOf(request.Payload)); err != nil {
 				panic(err)
 			}
