--- /dev/null
+++ b/internal/ledger/fleet_test.go
@@ -0,0 +1,178 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/claims"
+	"github.com/dotterelgauge/dotterelgauge/internal/ledger"
+	"github.com/dotterelgauge/dotterelgauge/internal/platform"
+	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/logservice"
+)
+
+// appendTimes notes when appends arrive.
+type appendTimes struct {
+	platform.Log
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *appendTimes) Append(ctx context.Context, stream string, payload []byte) (int64, error) {
+	a.mu.Lock()
+	a.times = append(a.times, time.Now())
+	a.mu.Unlock()
+	return a.Log.Append(ctx, stream, payload)
+}
+
+// mostPerSecond is the most appends in any one second.
+func (a *appendTimes) mostPerSecond() int {
+	most, first := 0, 0
+	for last := range a.times {
+		for a.times[last].Sub(a.times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+func TestFleetStaysWithinItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, seconds, perSecond = 8, 20, 50
+		service := newLog()
+		service.SetFaults(logservice.Faults{AppendDelayMillis: 5, LostAfterPermille: 50})
+		log := &appendTimes{Log: service}
+		var load sync.WaitGroup
+		for i := range size {
+			budget := ledger.NewBudget(ledger.FleetAppendsPerSecond / size)
+			author := &apiv1.Author{Instance: fmt.Sprintf("i%d", i), Incarnation: 1}
+			for _, stream := range []string{platform.StreamLedger, platform.StreamClaims} {
+				replica := ledger.New(ledger.Config{Log: log, Stream: stream, Author: author, Machine: claims.New(), Budget: budget})
+				load.Go(func() { _ = replica.Run(t.Context()) })
+				for n := range seconds * perSecond {
+					load.Go(func() {
+						time.Sleep(time.Duration(n) * time.Second / perSecond)
+						// The records are void in this machine; their way is what counts.
+						if err := replica.Propose(t.Context(), jobRecord("job")); kindOf(err) != ledger.Malformed {
+							t.Errorf("Propose: %v", err)
+						}
+					})
+				}
+			}
+		}
+		time.Sleep((seconds + 5) * time.Second)
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		if most := log.mostPerSecond(); most > ledger.FleetAppendsPerSecond || len(log.times) == 0 {
+			t.Errorf("%d appends in one second, want at most %d", most, ledger.FleetAppendsPerSecond)
+		}
+	})
+}
+
+func TestOneInstanceWritesEachSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 8
+		log := newLog()
+		var fleet []*testReplica
+		for i := range size {
+			fleet = append(fleet, startRanked(t, log, fmt.Sprintf("i%d", i), uint64(i), i, size))
+		}
+		submitAll(t.Context(), fleet, 5)
+		began := time.Now()
+		// The first in rank dies halfway.
+		time.Sleep(5 * retention)
+		_ = fleet[0].stop()
+		time.Sleep(5 * retention)
+		var written []time.Time
+		for _, r := range fleet {
+			r.mu.Lock()
+			written = append(written, r.written...)
+			r.mu.Unlock()
+		}
+		slices.SortFunc(written, time.Time.Compare)
+		last := began
+		for _, at := range append(written, time.Now()) {
+			if age := at.Sub(last); age > retention/4 {
+				t.Errorf("the newest snapshot was %v old, want at most a quarter of %v", age, retention)
+			}
+			last = at
+		}
+		if most := int(time.Since(began) / (retention / 8)); len(written) > most {
+			t.Errorf("%d snapshots, want at most %d: one instance writes each", len(written), most)
+		}
+	})
+}
+
+func TestIdleReplicaReadsRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logservice.New(logservice.Options{})
+		start(t, log, "a", 1)
+		time.Sleep(time.Hour)
+		if calls := log.Counters().ReadCalls; calls > 200 {
+			t.Errorf("%d reads in an idle hour, want at most 200", calls)
+		}
+	})
+}
+
+func TestLargeSnapshotLeavesRoomForRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		a := start(t, log, "a", 1)
+		payload := make([]byte, 100<<10)
+		for i := range 40 {
+			record := jobRecord(fmt.Sprint(i))
+			record.GetJobSubmitted().Spec.Payload = payload
+			if err := a.Propose(t.Context(), record); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := log.Counters().Appends
+		time.Sleep(retention / 8)
+		if err := a.apply(within(t, 2*time.Second), 0); err != nil {
+			t.Fatalf("Propose while a snapshot is written: %v", err)
+		}
+		time.Sleep(time.Minute)
+		if parts := log.Counters().Appends - before; parts < 20 {
+			t.Fatalf("%d appends, want the 4 MB snapshot in parts", parts)
+		}
+		time.Sleep(retention)
+		b := start(t, log, "b", 2)
+		checkSame(t, a, b)
+	})
+}
+
+func TestBadClockAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		good, bad := start(t, log, "good", 1), start(t, log, "bad", 2)
+		ahead := jobRecord("ahead")
+		ahead.TimeUnixMs = time.Now().AddDate(100, 0, 0).UnixMilli()
+		if err := bad.Propose(t.Context(), ahead); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		var stepMillis int64
+		good.Subscribe(func(ledger.Event) {
+			_, data, _ := good.Export()
+			snapshot := &apiv1.StreamSnapshot{}
+			if err := proto.Unmarshal(data, snapshot); err != nil {
+				t.Error(err)
+			}
+			stepMillis = snapshot.TimeUnixMs
+		})
+		if err := good.Propose(t.Context(), jobRecord("after")); err != nil {
+			t.Fatal(err)
+		}
+		if want := time.Now().UnixMilli(); stepMillis > want || stepMillis < want-1000 {
+			t.Errorf("the fold's time is %d ms off after one bad clock, want it within a second", stepMillis-want)
+		}
+	})
+}
