placing: the owner's loop over ledger, policy and gangs

The loop compares whole views of the ledger and the instance list with what it knows, feeds the policy, has the gang manager carry out its decisions and proposes the ends of runs until the fold took or refused them. It makes no decisions while the log takes no records, so an incumbent starts nothing in an outage; what runs is renewed. It takes over running gangs, settles placed ones that nobody holds, judges workers by failures of different jobs, probes and returns them.

Tests in virtual time over the real replica, fold, log stand-in and worker stand-ins, with a first-fit policy. Failed first: a cancel within a start left the job in the policy, which started it again and again (TestCancelRacesStart 0 to 100 ms); a job that failed on a worker was placed there again, because the view had overwritten what the policy knew (TestBadWorkerIsQuarantined...). One test was flaky by its own wait, which was the bound itself; it waits the bound and a start now. go test -race -count=20 ./internal/placing passes.

--- /dev/null
+++ b/internal/placing/decide.go
@@ -0,0 +1,323 @@
+package placing
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/gang"
+	"github.com/dotterelgauge/dotterelgauge/internal/ledger"
+	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+)
+
+// maxDecisionRounds bounds how often one step asks the policy again.
+const maxDecisionRounds = 64
+
+// decide carries out what the policy decides, unless the log takes no records: then neither a start nor
+// the end of a victim could be logged.
+func (l *Loop) decide() {
+	if now := time.Now(); now.Before(l.quiet) || now.Before(l.silent) {
+		return
+	}
+	for range maxDecisionRounds {
+		decisions := l.config.Policy.Decide(nowMillis())
+		if len(decisions) == 0 {
+			return
+		}
+		for _, decision := range decisions {
+			l.carryOut(decision)
+		}
+	}
+}
+
+func (l *Loop) carryOut(decision policy.Decision) {
+	switch {
+	case decision.Start != nil:
+		l.startGang(decision.Start)
+	case decision.Stop != nil:
+		l.stopVictim(decision.Stop)
+	}
+}
+
+// startGang starts a waiting job in two phases beside the loop.
+func (l *Loop) startGang(start *policy.Start) {
+	known := l.jobs[start.JobID]
+	if known == nil || known.phase != waiting {
+		l.config.Policy.StartRefused(start.JobID)
+		return
+	}
+	known.phase = starting
+	known.run = known.job.GetRun() + 1
+	known.placement = l.placement(start.Members)
+	job := proto.CloneOf(known.job)
+	job.Run = known.run
+	job.Placement = known.placement
+	l.operate(func(ctx context.Context) func() {
+		err := l.manager.Start(ctx, job)
+		return func() { l.startDone(known, err) }
+	})
+}
+
+// startDone takes the outcome of a start.
+func (l *Loop) startDone(known *localJob, err error) {
+	id := known.job.GetId()
+	var refused *gang.StartError
+	switch {
+	case err == nil:
+		l.startSucceeded(known)
+	case errors.As(err, &refused) && refused.Logged:
+		l.config.Policy.Started(id, nowMillis())
+		known.phase = ending
+		l.noteStartError(known, refused)
+		l.proposeEnd(known, &gang.Ended{
+			JobID: id, Run: known.run, Result: startResult(refused), Worker: refused.Worker,
+			CheckpointPPM: known.job.GetCheckpointPpm(),
+		})
+	default:
+		known.phase = waiting
+		l.config.Policy.StartRefused(id)
+		l.config.Observe(Event{Kind: EventStartRefused, JobID: id, Run: known.run, Err: err})
+		if known.cancelled {
+			l.jobGone(known)
+			return
+		}
+		if refused != nil {
+			l.noteStartError(known, refused)
+		} else if !rejected(err) {
+			l.logSilent(err)
+		} else if l.stillWaits(id) {
+			l.quiet = time.Now().Add(rejectPause)
+		}
+	}
+}
+
+func (l *Loop) startSucceeded(known *localJob) {
+	id := known.job.GetId()
+	known.phase = running
+	known.checkpointAt = time.Now().Add(l.config.CheckpointEvery)
+	l.config.Policy.Started(id, nowMillis())
+	l.config.Observe(Event{Kind: EventStarted, JobID: id, Run: known.run})
+	stop := known.stop
+	known.stop = nil
+	switch {
+	case known.cancelled:
+		l.jobGone(known)
+	case stop != nil:
+		l.stopVictim(stop)
+	}
+}
+
+// stillWaits tells whether the ledger shows a job that waits here: no cancellation explains why its
+// start was not logged.
+func (l *Loop) stillWaits(id string) bool {
+	job := l.config.View.Job(id)
+	return job != nil && job.GetState() == apiv1.JobState_JOB_STATE_WAITING
+}
+
+// startResult is how a run ended that was logged and did not start whole.
+func startResult(refused *gang.StartError) apiv1.RunResult {
+	if refused.Status == apiv1.LeaseStatus_LEASE_STATUS_START_FAILED {
+		return apiv1.RunResult_RUN_RESULT_FAILED
+	}
+	return apiv1.RunResult_RUN_RESULT_LOST
+}
+
+// noteStartError draws conclusions on the worker that kept a gang from starting.
+func (l *Loop) noteStartError(known *localJob, refused *gang.StartError) {
+	if refused.Worker == "" {
+		return
+	}
+	if refused.Status == apiv1.LeaseStatus_LEASE_STATUS_START_FAILED {
+		l.noteFailure(refused.Worker, known.job.GetId())
+		return
+	}
+	l.suspectWorker(refused.Worker, refused)
+}
+
+// stopVictim stops a running gang for another or to place it better.
+func (l *Loop) stopVictim(stop *policy.Stop) {
+	known := l.jobs[stop.JobID]
+	if known == nil {
+		return
+	}
+	switch known.phase {
+	case starting:
+		known.stop = stop
+	case running:
+		result := apiv1.RunResult_RUN_RESULT_PREEMPTED
+		if stop.Reason == policy.Moved {
+			result = apiv1.RunResult_RUN_RESULT_MOVED
+		}
+		l.stopGang(known, result, time.Duration(stop.WithinMillis)*time.Millisecond)
+	default:
+		// It ends already.
+	}
+}
+
+// stopGang stops a running gang beside the loop. The result UNSPECIFIED means that the ledger needs no end.
+func (l *Loop) stopGang(known *localJob, result apiv1.RunResult, bound time.Duration) {
+	known.phase = ending
+	id, run := known.job.GetId(), known.run
+	l.operate(func(ctx context.Context) func() {
+		kept, err := l.manager.Stop(ctx, id, bound)
+		return func() { l.stopDone(known, &gang.Ended{JobID: id, Run: run, Result: result, CheckpointPPM: kept}, err) }
+	})
+}
+
+// stopDone takes the outcome of a stop. On an error the manager ended the gang otherwise, and its event
+// says how.
+func (l *Loop) stopDone(known *localJob, ended *gang.Ended, err error) {
+	if err != nil {
+		return
+	}
+	if ended.Result == apiv1.RunResult_RUN_RESULT_UNSPECIFIED {
+		l.endDone(known, ended)
+		return
+	}
+	l.proposeEnd(known, ended)
+}
+
+// onGang takes an event of the gang manager.
+func (l *Loop) onGang(event gang.Event) {
+	switch {
+	case event.Fenced != nil:
+		l.fenced = true
+		l.config.Observe(Event{Kind: EventFenced, Err: gang.ErrFenced})
+	case event.Worker != nil && !event.Worker.Answered:
+		l.suspectWorker(event.Worker.Worker, errSilent)
+	case event.Ended != nil:
+		l.gangEnded(event.Ended)
+	}
+}
+
+// gangEnded takes the end of a gang that the manager stopped on its own account.
+func (l *Loop) gangEnded(ended *gang.Ended) {
+	known := l.jobs[ended.JobID]
+	if known == nil || known.run != ended.Run {
+		return
+	}
+	switch ended.Result {
+	case apiv1.RunResult_RUN_RESULT_FAILED:
+		l.noteFailure(ended.Worker, ended.JobID)
+	case apiv1.RunResult_RUN_RESULT_FINISHED:
+		l.noteSuccess(known.placement)
+	default:
+	}
+	known.phase = ending
+	l.proposeEnd(known, ended)
+}
+
+// proposeEnd makes the end of a run durable, however long the log takes.
+func (l *Loop) proposeEnd(known *localJob, ended *gang.Ended) {
+	l.operate(func(ctx context.Context) func() {
+		l.owe(ctx, func() *apiv1.Record { return l.endRecord(ended) })
+		return func() { l.endDone(known, ended) }
+	})
+}
+
+func (l *Loop) endRecord(ended *gang.Ended) *apiv1.Record {
+	return &apiv1.Record{
+		Actor: l.config.Actor,
+		Body: &apiv1.Record_RunEnded{RunEnded: &apiv1.RunEnded{
+			Id: ended.JobID, Run: ended.Run, Epoch: l.config.Epoch, Result: ended.Result,
+			CheckpointPpm: ended.CheckpointPPM, Worker: ended.Worker,
+		}},
+	}
+}
+
+// owe proposes a record again and again until the fold has accepted or rejected it. A repeat of a
+// record that took effect unseen is rejected.
+func (l *Loop) owe(ctx context.Context, build func() *apiv1.Record) {
+	for ctx.Err() == nil {
+		err := l.proposeOnce(ctx, build())
+		if err == nil || rejected(err) {
+			return
+		}
+		l.mail.put(func() { l.logSilent(err) })
+	}
+}
+
+func (l *Loop) proposeOnce(ctx context.Context, record *apiv1.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, oweTimeout)
+	defer cancel()
+	err := l.config.Ledger.Propose(ctx, record)
+	if err != nil && !rejected(err) {
+		// A ledger that refuses at once must not be asked again at once.
+		<-ctx.Done()
+	}
+	return err
+}
+
+// endDone tells the policy that a run is over.
+func (l *Loop) endDone(known *localJob, ended *gang.Ended) {
+	if l.ctx.Err() != nil {
+		return
+	}
+	id := ended.JobID
+	l.config.Observe(Event{Kind: EventEnded, JobID: id, Run: ended.Run, Result: ended.Result, Worker: ended.Worker})
+	current := l.config.View.Job(id)
+	settled := known.phase == settling
+	switch {
+	case current != nil && current.GetRun() == ended.Run && current.GetState() == apiv1.JobState_JOB_STATE_PLACED:
+		// The ledger took neither this end nor another one: it refuses the epoch.
+		l.onGang(gang.Event{Fenced: &gang.Fenced{}})
+	case current == nil:
+		if !settled {
+			l.endForGood(id, ended)
+		}
+		l.evidence.forgetJob(id)
+		delete(l.jobs, id)
+	case settled:
+		l.resubmit(known, current)
+	default:
+		l.config.Policy.Ended(id, policyEnd(ended.Result), int(ended.CheckpointPPM), nowMillis())
+		if !slices.Equal(current.GetFailedWorkers(), known.avoids) {
+			l.config.Policy.Ended(id, policy.Cancelled, 0, nowMillis())
+			l.resubmit(known, current)
+		}
+		known.job = current
+		known.phase = waiting
+	}
+}
+
+// endForGood tells the policy of the end of a run whose job does not wait again.
+func (l *Loop) endForGood(id string, ended *gang.Ended) {
+	if ended.Result == apiv1.RunResult_RUN_RESULT_FINISHED {
+		l.config.Policy.Ended(id, policy.Finished, int(ended.CheckpointPPM), nowMillis())
+		return
+	}
+	if ended.Result != apiv1.RunResult_RUN_RESULT_UNSPECIFIED {
+		l.config.Policy.Ended(id, policyEnd(ended.Result), int(ended.CheckpointPPM), nowMillis())
+	}
+	l.config.Policy.Ended(id, policy.Cancelled, 0, nowMillis())
+}
+
+// resubmit hands a job to the policy as a new one.
+func (l *Loop) resubmit(known *localJob, current *apiv1.Job) {
+	known.job = current
+	known.phase = waiting
+	known.avoids = current.GetFailedWorkers()
+	l.config.Policy.Submit(policyJob(current))
+}
+
+// logSilent stops decisions for a while, because the log did not take a record.
+func (l *Loop) logSilent(err error) {
+	l.silent = time.Now().Add(l.logPause)
+	l.logPause = min(2*l.logPause, maxLogPause)
+	l.config.Observe(Event{Kind: EventOwed, Err: err})
+}
+
+// rejected tells whether the fold refused a record, which settles it.
+func rejected(err error) bool {
+	var rejection *ledger.Rejection
+	return errors.As(err, &rejection)
+}
+
+func sortedIDs(jobs map[string]*localJob) []string {
+	return slices.Sorted(maps.Keys(jobs))
+}
