whole path: instance, both programs, demo and fault run over real processes

Ruled out: shell checks of the answers; 'dotterelctl trial' checks them against what the workers ran.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	cd api && ../$(BIN)/buf lint && ../$(BIN)/buf generate
 
 format:
-	@unformatted=$$(gofmt -l api cmd internal); \
+	@unformatted=$$(gofmt -l api cmd internal test); \
 	if [ -n "$$unformatted" ]; then echo "not formatted, run gofmt -w:"; echo "$$unformatted"; exit 1; fi
 
 lint: $(BIN)/golangci-lint
@@ -41,3 +41,14 @@
 # events writes docs/EVENTS.md from the catalogue.
 events:
 	go test ./internal/events -run TestPageMatchesCatalogue -update
+
+# demo runs the whole path as separate processes on loopback.
+demo: build
+	scripts/demo.sh
+
+# faults runs instances under a seeded sequence of faults: make faults SEED=7 TIME=120s.
+SEED ?= 1
+TIME ?= 60s
+faults: build
+	go build -o $(BIN)/faults ./test/faults
+	$(BIN)/faults --seed $(SEED) --time $(TIME)
--- a/cmd/dotterelctl/sheet.go
+++ b/cmd/dotterelctl/sheet.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(status.Instances, func(i *apiv1.InstanceStatus) bool {
-		return i.Answers && i.Revision < revision
+		return !i.Silent && i.Revision < revision
 	})
 }
 
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -31,6 +31,7 @@
 	StateFromPeer    = Event{206, log.InfoLevel, "state taken from a peer", actionNone}
 	RelayUsed        = Event{207, log.WarnLevel, "log reached through a peer", actionLog}
 	RecordUnresolved = Event{208, log.WarnLevel, "outcome of a record unknown", "look at the audit trail for the record"}
+	SnapshotProblem  = Event{209, log.WarnLevel, "snapshot missing or not written", actionLog}
 )
 
 // Events of membership and ownership: 3xx.
@@ -70,7 +71,7 @@
 func Catalogue() []Event {
 	return []Event{
 		InstanceStarted, InstanceReady, InstanceNotReady, DrainStarted, DrainEnded, DrainCutShort, InstanceFailed,
-		LogUnreachable, LogReached, LedgerRestored, SnapshotWritten, LedgerStopped, StateFromPeer, RelayUsed, RecordUnresolved,
+		LogUnreachable, LogReached, LedgerRestored, SnapshotWritten, LedgerStopped, StateFromPeer, RelayUsed, RecordUnresolved, SnapshotProblem,
 		PeerSilent, PeerBack, OwnershipTaken, OwnershipLost, OwnershipReleased, ListUnreachable, TakeoverRefused,
 		SheetInForce, SheetRejected, GuaranteeAtRisk, JobPlaced, JobEnded, JobPreempted, WorkerQuarantined,
 		WorkerReturned, WorkerLost, PlacingFailed,
--- /dev/null
+++ b/internal/instance/choice.go
@@ -0,0 +1,125 @@
+package instance
+
+import (
+	"context"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/membership"
+	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	"github.com/dotterelgauge/dotterelgauge/internal/policymsg"
+	"github.com/dotterelgauge/dotterelgauge/internal/problem"
+	"github.com/dotterelgauge/dotterelgauge/internal/state"
+)
+
+// DataCentre returns where the job should wait: where its caller says, else where its account holds a
+// guarantee of the shape, else where the least is asked of each accelerator. The error is a *problem.Error.
+func (d *domains) DataCentre(spec *apiv1.JobSpec) (string, error) {
+	view := d.instance.members.View()
+	best := choice{}
+	found := false
+	for _, name := range candidates(view, spec.DataCentre) {
+		if !fits(view, name, spec) {
+			continue
+		}
+		next := d.choice(view, name, spec)
+		if !found || next.better(best) {
+			best = next
+			found = true
+		}
+	}
+	if !found {
+		return "", impossible(view, spec)
+	}
+	return best.name, nil
+}
+
+// candidates returns the data centres that a job may wait in.
+func candidates(view membership.View, wanted string) []string {
+	if wanted != "" {
+		return []string{wanted}
+	}
+	return view.DataCentres()
+}
+
+// fits reports whether the job fits into the data centre when it is empty.
+func fits(view membership.View, name string, spec *apiv1.JobSpec) bool {
+	var able []policy.Worker
+	for _, worker := range policymsg.Workers(view.Workers, name) {
+		if worker.Cores >= int(spec.Cores) && worker.MemoryMiB >= int(spec.MemoryMib) {
+			able = append(able, worker)
+		}
+	}
+	shape := policymsg.Shape(spec.Shape)
+	if shape.Accelerators == 0 {
+		return len(able) > 0
+	}
+	_, err := policy.PackGuarantees(able, []policy.Guarantee{{Account: spec.Account, Shape: shape, Count: 1}})
+	return err == nil
+}
+
+// choice is a data centre that a job could wait in.
+type choice struct {
+	name string
+	// guaranteed says that the account holds a guarantee of the shape here.
+	guaranteed bool
+	// asked and accelerators are what the live jobs ask for and what there is.
+	asked        int64
+	accelerators int64
+}
+
+func (c choice) better(other choice) bool {
+	if c.guaranteed != other.guaranteed {
+		return c.guaranteed
+	}
+	return c.asked*other.accelerators < other.asked*c.accelerators
+}
+
+func (d *domains) choice(view membership.View, name string, spec *apiv1.JobSpec) choice {
+	result := choice{name: name}
+	for _, worker := range view.Workers {
+		if worker.DataCentre == name {
+			result.accelerators += int64(worker.Accelerators)
+		}
+	}
+	i := d.instance
+	var sheet *apiv1.Sheet
+	i.ledger.View(func() {
+		sheet = i.state.Revision().GetSheet()
+		for _, job := range i.state.Jobs((*state.Job).Live) {
+			if job.Spec.DataCentre == name {
+				result.asked += int64(job.Spec.Shape.Members) * int64(job.Spec.Shape.Accelerators)
+			}
+		}
+	})
+	for _, guarantee := range sheet.GetGuarantees() {
+		same := guarantee.Shape.Members == spec.Shape.Members && guarantee.Shape.Accelerators == spec.Shape.Accelerators
+		if guarantee.Account == spec.Account && guarantee.DataCentre == name && same {
+			result.guaranteed = true
+		}
+	}
+	return result
+}
+
+// impossible names the remedy for a job that fits nowhere.
+func impossible(view membership.View, spec *apiv1.JobSpec) error {
+	for members := spec.Shape.Members; members > 0; members-- {
+		smaller := &apiv1.JobSpec{
+			Account:   spec.Account,
+			Cores:     spec.Cores,
+			MemoryMib: spec.MemoryMib,
+			Shape:     &apiv1.Shape{Members: members, Accelerators: spec.Shape.Accelerators, Adjacency: spec.Shape.Adjacency},
+		}
+		for _, name := range candidates(view, spec.DataCentre) {
+			if fits(view, name, smaller) {
+				shape := policymsg.Shape(smaller.Shape)
+				return problem.New(problem.Impossible, "no data centre can hold the gang: the largest that fits is "+shape.String()+" in "+name)
+			}
+		}
+	}
+	return problem.New(problem.Impossible, "no worker can hold a member: ask for fewer accelerators, cores or memory, or another data centre")
+}
+
+// Explain says why a waiting job waits; "" when this instance does not know.
+func (d *domains) Explain(_ context.Context, _, _ string) string {
+	return ""
+}
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -55,11 +55,14 @@
 		LedgerOffset: s.config.Offset(),
 	}
 	s.config.Ledger.View(func() { readState(s.config.State, status) })
-	for _, peer := range s.config.Members().Peers {
+	members := s.config.Members()
+	status.Workers = members.Workers
+	for _, peer := range members.Peers {
 		status.Instances = append(status.Instances, &apiv1.InstanceStatus{
 			Name:         peer.Instance.Name,
 			DataCentre:   peer.Instance.DataCentre,
 			Answers:      peer.Answers(),
+			Silent:       peer.Silent(),
 			Draining:     peer.Standing.GetDraining(),
 			ReachesLog:   peer.Standing.GetReachesLog(),
 			Revision:     peer.Standing.GetRevision(),
--- a/internal/ownership/decide.go
+++ b/internal/ownership/decide.go
@@ -94,11 +94,13 @@
 	return best.name
 }
 
+// eligible reports whether a peer may own a data centre. A listed peer that has not answered yet may, until
+// it is silent: otherwise instances that start together would all prefer themselves.
 func eligible(peer membership.Peer) bool {
-	return peer.Answers() &&
-		!peer.Standing.Draining &&
-		peer.Standing.ReachesLog &&
-		peer.Instance.Presence == apiv1.Presence_PRESENCE_LIVE
+	if peer.Silent() || peer.Instance.Presence != apiv1.Presence_PRESENCE_LIVE {
+		return false
+	}
+	return peer.Standing == nil || (!peer.Standing.Draining && peer.Standing.ReachesLog)
 }
 
 // candidate is an instance that could own a data centre.
--- a/internal/ownership/decide_test.go
+++ b/internal/ownership/decide_test.go
@@ -28,6 +28,10 @@
 	const silent = 9
 	draining := peerOf("b", "east", 0)
 	draining.Standing.Draining = true
+	unasked := peerOf("b", "east", 0)
+	unasked.Standing = nil
+	neverAnswered := peerOf("b", "east", silent)
+	neverAnswered.Standing = nil
 	tests := []struct {
 		name  string
 		view  membership.View
@@ -41,6 +45,8 @@
 		{name: "draining itself", view: viewOf(), self: Self{Draining: true}, want: false},
 		{name: "no owner, a peer is in the data centre", view: viewOf(peerOf("b", "east", 0)), self: Self{DataCentre: "west"}, want: false},
 		{name: "no owner, the peer in the data centre drains", view: viewOf(draining), self: Self{DataCentre: "west"}, want: true},
+		{name: "no owner, a listed peer in the data centre has not answered yet", view: viewOf(unasked), self: Self{DataCentre: "west"}, want: false},
+		{name: "no owner, the listed peer in the data centre never answered", view: viewOf(neverAnswered), self: Self{DataCentre: "west"}, want: true},
 		{name: "owner answers", view: viewOf(peerOf("b", "west", 0)), owner: ownedBy("b", 1), held: time.Minute, want: false},
 		{name: "owner answers with another incarnation", view: viewOf(peerOf("b", "west", 0)), owner: ownedBy("b", 7), want: true},
 		{name: "own name, an earlier life", view: viewOf(), owner: ownedBy("a", 7), want: true},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -12,9 +13,11 @@
 
 // Server answers peers on one UDP address.
 type Server struct {
-	listener *quic.Listener
-	handler  Handler
-	handlers sync.WaitGroup
+	socket    net.PacketConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	handler   Handler
+	handlers  sync.WaitGroup
 }
 
 // Listen binds address (IP:port). Serve must be called.
@@ -23,11 +26,16 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := quic.ListenAddr(address, tlsSettings, quicConfig())
+	socket, err := net.ListenPacket("udp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers: choose a free address for addresses.peers")
 	}
-	return &Server{listener: listener, handler: handler}, nil
+	transport := &quic.Transport{Conn: socket}
+	listener, err := transport.Listen(tlsSettings, quicConfig())
+	if err != nil {
+		return nil, errors.Join(errors.Wrap(err, "listen for peers"), socket.Close())
+	}
+	return &Server{socket: socket, transport: transport, listener: listener, handler: handler}, nil
 }
 
 // Address returns the bound IP:port.
@@ -35,10 +43,9 @@
 	return s.listener.Addr().String()
 }
 
-// Serve answers peers until ctx ends.
+// Serve answers peers until ctx ends; then the address is free again.
 func (s *Server) Serve(ctx context.Context) error {
-	defer s.handlers.Wait()
-	defer s.listener.Close() //nolint:errcheck // Nothing is lost with the listener.
+	defer s.close()
 	for {
 		connection, err := s.listener.Accept(ctx)
 		if err != nil {
@@ -48,6 +55,14 @@
 	}
 }
 
+// close waits for the answers under way and frees the address.
+func (s *Server) close() {
+	_ = s.listener.Close()
+	s.handlers.Wait()
+	_ = s.transport.Close()
+	_ = s.socket.Close()
+}
+
 func (s *Server) serveConnection(ctx context.Context, connection *quic.Conn) {
 	defer connection.CloseWithError(0, "") //nolint:errcheck // The peer sees the end.
 	for {
--- a/internal/platform/standin/run.go
+++ b/internal/platform/standin/run.go
@@ -51,6 +51,8 @@
 	// UsageLag is how old the usage reports are; ListLag is how old the instance list is.
 	UsageLag time.Duration
 	ListLag  time.Duration
+	// Instances are put into the instance list beside the workers.
+	Instances []*apiv1.Instance
 	// Ready is told when all listeners accept connections, when not nil.
 	Ready func(addresses Addresses)
 }
@@ -87,7 +89,7 @@
 		return group.Wait()
 	}
 	addresses.Workers = workers
-	registry.Register(&apiv1.InstanceList{Workers: workers})
+	registry.Register(&apiv1.InstanceList{Instances: options.Instances, Workers: workers})
 	if options.Ready != nil {
 		options.Ready(addresses)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,11 @@
 	return &Log{direct: direct, asker: asker, helpers: helpers, events: logger}
 }
 
+// Direct returns the log without relaying.
+func (l *Log) Direct() platform.Log {
+	return l.direct
+}
+
 // LastDirect returns when the log service last answered this instance itself.
 func (l *Log) LastDirect() time.Time {
 	l.mu.Lock()
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -23,8 +23,8 @@
 	Violations []Violation
 }
 
-// check counts one check and, when it fails, a violation.
-func (i *Invariant) check(holds bool, format string, arguments ...any) {
+// Check counts one check and, when it fails, a violation.
+func (i *Invariant) Check(holds bool, format string, arguments ...any) {
 	i.Checks++
 	if !holds {
 		i.Violations = append(i.Violations, Violation{Invariant: i.Name, Detail: fmt.Sprintf(format, arguments...)})
@@ -45,13 +45,13 @@
 	for _, outcome := range outcomes {
 		count := ran[xxhash.Sum64String(outcome.Payload)]
 		if !outcome.Idempotent {
-			once.check(count <= 1, "%s ran %d times", outcome.Payload, count)
+			once.Check(count <= 1, "%s ran %d times", outcome.Payload, count)
 		}
 		if outcome.Result == NotRun {
-			truth.check(count == 0, "%s was told not run and ran %d times", outcome.Payload, count)
+			truth.Check(count == 0, "%s was told not run and ran %d times", outcome.Payload, count)
 		}
 		if outcome.Result == Done {
-			truth.check(count >= 1, "%s was told done and never ran", outcome.Payload)
+			truth.Check(count >= 1, "%s was told done and never ran", outcome.Payload)
 		}
 	}
 	return []*Invariant{once, truth}
@@ -62,9 +62,9 @@
 	own := &Invariant{Name: "each caller receives the whole answer to its own request"}
 	none := &Invariant{Name: "every request is answered"}
 	for _, outcome := range outcomes {
-		none.check(outcome.Result != Lost, "%s was never answered: %s", outcome.Payload, outcome.Detail)
+		none.Check(outcome.Result != Lost, "%s was never answered: %s", outcome.Payload, outcome.Detail)
 		if outcome.Result == Done || outcome.Result == Foreign {
-			own.check(outcome.Result == Done, "%s was answered with %q", outcome.Payload, outcome.Detail)
+			own.Check(outcome.Result == Done, "%s was answered with %q", outcome.Payload, outcome.Detail)
 		}
 	}
 	return []*Invariant{own, none}
@@ -100,9 +100,9 @@
 	whole := &Invariant{Name: "no gang runs with only some of its members"}
 	for key, changes := range edges {
 		partial := longestPartial(changes, members(key.job))
-		whole.check(partial <= window, "job %s run %d ran in part for %s", key.job, key.run, partial)
+		whole.Check(partial <= window, "job %s run %d ran in part for %s", key.job, key.run, partial)
 	}
-	return []*Invariant{whole, overlap(edges, now)}
+	return []*Invariant{whole, overlap(edges)}
 }
 
 // longestPartial returns the longest time in which some but not all members ran.
@@ -126,7 +126,7 @@
 }
 
 // overlap checks that no two runs of one job ran at once.
-func overlap(edges map[runKey][]edge, _ time.Time) *Invariant {
+func overlap(edges map[runKey][]edge) *Invariant {
 	invariant := &Invariant{Name: "two runs of a job never run at once"}
 	type span struct {
 		run        uint32
@@ -149,7 +149,7 @@
 		sort.Slice(runs, func(i, j int) bool { return runs[i].run < runs[j].run })
 		invariant.Checks++
 		for i := 1; i < len(runs); i++ {
-			invariant.check(!runs[i].start.Before(runs[i-1].end), "job %s: run %d began before run %d ended", job, runs[i].run, runs[i-1].run)
+			invariant.Check(!runs[i].start.Before(runs[i-1].end), "job %s: run %d began before run %d ended", job, runs[i].run, runs[i-1].run)
 		}
 	}
 	return invariant
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,7 +75,7 @@
   ( sleep 3; kill -KILL "${pids[3]}"; sleep 2; kill -TERM "${pids[2]}" ) 2>/dev/null &
   if ! $ctl trial --callers 127.0.0.1:28101,127.0.0.1:28102,127.0.0.1:28103,127.0.0.1:28104 \
       --token caller-token-of-the-demo --requests 240 --per-second 24 --jobs 4 \
-      --operators 127.0.0.1:28201 --operator-token "$operator_token" --list 127.0.0.1:28001; then
+      --list 127.0.0.1:28001; then
     tail -n 20 "$work"/i*.log
     exit 1
   fi
--- /dev/null
+++ b/test/faults/load.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/api/client"
+	"github.com/dotterelgauge/dotterelgauge/internal/trial"
+)
+
+// load is the requests and jobs of a run.
+type load struct {
+	work     sync.WaitGroup
+	mu       sync.Mutex
+	outcomes []trial.Outcome
+	jobs     []trial.JobOutcome
+}
+
+// startLoad asks requests, and submits and cancels jobs, for as long as faults are injected.
+func startLoad(ctx context.Context, s *site, given options) *load {
+	l := &load{}
+	var callers []string
+	for _, i := range s.instances {
+		callers = append(callers, i.callers)
+	}
+	config := trial.Config{
+		Callers:   callers,
+		Token:     callerToken,
+		Requests:  int(given.Time.Seconds()) * requestsPerSecond,
+		PerSecond: requestsPerSecond,
+		Seed:      given.Seed,
+	}
+	l.work.Go(func() {
+		outcomes := trial.Requests(ctx, config)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.outcomes = outcomes
+	})
+	l.work.Go(func() { l.runJobs(ctx, config, given.Time) })
+	return l
+}
+
+// runJobs submits batches of jobs, each after the last one ended, with a wave of cancellations between.
+func (l *load) runJobs(ctx context.Context, config trial.Config, duration time.Duration) {
+	started := time.Now()
+	for batch := 0; time.Since(started) < duration && ctx.Err() == nil; batch++ {
+		jobs := trial.Jobs(ctx, config, jobsPerBatch)
+		l.mu.Lock()
+		l.jobs = append(l.jobs, jobs...)
+		l.mu.Unlock()
+		cancelWave(ctx, config)
+	}
+}
+
+// cancelWave submits jobs and cancels them at once.
+func cancelWave(ctx context.Context, config trial.Config) {
+	ids := trial.SubmitOnly(ctx, config, jobsPerBatch)
+	for n, id := range ids {
+		caller := client.New(config.Callers[n%len(config.Callers)], config.Token)
+		_, _ = caller.CancelJob(ctx, id)
+	}
+}
+
+// finish waits for the load and returns what its callers learned.
+func (l *load) finish() ([]trial.Outcome, []trial.JobOutcome) {
+	l.work.Wait()
+	return l.outcomes, l.jobs
+}
--- /dev/null
+++ b/test/faults/main.go
@@ -0,0 +1,77 @@
+// Command faults runs instances as real processes, injects a seeded sequence of faults while callers ask,
+// and checks the promises of the system. It ends with 1 if a promise was broken or never checked.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/trial"
+)
+
+// options are the arguments.
+type options struct {
+	Seed    uint64        `help:"Seed of the faults and the load." default:"1"`
+	Time    time.Duration `help:"How long faults are injected." default:"60s"`
+	Program string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
+	Only    []string      `help:"Inject only these faults; all when left out."`
+	Keep    bool          `help:"Keep the working directory with the logs."`
+}
+
+const (
+	// settleTime is how long the system gets after the last fault.
+	settleTime = 20 * time.Second
+	// requestsPerSecond is the load of short requests.
+	requestsPerSecond = 30
+	// jobsPerBatch is how many gang jobs are submitted together.
+	jobsPerBatch = 6
+	// partialWindow is how long a gang may run in part: a start window of 1 s and one lease term.
+	partialWindow = time.Second + leaseTerm
+)
+
+func main() {
+	var given options
+	kong.Parse(&given, kong.Description("Runs instances under a seeded sequence of faults and checks the promises of the system."))
+	fmt.Printf("seed %d\n", given.Seed)
+	if err := run(given); err != nil {
+		fmt.Fprintln(os.Stderr, "faults:", err)
+		os.Exit(1)
+	}
+}
+
+// run plays the whole sequence and checks it.
+func run(given options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), given.Time+4*settleTime)
+	defer cancel()
+	site, err := startSite(ctx, given)
+	if err != nil {
+		return err
+	}
+	defer site.stop(given.Keep)
+	load := startLoad(ctx, site, given)
+	injectAll(ctx, site, given)
+	site.heal()
+	return report(ctx, site, load)
+}
+
+// report waits for the load to end and prints the invariants.
+func report(ctx context.Context, site *site, load *load) error {
+	outcomes, jobs := load.finish()
+	histories, err := trial.Histories(ctx, site.workers)
+	if err != nil {
+		return err
+	}
+	trial.PrintOutcomes(os.Stdout, outcomes, jobs)
+	members := func(job string) int { return trial.MembersOf(jobs, job) }
+	invariants := trial.CheckAnswers(outcomes)
+	invariants = append(invariants, trial.CheckAtMostOnce(outcomes, histories)...)
+	invariants = append(invariants, trial.CheckGangs(members, histories, partialWindow, time.Now())...)
+	invariants = append(invariants, trial.CheckJobs(jobs))
+	invariants = append(invariants, site.config.Check(site.wasFaulty)...)
+	invariants = append(invariants, site.drains, site.leaving)
+	return trial.PrintInvariants(os.Stdout, invariants)
+}
