gang, placing: a stop names its run, and a run ends once

A new owner's policy stopped a gang that was still being taken over; the gang turned out lapsed, its job was started again as run 2, and the delayed stop then stopped run 2, whose end was never logged, since the loop proposed the end of run 1. Each start of run 3 was refused as 'is placed already'. Ruled out: the fold (it refused rightly) and the policy (its stop was right when it was made). Before: TestStopMeantForAnEarlierRunSparesTheNext fails without the comparison of runs (the stop ends run 2). After: passes; TestStopMeantForALostRunSparesTheNext drives the same race through the loop (it passed before too, since there the loop settled the run by itself).

--- a/internal/gang/loss_test.go
+++ b/internal/gang/loss_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/gang"
 	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/worker"
 )
 
@@ -109,7 +112,7 @@
 		o.mustStart(t, job("a", 1, 0, 1))
 		time.Sleep(term)
 		o.network.SetLink("w1", worker.LinkCut)
-		if _, err := o.Stop(o.ctx, "a", 0); err != nil {
+		if _, err := o.Stop(o.ctx, "a", 1, 0); err != nil {
 			t.Fatal(err)
 		}
 		for i, w := range f.workers {
@@ -120,6 +123,21 @@
 	})
 }
 
+// TestStopMeantForAnEarlierRunSparesTheNext stops run 1 of a job when run 2 is held.
+func TestStopMeantForAnEarlierRunSparesTheNext(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		o := f.newOwner(t, 1).run(t)
+		next := job("a", 1, 0, 1)
+		next.job.Run = 2
+		o.mustStart(t, next)
+		if _, err := o.Stop(o.ctx, "a", 1, 0); !errors.Is(err, gang.ErrNotHeld) {
+			t.Errorf("the stop of run 1 gave %v, want ErrNotHeld", err)
+		}
+		time.Sleep(work + term)
+		f.wantIntervals(t, "a", 2, worker.CauseFinished)
+	})
+}
+
 func TestCheckpointIsBoundedAndCountsWhenWhole(t *testing.T) {
 	const bound = 2 * time.Second
 	const half = 500_000
@@ -133,7 +151,7 @@
 		time.Sleep(work / 4)
 		f.workers[1].SetFaults(worker.Faults{SlowCheckpointMillis: time.Minute.Milliseconds()})
 		asked := time.Now()
-		kept, err := o.Stop(o.ctx, "a", bound)
+		kept, err := o.Stop(o.ctx, "a", 1, bound)
 		if err != nil || kept != half {
 			t.Errorf("stop kept %d, error %v; want the last whole checkpoint", kept, err)
 		}
--- a/internal/gang/stop.go
+++ b/internal/gang/stop.go
@@ -15,15 +15,16 @@
 // errAdopting means that the takeover of a gang is not complete.
 var errAdopting = errors.New("the gang is being taken over: try again")
 
-// Stop checkpoints a running gang, stops it as a whole and returns the share of the work kept. When the
+// Stop checkpoints a running gang, stops it as a whole and returns the share of the work kept. It stops the run
+// that is named and no later one of the job. When the
 // checkpoint takes longer than the bound, the gang is stopped without it and its last one counts. A
 // bound of 0 takes no checkpoint. It returns when no member runs any more: each worker has
 // confirmed the stop or its lease has lapsed. A gang that is being taken over is stopped once it is held.
 // ErrNotHeld and ErrBusy say that the gang ends otherwise: an event tells or has told how.
-func (m *Manager) Stop(ctx context.Context, jobID string, bound time.Duration) (uint32, error) {
-	g, err := m.beginStop(jobID)
+func (m *Manager) Stop(ctx context.Context, jobID string, run uint32, bound time.Duration) (uint32, error) {
+	g, err := m.beginStop(jobID, run)
 	for errors.Is(err, errAdopting) && sleep(ctx, m.retryPause()) {
-		g, err = m.beginStop(jobID)
+		g, err = m.beginStop(jobID, run)
 	}
 	if err != nil {
 		return 0, err
@@ -39,11 +40,11 @@
 }
 
 // beginStop claims a running gang for its stop.
-func (m *Manager) beginStop(jobID string) (*gang, error) {
+func (m *Manager) beginStop(jobID string, run uint32) (*gang, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g := m.gangs[jobID]
-	if g == nil {
+	if g == nil || g.run != run {
 		return nil, ErrNotHeld
 	}
 	if g.phase == adopting {
--- a/internal/placing/decide.go
+++ b/internal/placing/decide.go
@@ -164,7 +164,7 @@
 	known.phase = ending
 	id, run := known.job.GetId(), known.run
 	l.operate(func(ctx context.Context) func() {
-		kept, err := l.manager.Stop(ctx, id, bound)
+		kept, err := l.manager.Stop(ctx, id, run, bound)
 		return func() { l.stopDone(known, &gang.Ended{JobID: id, Run: run, Result: result, CheckpointPPM: kept}, err) }
 	})
 }
@@ -253,9 +253,9 @@
 	return err
 }
 
-// endDone tells the policy that a run is over.
+// endDone tells the policy that a run is over. A run that ended in two ways at once is over once.
 func (l *Loop) endDone(known *localJob, ended *gang.Ended) {
-	if l.ctx.Err() != nil {
+	if l.ctx.Err() != nil || !l.ends(known, ended) {
 		return
 	}
 	id := ended.JobID
@@ -285,6 +285,11 @@
 	}
 }
 
+// ends tells whether the job still stands at the end of that run.
+func (l *Loop) ends(known *localJob, ended *gang.Ended) bool {
+	return known.run == ended.Run && (known.phase == ending || known.phase == settling)
+}
+
 // endForGood tells the policy of the end of a run whose job does not wait again.
 func (l *Loop) endForGood(id string, ended *gang.Ended) {
 	if ended.Result == apiv1.RunResult_RUN_RESULT_FINISHED {
--- a/internal/placing/loop_test.go
+++ b/internal/placing/loop_test.go
@@ -378,3 +378,23 @@
 		a.kill()
 	})
 }
+
+// TestStopMeantForALostRunSparesTheNext has a new owner stop a gang that lapsed before the takeover: by the time
+// that the stop is carried out, the job may run again.
+func TestStopMeantForALostRunSparesTheNext(t *testing.T) {
+	inBubble(t, 6, func(t *testing.T, c *cluster) {
+		a, b := c.newInstance("a", 1).own(1), c.newInstance("b", 2)
+		a.submit("j", ordinary, 3, 8)
+		a.submit("k", ordinary, 2, 8)
+		time.Sleep(time.Minute)
+		a.kill()
+		time.Sleep(2 * term)
+		b.submit("claimant", urgent, 3, 8)
+		b.own(2)
+		time.Sleep(2 * work)
+		b.wantState("claimant", finished, 1)
+		time.Sleep(2 * work)
+		b.wantState("j", finished, 2)
+		b.kill()
+	})
+}
