--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -145,7 +145,7 @@
 	})
 }
 
-func encode(t *testing.T, message proto.Message) []byte {
+func encode(t testing.TB, message proto.Message) []byte {
 	t.Helper()
 	payload, err := proto.Marshal(message)
 	if err != nil {
