--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -70,6 +70,10 @@
 
 // judge says what a reply or error proves.
 func (r *Router) judge(ctx context.Context, d dispatch, reply *apiv1.RunReply, err error) verdict {
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
+	if errors.Is(err, platform.ErrUnavailable) && cancelled {
+		return verdictWithdrawn
+	}
 	if errors.Is(err, platform.ErrUnavailable) {
 		return verdictUnsent
 	}
@@ -77,7 +81,7 @@
 		r.counters.droppedAnswers.Add(1)
 		return verdictLost
 	}
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+	if err != nil && cancelled {
 		return verdictCancelled
 	}
 	if err != nil {
@@ -132,7 +136,7 @@
 		r.counters.workerBroken.Add(1)
 	case verdictLost, verdictUnsent:
 		r.counters.lost.Add(1)
-	case verdictDone, verdictFailed, verdictCancelled:
+	case verdictDone, verdictFailed, verdictWithdrawn, verdictCancelled:
 	}
 }
 
--- a/internal/routing/keyed_test.go
+++ b/internal/routing/keyed_test.go
@@ -106,6 +106,11 @@
 					request = c.request(request)
 				}
 				want(t, mustDo(t, f.routers["a"], request), c.outcome, KindClaimUnavailable)
+				synctest.Wait()
+				word := f.routers["a"].Answer(t.Context(), request.Account, request.Key, 0)
+				if word.GetState() != apiv1.AnswerState_ANSWER_STATE_UNKNOWN {
+					t.Errorf("without a claim of its own the instance tells others %v", word.GetState())
+				}
 				f.log.set(func() { f.log.down, f.log.loseAnswers = false, false })
 				time.Sleep(time.Minute)
 				if calls := f.workers.total(); calls != 0 {
@@ -312,6 +317,27 @@
 	})
 }
 
+// TestLeavingRacesTheDispatch: what a leaving caller is told holds, whichever comes first.
+func TestLeavingRacesTheDispatch(t *testing.T) {
+	for _, dispatchedFirst := range []bool{true, false} {
+		table := newKeyTable()
+		request := keyed("settle")
+		id := keyID{account: request.Account, key: request.Key}
+		e, _ := table.join(id, func() *entry { return newEntry(t.Context(), id, 1, request.Deadline) })
+		table.advance(e, phaseClaimed)
+		if dispatchedFirst && !table.advance(e, phaseDispatched) {
+			t.Error("an entry with a caller was not dispatched")
+		}
+		left := table.leave(e)
+		if dispatchedFirst != (left == phaseDispatched) {
+			t.Errorf("dispatched first %v, the caller left in phase %d", dispatchedFirst, left)
+		}
+		if table.advance(e, phaseDispatched) {
+			t.Error("an entry without callers was dispatched")
+		}
+	}
+}
+
 func TestRequestThatCannotBeTaken(t *testing.T) {
 	r := New(Config{})
 	defer r.Close()
--- a/internal/routing/ledgerclaims_test.go
+++ b/internal/routing/ledgerclaims_test.go
@@ -98,6 +98,30 @@
 	})
 }
 
+func TestLedgerClaimsForgetOnlyAsExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logservice.New(logservice.Options{Retention: time.Hour})
+		a, b := startClaims(t, log, "a", 1), startClaims(t, log, "b", 2)
+		key := newKey()
+		if _, err := a.Claim(t.Context(), "lounge", key, 7); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * claims.WindowMillis * time.Millisecond)
+		// The log's clock needs two instances to jump ahead.
+		for _, claims := range []*LedgerClaims{a, b, a} {
+			if _, err := claims.Claim(t.Context(), "lounge", newKey(), 7); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if state := a.Lookup("lounge", key); state.Status != ClaimExpired {
+			t.Errorf("a key from before the window is %+v, want expired", state)
+		}
+		if state, err := a.Claim(t.Context(), "lounge", key, 7); err != nil || state.Status != ClaimExpired {
+			t.Errorf("its claim: %+v, %v", state, err)
+		}
+	})
+}
+
 func TestLedgerClaimsInAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := logservice.New(logservice.Options{Retention: time.Hour})
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -40,6 +40,8 @@
 	verdictLeaving
 	verdictDamaged
 	verdictBroken
+	// verdictWithdrawn is a dispatch that this instance gave up before it was sent.
+	verdictWithdrawn
 	verdictUnsent
 	// verdictLost proves nothing: the answer did not come or was not ours.
 	verdictLost
@@ -188,7 +190,7 @@
 		w.failures++
 	case verdictBroken:
 		w.failures = failuresToEject
-	case verdictDamaged, verdictCancelled:
+	case verdictDamaged, verdictWithdrawn, verdictCancelled:
 	}
 	if w.failures >= failuresToEject || w.failedRuns >= failedRunsToEject {
 		p.eject(w)
--- a/internal/routing/queue_test.go
+++ b/internal/routing/queue_test.go
@@ -116,9 +116,8 @@
 		worker.Slots = 1
 		r.SetWorkers([]*apiv1.Worker{worker})
 		f.workers.setAnswer(echoAfter(10 * time.Millisecond))
-		ask := func(account string) (Answer, time.Duration) {
-			request := keyed(account)
-			request.Account = account
+		ask := func(request Request) (Answer, time.Duration) {
+			request.Account = string(request.Payload)
 			started := time.Now()
 			answer := mustDo(t, r, request)
 			return answer, time.Since(started)
@@ -128,7 +127,7 @@
 		refused := 0
 		for range 40 {
 			all.Go(func() {
-				answer, _ := ask("greedy")
+				answer, _ := ask(idempotent("greedy"))
 				if answer.Outcome == Done {
 					return
 				}
@@ -141,8 +140,8 @@
 				mu.Unlock()
 			})
 		}
-		time.Sleep(f.log.delay + time.Millisecond)
-		answer, took := ask("modest")
+		synctest.Wait()
+		answer, took := ask(keyed("modest"))
 		want(t, answer, Done, KindNone)
 		if took > 100*time.Millisecond {
 			t.Errorf("the modest account waited %v", took)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -49,11 +49,11 @@
 	freed chan struct{}
 
 	// The table's lock guards the rest.
-	phase   phase
+	phase phase
+	// callers counts the calls that wait for the entry. Nothing is dispatched without one.
 	callers int
 	// claimed says that this entry's claim won, so that its word on the key is proof for others.
-	claimed   bool
-	abandoned bool
+	claimed bool
 	// free says that freed is closed; a new request then replaces the entry.
 	free bool
 	// recording says that a record is on its way to the log; the entry is kept until then.
@@ -105,18 +105,14 @@
 	return t.entries[id]
 }
 
-// advance moves an entry to the phase; false means that all callers left it before it was dispatched, or
-// before it is to be dispatched again.
+// advance moves an entry to the phase; false means that no caller waits for it any more.
 func (t *keyTable) advance(e *entry, to phase) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if to == phaseClaimed {
 		e.claimed = true
 	}
-	if to == phaseClaimed && e.callers == 0 {
-		e.abandoned = true
-	}
-	if e.abandoned {
+	if e.callers == 0 {
 		return false
 	}
 	e.phase = to
@@ -124,7 +120,7 @@
 }
 
 // leave notes that a caller stops waiting and returns the phase that it leaves the entry in. The last one to leave
-// before the dispatch abandons the entry, which is then never dispatched.
+// before the dispatch ends the entry's wait.
 func (t *keyTable) leave(e *entry) phase {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,7 +132,6 @@
 		// Another caller still waits, so the request may yet run.
 		return phaseDispatched
 	}
-	e.abandoned = true
 	e.cancel()
 	return e.phase
 }
