routing: no word of an old claim passes for one of the key; limits adapt, shares of connections

Now a holder's not run counts only after the asker's own proposal was rejected in log order; else the asker proposes and the log decides. An entry that ended undecided answers each of its callers by what that caller said of itself; one that joined later gets unknown until the key is free.

Also: the limit of a worker that refuses for want of a slot halves and grows by a quarter for a limit's worth of answers (a full step each let a fifth be refused on paper; the test bounds it at a tenth); shares are computed again only when the instances or the worker's limits changed; connections are divided like slots.

--- a/internal/routing/conn/conn.go
+++ b/internal/routing/conn/conn.go
@@ -31,8 +31,9 @@
 	DefaultProbeTimeout = time.Second
 	// DefaultConnections bounds the connections to a worker that SetLimits doesn't name.
 	DefaultConnections = 8
-	// idleTimeout closes connections that carried nothing for a while.
-	idleTimeout = 30 * time.Second
+	// idleTimeout closes connections that carried nothing for a while. It is short, since a request that meets the
+	// other end closing an idle connection ends with an unknown effect.
+	idleTimeout = 5 * time.Second
 	// dialTimeout bounds a connection's set-up.
 	dialTimeout = 2 * time.Second
 )
--- a/internal/routing/fakes_test.go
+++ b/internal/routing/fakes_test.go
@@ -163,14 +163,23 @@
 
 func newFleet(t *testing.T, names ...string) *fakeFleet {
 	t.Helper()
-	f := &fakeFleet{log: newFakeLog(), workers: newFakeWorkers(), routers: make(map[string]*Router)}
+	log := newFakeLog()
+	f := newFleetOn(t, func(name string) Claims { return &fakeClaims{log: log, instance: name} }, names...)
+	f.log = log
+	return f
+}
+
+// newFleetOn is a fleet on other claims than the fake log's.
+func newFleetOn(t *testing.T, claimsOf func(name string) Claims, names ...string) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{workers: newFakeWorkers(), routers: make(map[string]*Router)}
 	var list []*apiv1.Instance
 	for _, name := range names {
 		list = append(list, &apiv1.Instance{Name: name, Weight: 1, Presence: apiv1.Presence_PRESENCE_LIVE})
 	}
 	for i, name := range names {
 		r := New(Config{
-			Instance: name, Incarnation: 1, Claims: &fakeClaims{log: f.log, instance: name},
+			Instance: name, Incarnation: 1, Claims: claimsOf(name),
 			Holder: f, Workers: f.workers, Seed: uint64(i + 1),
 		})
 		r.SetInstances(list)
--- a/internal/routing/follow.go
+++ b/internal/routing/follow.go
@@ -19,31 +19,37 @@
 	holderPause = 10 * time.Millisecond
 )
 
-// follow ends an entry whose key an earlier claim holds, by the truth about that claim.
-func (r *Router) follow(e *entry, state ClaimState) {
+// follow ends an entry whose key an earlier claim holds or held, by the truth about that claim. Otherwise it returns
+// the state to go on from.
+//
+// A holder that says not run speaks of its own claim. That proves something about the key only if the log showed
+// the claim in force after this entry's own proposal; a claim seen by a reader that lags may be released and the
+// key claimed and run by another since. The entry then proposes its own claim, and the log decides.
+func (r *Router) follow(e *entry, state ClaimState, proposed bool) (next ClaimState, followed bool) {
 	if !r.table.advance(e, phaseFollowing) {
 		r.endFree(e, Answer{Outcome: Unknown, Kind: kindOfEnd(e.ctx)})
-		return
+		return ClaimState{}, true
 	}
-	for state.Status == ClaimHeld && state.Checksum == e.checksum {
-		answer, known := r.askHolder(e, state.Holder)
-		if known {
-			r.endFree(e, answer)
-			return
-		}
-		state = r.config.Claims.Lookup(e.id.account, e.id.key)
+	if state.Status != ClaimHeld || state.Checksum != e.checksum {
+		r.endFree(e, r.fromLog(e, state))
+		return ClaimState{}, true
+	}
+	answer, known := r.askHolder(e, state.Holder)
+	if known && answer.Outcome == NotRun && !proposed {
+		return ClaimState{Status: ClaimFree}, false
+	}
+	if known {
+		r.endFree(e, answer)
+		return ClaimState{}, true
 	}
-	r.endFree(e, r.fromLog(e, state))
+	return r.config.Claims.Lookup(e.id.account, e.id.key), false
 }
 
-// fromLog is the truth that the log alone tells about a key that was claimed before.
+// fromLog is the truth that the log alone tells about a key that isn't free.
 func (r *Router) fromLog(e *entry, state ClaimState) Answer {
 	switch {
 	case state.Status == ClaimExpired:
 		return Answer{Outcome: Unknown, Kind: KindKeyExpired}
-	case state.Status == ClaimFree:
-		// The claim was released, which its holder does only when the request did not run.
-		return Answer{Outcome: NotRun, Kind: KindNoWorker, RetryAfter: minRetryAfter}
 	case state.Checksum != e.checksum:
 		return conflict()
 	case state.Status == ClaimDone && state.AnswerKept:
--- a/internal/routing/history_test.go
+++ b/internal/routing/history_test.go
@@ -15,6 +15,7 @@
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/platform"
+	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/logservice"
 )
 
 // keyModelState is a key in the model: whether its request may have run, and the answer once one was given.
@@ -51,6 +52,9 @@
 	Equal: func(a, b any) bool { return a == b },
 }
 
+// faultCount is how many numbers the faults of the log are drawn from; 0 and 1 are none.
+const faultCount = 5
+
 // keyHistory is what the callers of one key saw.
 type keyHistory struct {
 	mu         sync.Mutex
@@ -59,7 +63,9 @@
 
 // historyRun is one seeded run of callers against Routers that share a log.
 type historyRun struct {
-	fleet  *fakeFleet
+	fleet *fakeFleet
+	// fault sets the log's fault of that number, of faultCount; 0 is none.
+	fault  func(number int)
 	clock  atomic.Int64
 	mu     sync.Mutex
 	random *rand.Rand
@@ -100,11 +106,7 @@
 func (h *historyRun) faults(ctx context.Context) {
 	kill := 3 + h.draw(5)
 	for i := 0; pause(ctx, time.Duration(20+h.draw(200))*time.Millisecond); i++ {
-		fault := h.draw(4)
-		h.fleet.log.set(func() {
-			h.fleet.log.down = fault == 0
-			h.fleet.log.loseAnswers = fault == 1
-		})
+		h.fault(h.draw(faultCount))
 		if i == kill {
 			name := fmt.Sprintf("i%d", h.draw(3))
 			h.fleet.mu.Lock()
@@ -148,15 +150,49 @@
 	}
 }
 
+// onFakeLog runs on the fake claims, whose readers lag.
+func onFakeLog(t *testing.T) *historyRun {
+	f := newFleet(t, "i0", "i1", "i2")
+	h := &historyRun{fleet: f}
+	h.fault = func(number int) {
+		f.log.set(func() {
+			f.log.lag = time.Duration(h.draw(400)) * time.Millisecond
+			f.log.down = number == 2
+			f.log.loseAnswers = number == 3
+		})
+	}
+	return h
+}
+
+// onLedger runs on the ledger's claims and the stand-in log.
+func onLedger(t *testing.T) *historyRun {
+	log := logservice.New(logservice.Options{Retention: time.Hour})
+	incarnation := uint64(0)
+	f := newFleetOn(t, func(name string) Claims {
+		incarnation++
+		return startClaims(t, log, name, incarnation)
+	}, "i0", "i1", "i2")
+	return &historyRun{fleet: f, fault: func(number int) {
+		log.SetFaults(map[int]logservice.Faults{
+			2: {Outage: true}, 3: {LostAfterPermille: 500, LostBeforePermille: 200}, 4: {AppendDelayMillis: 400},
+		}[number])
+	}}
+}
+
 // TestHistoriesOfKeys runs two callers a key at three instances under faults and checks every key's history.
 func TestHistoriesOfKeys(t *testing.T) {
+	t.Run("fake log", func(t *testing.T) { runHistories(t, onFakeLog) })
+	t.Run("ledger", func(t *testing.T) { runHistories(t, onLedger) })
+}
+
+func runHistories(t *testing.T, build func(*testing.T) *historyRun) {
 	const seeds, keysARun = 40, 12
 	counts := map[Outcome]int{}
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
-			h := &historyRun{fleet: newFleet(t, "i0", "i1", "i2"), random: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}}
-			h.fleet.setWorkers(4)
-			h.fleet.log.lag = 30 * time.Millisecond
+			h := build(t)
+			h.random, h.runs = rand.New(rand.NewPCG(seed, 1)), map[string]int{}
+			h.fleet.setWorkers(1 + h.draw(4))
 			h.fleet.workers.setAnswer(h.answer)
 			ctx, cancel := context.WithCancel(t.Context())
 			go h.faults(ctx)
--- a/internal/routing/idempotent_test.go
+++ b/internal/routing/idempotent_test.go
@@ -86,6 +86,29 @@
 	}
 }
 
+// TestGivenUpDispatchIsNotHeldAgainstTheWorker: what this instance cancelled says nothing of the worker.
+func TestGivenUpDispatchIsNotHeldAgainstTheWorker(t *testing.T) {
+	r := New(Config{})
+	defer r.Close()
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		ctx  context.Context
+		err  error
+		want verdict
+	}{
+		{t.Context(), platform.ErrUnavailable, verdictUnsent},
+		{cancelled, platform.ErrUnavailable, verdictWithdrawn},
+		{t.Context(), platform.ErrUnknownEffect, verdictLost},
+		{cancelled, platform.ErrUnknownEffect, verdictCancelled},
+	}
+	for _, c := range cases {
+		if got := r.judge(c.ctx, dispatch{}, nil, c.err); got != c.want {
+			t.Errorf("%v with %v: verdict %d, want %d", c.err, c.ctx.Err(), got, c.want)
+		}
+	}
+}
+
 func TestLateAnswerIsHedgedWithinTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a")
--- a/internal/routing/keyed.go
+++ b/internal/routing/keyed.go
@@ -52,16 +52,26 @@
 	}
 	r.table.leave(e)
 	if !joinedLate || e.answer.Outcome != NotRun {
-		return e.answer, false
+		return answerFor(e, request), false
 	}
 	select {
 	case <-e.freed:
 		return Answer{}, true
 	case <-ctx.Done():
-		return e.answer, false
+		// The release may be in the log already and another instance may have run the request since.
+		return Answer{Outcome: Unknown, Kind: KindClaimUnavailable, RetryAfter: minRetryAfter}, false
 	}
 }
 
+// answerFor is an ended entry's answer to a caller that joined before the end.
+func answerFor(e *entry, request Request) Answer {
+	if !e.undecided {
+		return e.answer
+	}
+	request.Retry = request.Retry || e.repeat
+	return unclaimed(request, &refusal{kind: e.answer.Kind, retryAfter: e.answer.RetryAfter})
+}
+
 // awaitOther waits for the end of an entry that has this key, but another request. Only if the other's claim
 // won, or the log says that another request's did, is this one known not to have run.
 func (r *Router) awaitOther(ctx context.Context, e *entry, request Request, _ bool) (answer Answer, again bool) {
@@ -101,7 +111,7 @@
 		why.kind = KindClaimUnavailable
 		return unclaimed(request, why)
 	case phaseEnded:
-		return e.answer
+		return answerFor(e, request)
 	default:
 		return Answer{Outcome: Unknown, Kind: why.kind}
 	}
@@ -120,7 +130,7 @@
 // start runs the entry beside the calls that wait for it.
 func (r *Router) start(e *entry, request Request) {
 	if !r.work.begin() {
-		r.refuseNew(e, request)
+		r.refuseNew(e)
 		return
 	}
 	go func() {
@@ -130,14 +140,19 @@
 }
 
 // refuseNew ends an entry of a draining instance: by the log if it knows the key, else as refused.
-func (r *Router) refuseNew(e *entry, request Request) {
-	state := r.config.Claims.Lookup(request.Account, request.Key)
-	why := &refusal{kind: KindDraining, retryAfter: minRetryAfter}
-	answer := unclaimed(request, why)
-	if state.Status != ClaimFree {
-		answer = r.fromLog(e, state)
+func (r *Router) refuseNew(e *entry) {
+	state := r.config.Claims.Lookup(e.id.account, e.id.key)
+	if state.Status == ClaimFree {
+		r.endRefused(e, &refusal{kind: KindDraining, retryAfter: minRetryAfter})
+		return
 	}
-	r.endFree(e, answer)
+	r.endFree(e, r.fromLog(e, state))
+}
+
+// endRefused ends an entry before its claim was proposed.
+func (r *Router) endRefused(e *entry, why *refusal) {
+	r.table.endUndecided(e, why)
+	r.table.release(e)
 }
 
 // endFree ends an entry that holds no claim.
@@ -146,31 +161,34 @@
 	r.table.release(e)
 }
 
-// runEntry claims, queues, dispatches and ends the entry.
+// runEntry claims the key and runs the request, or ends the entry by the truth about an earlier claim.
 func (r *Router) runEntry(e *entry, request Request) {
 	state := r.config.Claims.Lookup(request.Account, request.Key)
-	if state.Status == ClaimFree {
-		if why := r.checkBeforeClaim(request); why != nil {
-			r.endFree(e, unclaimed(request, why))
+	proposed := false
+	for {
+		if state.Status == ClaimFree {
+			if why := r.checkBeforeClaim(request); why != nil {
+				r.endRefused(e, why)
+				return
+			}
+			var err error
+			state, err = r.claim(e)
+			if err != nil {
+				r.claimFailed(e, err)
+				return
+			}
+			proposed = true
+		}
+		if state.Status == ClaimOurs {
+			r.runOurs(e, request)
 			return
 		}
-		var err error
-		state, err = r.claim(e)
-		if err != nil {
-			r.claimFailed(e, request, err)
+		next, followed := r.follow(e, state, proposed)
+		if followed {
 			return
 		}
+		state = next
 	}
-	if state.Status != ClaimOurs {
-		r.follow(e, state)
-		return
-	}
-	r.counters.claims.Add(1)
-	if !r.table.advance(e, phaseClaimed) {
-		r.endNotRun(e, &refusal{kind: kindOfEnd(e.ctx)}, 0)
-		return
-	}
-	r.runClaimed(e, request)
 }
 
 // checkBeforeClaim refuses what would not be dispatched anyway, so that it costs the log nothing.
@@ -182,34 +200,24 @@
 	return r.sched.check(request.demand(nil))
 }
 
-// maxClaimRaces bounds the claims that meet a key which is freed just after.
-const maxClaimRaces = 3
-
-// claim proposes the claim, again if the key was freed just after the proposal met another claim.
+// claim proposes the claim; the number of those that wait for the log is bounded by checkBeforeClaim.
 func (r *Router) claim(e *entry) (ClaimState, error) {
 	r.claiming.Add(1)
 	defer r.claiming.Add(-1)
-	for range maxClaimRaces {
-		state, err := r.config.Claims.Claim(e.ctx, e.id.account, e.id.key, e.checksum)
-		if err != nil || state.Status != ClaimFree {
-			return state, err
-		}
-	}
-	return ClaimState{}, errors.Wrap(ErrClaimNotMade, "the key changes hands all the time")
+	return r.config.Claims.Claim(e.ctx, e.id.account, e.id.key, e.checksum)
 }
 
 // claimFailed ends an entry whose claim was not decided. It is never dispatched, so a claim that may
 // still enter the log is released.
-func (r *Router) claimFailed(e *entry, request Request, err error) {
+func (r *Router) claimFailed(e *entry, err error) {
 	r.counters.claimsUnavailable.Add(1)
 	why := &refusal{kind: KindClaimUnavailable, retryAfter: minRetryAfter}
-	answer := unclaimed(request, why)
 	if errors.Is(err, ErrClaimNotMade) {
-		r.endFree(e, answer)
+		r.endRefused(e, why)
 		return
 	}
 	r.recordRelease(e)
-	r.table.end(e, answer)
+	r.table.endUndecided(e, why)
 }
 
 // endNotRun ends a claimed entry that certainly did not run and frees its key.
@@ -218,6 +226,16 @@
 	r.table.end(e, why.answer(attempts))
 }
 
+// runOurs runs the request of an entry whose claim won.
+func (r *Router) runOurs(e *entry, request Request) {
+	r.counters.claims.Add(1)
+	if !r.table.advance(e, phaseClaimed) {
+		r.endNotRun(e, &refusal{kind: kindOfEnd(e.ctx)}, 0)
+		return
+	}
+	r.runClaimed(e, request)
+}
+
 // runClaimed dispatches a claimed request until a worker may have started it.
 func (r *Router) runClaimed(e *entry, request Request) {
 	ctx, cancel := context.WithDeadline(r.base, request.Deadline.Add(answerGrace))
--- a/internal/routing/keyed_test.go
+++ b/internal/routing/keyed_test.go
@@ -317,6 +317,24 @@
 	})
 }
 
+// TestLaggingInstanceDoesNotTrustAnOldRefusal: c has not read that a released the key, nor that b ran it since. What a says
+// of its own claim is no proof for the key then.
+func TestLaggingInstanceDoesNotTrustAnOldRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		f.setWorkers(1)
+		f.routers["a"].SetWorkers(nil)
+		request := keyed("settle")
+		request.Deadline = time.Now().Add(time.Second)
+		want(t, mustDo(t, f.routers["a"], request), NotRun, KindDeadline)
+		time.Sleep(time.Second)
+		want(t, mustDo(t, f.routers["b"], retryOf(request)), Done, KindNone)
+		f.log.set(func() { f.log.lag = 1500 * time.Millisecond })
+		want(t, mustDo(t, f.routers["c"], retryOf(request)), Done, KindNone)
+		wantRuns(t, f, "settle", 1)
+	})
+}
+
 // TestLeavingRacesTheDispatch: what a leaving caller is told holds, whichever comes first.
 func TestLeavingRacesTheDispatch(t *testing.T) {
 	for _, dispatchedFirst := range []bool{true, false} {
--- a/internal/routing/limits_test.go
+++ b/internal/routing/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,6 +105,42 @@
 	})
 }
 
+// TestLimitAdaptsToWhatAWorkerTakes: others fill 6 of the 8 slots, so the limit sinks; at most a tenth is refused.
+func TestLimitAdaptsToWhatAWorkerTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a")
+		f.setWorkers(1)
+		r := f.routers["a"]
+		var busy atomic.Int64
+		f.workers.setAnswer(func(ctx context.Context, worker string, request *apiv1.RunRequest) (*apiv1.RunReply, error) {
+			defer busy.Add(-1)
+			if busy.Add(1) > 2 {
+				return reply(request, apiv1.RunStatus_RUN_STATUS_REFUSED_FULL), nil
+			}
+			return echoAfter(10*time.Millisecond)(ctx, worker, request)
+		})
+		var all sync.WaitGroup
+		for range 16 {
+			all.Go(func() {
+				for range 50 {
+					mustDo(t, r, idempotent("check"))
+				}
+			})
+		}
+		all.Wait()
+		if stats := r.Stats(); stats.WorkerFull*10 > stats.Dispatches || stats.Done < 16*50*9/10 {
+			t.Errorf("%d of %d dispatches refused, %d requests done", stats.WorkerFull, stats.Dispatches, stats.Done)
+		}
+		for range 400 {
+			f.workers.setAnswer(echoAfter(time.Millisecond))
+			mustDo(t, r, idempotent("check"))
+		}
+		if limit := int(r.sched.pool.workers["w0"].limit); limit != 8 {
+			t.Errorf("the limit is %d when nothing is refused any more, want 8", limit)
+		}
+	})
+}
+
 func TestNoWorkerGetsMoreThanTheShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
--- a/internal/routing/membership.go
+++ b/internal/routing/membership.go
@@ -1,9 +1,13 @@
 package routing
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/routing/conn"
 )
 
 // AccountWeight is a client account's part of the queue; accounts without one weigh 1.
@@ -26,7 +30,12 @@
 func (r *Router) SetInstances(list []*apiv1.Instance) {
 	r.sched.mu.Lock()
 	defer r.sched.mu.Unlock()
-	r.sched.instances = liveInstances(list)
+	live := liveInstances(list)
+	if slices.Equal(live, r.sched.instances) {
+		return
+	}
+	r.sched.instances = live
+	r.sched.revision++
 	r.sched.divide()
 	r.sched.pump()
 }
@@ -49,6 +58,45 @@
 	}
 }
 
+// ConnectionLimits returns this instance's share of the connections of each worker, for conn.Transport.SetLimits.
+func (r *Router) ConnectionLimits() []conn.Limit {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	limits := make([]conn.Limit, 0, len(r.sched.pool.workers))
+	for _, w := range r.sched.pool.workers {
+		limits = append(limits, conn.Limit{Address: w.address, Connections: w.connections.share})
+	}
+	slices.SortFunc(limits, func(a, b conn.Limit) int { return strings.Compare(a.Address, b.Address) })
+	return limits
+}
+
+// divided is a limit of a worker and this instance's share of it.
+type divided struct {
+	limit int
+	share int
+	// revision is the division of instances that share belongs to; 0 when the limit changed since.
+	revision uint64
+}
+
+func (d *divided) set(limit int) {
+	if d.limit != limit {
+		d.limit = limit
+		d.revision = 0
+	}
+}
+
+// divide computes the share unless nothing changed.
+func (d *divided) divide(instances []instanceWeight, revision uint64, name, workerName string) {
+	if d.revision == revision {
+		return
+	}
+	d.revision = revision
+	d.share = 0
+	if d.limit > 0 {
+		d.share = shareOf(instances, name, workerName, d.limit)
+	}
+}
+
 // instanceWeight is one live instance.
 type instanceWeight struct {
 	name   string
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -24,6 +24,8 @@
 	brokenBackoff = 200 * time.Millisecond
 	// fullDecrease is the factor on the limit of a worker that refused for want of a slot.
 	fullDecrease = 0.5
+	// fullIncrease is what a limit's worth of answers adds to the limit.
+	fullIncrease = 0.25
 	// defaultSpeed is the speed of a worker whose speed is not stated, in thousandths.
 	defaultSpeed = 1000
 )
@@ -65,14 +67,16 @@
 	leaving        bool
 	refusedLeaving bool
 	quarantined    bool
-	// share is this instance's part of the worker's concurrency; limit adapts between 1 and share.
-	share      int
-	limit      float64
-	inFlight   int
-	failures   int
-	failedRuns int
-	ejections  int
-	ejected    bool
+	// requests and connections are this instance's parts of what the worker takes at once; limit adapts between 1
+	// and the share of requests.
+	requests    divided
+	connections divided
+	limit       float64
+	inFlight    int
+	failures    int
+	failedRuns  int
+	ejections   int
+	ejected     bool
 	// heldBack says that the worker is passed over until a timer ends it; holds counts the timers.
 	heldBack  bool
 	heldUntil time.Time
@@ -177,7 +181,7 @@
 	switch v {
 	case verdictDone:
 		w.failures, w.failedRuns, w.ejections = 0, 0, 0
-		w.limit = min(w.limit+1/w.limit, float64(w.share))
+		w.limit = min(w.limit+fullIncrease/max(w.limit, 1), float64(w.requests.share))
 	case verdictFailed:
 		w.failures = 0
 		w.failedRuns++
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -28,16 +28,16 @@
 
 // scheduler grants workers to requests in fair order. It does no I/O.
 type scheduler struct {
-	mu          sync.Mutex
-	name        string
-	pool        *pool
-	queues      *classQueues
-	queueLimit  int
-	instances   []instanceWeight
+	mu         sync.Mutex
+	name       string
+	pool       *pool
+	queues     *classQueues
+	queueLimit int
+	instances  []instanceWeight
+	// revision counts the changes of instances.
+	revision    uint64
 	weights     map[string]int
 	quarantined []string
-	// limits are the stated concurrencies of the workers, before they are divided.
-	limits map[string]int
 	// closed refuses whatever waits or arrives.
 	closed   bool
 	counters *counters
@@ -48,7 +48,7 @@
 		name:       config.Instance,
 		queues:     newClassQueues(),
 		queueLimit: config.QueueLimit,
-		limits:     make(map[string]int),
+		revision:   1,
 		counters:   c,
 	}
 	s.pool = newPool(config.Seed, s.letBack)
@@ -243,7 +243,6 @@
 func (s *scheduler) setWorkers(list []*apiv1.Worker, backs platform.Workers) {
 	old := s.pool.workers
 	s.pool.workers = make(map[string]*worker, len(list))
-	clear(s.limits)
 	for _, entry := range list {
 		w := old[entry.GetName()]
 		if w == nil || w.address != entry.GetAddress() {
@@ -251,7 +250,8 @@
 			w.back = backs.Worker(w.address)
 		}
 		s.pool.workers[w.name] = w
-		s.limits[w.name] = limitOf(entry)
+		w.requests.set(limitOf(entry))
+		w.connections.set(int(entry.GetConnections()))
 		w.speed = speedOf(entry)
 		w.leaving = entry.GetPresence() == apiv1.Presence_PRESENCE_LEAVING
 		if w.leaving {
@@ -289,15 +289,14 @@
 	}
 }
 
-// divide computes this instance's share of each worker. A worker at the whole of its share stays there.
+// divide computes this instance's share of each worker whose limit or division changed. A worker at the whole of its share stays there.
 func (s *scheduler) divide() {
 	for _, w := range s.pool.workers {
-		share := 0
-		if limit := s.limits[w.name]; limit > 0 {
-			share = shareOf(s.instances, s.name, w.name, limit)
-		}
-		whole := int(w.limit) == w.share && !w.ejected
-		w.share = share
+		before := w.requests.share
+		w.requests.divide(s.instances, s.revision, s.name, w.name)
+		w.connections.divide(s.instances, s.revision, s.name, w.name)
+		share := w.requests.share
+		whole := int(w.limit) == before && !w.ejected
 		if whole || int(w.limit) > share {
 			w.limit = float64(share)
 		}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -42,9 +42,11 @@
 	// ctx ends with the deadline of the first caller, or when all callers have left before the dispatch.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// ended is closed when answer is set.
-	ended  chan struct{}
-	answer Answer
+	// ended is closed when answer is set. With undecided the entry ended before the log decided its claim, so that
+	// the answer depends on the caller: see unclaimed.
+	ended     chan struct{}
+	answer    Answer
+	undecided bool
 	// freed is closed when the key may be claimed anew at this instance.
 	freed chan struct{}
 
@@ -54,6 +56,8 @@
 	callers int
 	// claimed says that this entry's claim won, so that its word on the key is proof for others.
 	claimed bool
+	// repeat says that the log showed an earlier claim of the key.
+	repeat bool
 	// free says that freed is closed; a new request then replaces the entry.
 	free bool
 	// recording says that a record is on its way to the log; the entry is kept until then.
@@ -116,6 +120,7 @@
 		return false
 	}
 	e.phase = to
+	e.repeat = e.repeat || to == phaseFollowing
 	return true
 }
 
@@ -140,6 +145,18 @@
 func (t *keyTable) end(e *entry, answer Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endLocked(e, answer)
+}
+
+// endUndecided ends an entry without an accepted claim.
+func (t *keyTable) endUndecided(e *entry, why *refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.undecided = true
+	t.endLocked(e, why.answer(0))
+}
+
+func (t *keyTable) endLocked(e *entry, answer Answer) {
 	e.answer = answer
 	e.phase = phaseEnded
 	close(e.ended)
