--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -54,6 +54,43 @@
 	}
 }
 
+// BenchmarkKeyed is one non-idempotent request with its claim and end, on claims that cost next to nothing.
+func BenchmarkKeyed(b *testing.B) {
+	r := newBenchRouter(50)
+	defer r.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		answer, err := r.Do(b.Context(), Request{Account: "lounge", Key: newKey(), Payload: make([]byte, 256)})
+		if err != nil || answer.Outcome != Done {
+			b.Fatal(answer, err)
+		}
+	}
+}
+
+// BenchmarkSetWorkers is a fetch of the instance list in which one worker changed, among 8 instances.
+func BenchmarkSetWorkers(b *testing.B) {
+	for _, workers := range []int{50, 200, 720} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			r := newBenchRouter(workers)
+			defer r.Close()
+			var instances []*apiv1.Instance
+			for i := range 8 {
+				instances = append(instances, &apiv1.Instance{Name: fmt.Sprintf("i%d", i), Weight: 1})
+			}
+			r.SetInstances(instances)
+			var list []*apiv1.Worker
+			for i := range workers {
+				list = append(list, liveWorker(i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				list[0].Slots = 8 + list[0].Slots%2
+				r.SetWorkers(list)
+			}
+		})
+	}
+}
+
 // BenchmarkQueue is one request into and out of a queue that holds 1000, by accounts.
 func BenchmarkQueue(b *testing.B) {
 	for _, accounts := range []int{4, 50, 150} {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -68,7 +68,8 @@
 type keyTable struct {
 	mu      sync.Mutex
 	entries map[keyID]*entry
-	// ended lists entries in the order in which they ended.
+	// ended lists the entries that may be forgotten, in the order in which they ended; those whose record is on its
+	// way to the log aren't among them.
 	ended []*entry
 	bytes int
 }
@@ -161,8 +162,15 @@
 	e.phase = phaseEnded
 	close(e.ended)
 	e.cancel()
+	if !e.recording {
+		t.retire(e)
+	}
+}
+
+// retire lets an ended entry be forgotten when newer ones need the room.
+func (t *keyTable) retire(e *entry) {
 	t.ended = append(t.ended, e)
-	t.bytes += len(answer.Payload)
+	t.bytes += len(e.answer.Payload)
 	t.trim()
 }
 
@@ -182,16 +190,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.recording = under
-	t.trim()
+	if !under && e.phase == phaseEnded {
+		t.retire(e)
+	}
 }
 
 // trim forgets the oldest ended entries beyond the bounds.
 func (t *keyTable) trim() {
 	for len(t.ended) > maxEndedEntries || t.bytes > maxEndedBytes {
 		oldest := t.ended[0]
-		if oldest.recording {
-			return
-		}
 		t.ended[0] = nil
 		t.ended = t.ended[1:]
 		t.bytes -= len(oldest.answer.Payload)
