--- a/internal/routing/keyed_test.go
+++ b/internal/routing/keyed_test.go
@@ -317,6 +317,52 @@
 	})
 }
 
+// TestLaggingInstanceDoesNotTrustAnOldRefusal: c has not read that a released the key, nor that b ran it since. What a says
+// of its own claim is no proof for the key then.
+func TestLaggingInstanceDoesNotTrustAnOldRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		f.setWorkers(1)
+		f.routers["a"].SetWorkers(nil)
+		request := keyed("settle")
+		request.Deadline = time.Now().Add(time.Second)
+		want(t, mustDo(t, f.routers["a"], request), NotRun, KindDeadline)
+		time.Sleep(time.Second)
+		want(t, mustDo(t, f.routers["b"], retryOf(request)), Done, KindNone)
+		f.log.set(func() { f.log.lag = 1500 * time.Millisecond })
+		want(t, mustDo(t, f.routers["c"], retryOf(request)), Done, KindNone)
+		wantRuns(t, f, "settle", 1)
+	})
+}
+
+// TestEndedEntriesAreBounded although one of them waits for the log, as in an outage.
+func TestEndedEntriesAreBounded(t *testing.T) {
+	table := newKeyTable()
+	end := func() *entry {
+		request := keyed("settle")
+		id := keyID{account: request.Account, key: request.Key}
+		e, _ := table.join(id, func() *entry { return newEntry(t.Context(), id, 1, request.Deadline) })
+		return e
+	}
+	waiting := end()
+	table.record(waiting, true)
+	table.end(waiting, Answer{Outcome: NotRun})
+	for range 2 * maxEndedEntries {
+		table.end(end(), Answer{Outcome: Done, Payload: make([]byte, 100)})
+	}
+	if held := len(table.entries); held > maxEndedEntries+1 {
+		t.Errorf("%d entries held, want at most %d", held, maxEndedEntries+1)
+	}
+	if table.get(waiting.id) != waiting {
+		t.Error("the entry whose record waits for the log is forgotten")
+	}
+	table.record(waiting, false)
+	table.end(end(), Answer{Outcome: Done, Payload: make([]byte, maxEndedBytes)})
+	if table.bytes > maxEndedBytes || len(table.entries) > maxEndedEntries {
+		t.Errorf("%d bytes of %d entries held", table.bytes, len(table.entries))
+	}
+}
+
 // TestLeavingRacesTheDispatch: what a leaving caller is told holds, whichever comes first.
 func TestLeavingRacesTheDispatch(t *testing.T) {
 	for _, dispatchedFirst := range []bool{true, false} {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -42,9 +42,11 @@
 	// ctx ends with the deadline of the first caller, or when all callers have left before the dispatch.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// ended is closed when answer is set.
-	ended  chan struct{}
-	answer Answer
+	// ended is closed when answer is set. With undecided the entry ended before the log decided its claim, so that
+	// the answer depends on the caller: see unclaimed.
+	ended     chan struct{}
+	answer    Answer
+	undecided bool
 	// freed is closed when the key may be claimed anew at this instance.
 	freed chan struct{}
 
@@ -54,6 +56,8 @@
 	callers int
 	// claimed says that this entry's claim won, so that its word on the key is proof for others.
 	claimed bool
+	// repeat says that the log showed an earlier claim of the key.
+	repeat bool
 	// free says that freed is closed; a new request then replaces the entry.
 	free bool
 	// recording says that a record is on its way to the log; the entry is kept until then.
@@ -64,7 +68,8 @@
 type keyTable struct {
 	mu      sync.Mutex
 	entries map[keyID]*entry
-	// ended lists entries in the order in which they ended.
+	// ended lists the entries that may be forgotten, in the order in which they ended; those whose record is on its
+	// way to the log aren't among them.
 	ended []*entry
 	bytes int
 }
@@ -116,6 +121,7 @@
 		return false
 	}
 	e.phase = to
+	e.repeat = e.repeat || to == phaseFollowing
 	return true
 }
 
@@ -140,12 +146,31 @@
 func (t *keyTable) end(e *entry, answer Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endLocked(e, answer)
+}
+
+// endUndecided ends an entry without an accepted claim.
+func (t *keyTable) endUndecided(e *entry, why *refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.undecided = true
+	t.endLocked(e, why.answer(0))
+}
+
+func (t *keyTable) endLocked(e *entry, answer Answer) {
 	e.answer = answer
 	e.phase = phaseEnded
 	close(e.ended)
 	e.cancel()
+	if !e.recording {
+		t.retire(e)
+	}
+}
+
+// retire lets an ended entry be forgotten when newer ones need the room.
+func (t *keyTable) retire(e *entry) {
 	t.ended = append(t.ended, e)
-	t.bytes += len(answer.Payload)
+	t.bytes += len(e.answer.Payload)
 	t.trim()
 }
 
@@ -165,16 +190,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.recording = under
-	t.trim()
+	if !under && e.phase == phaseEnded {
+		t.retire(e)
+	}
 }
 
 // trim forgets the oldest ended entries beyond the bounds.
 func (t *keyTable) trim() {
 	for len(t.ended) > maxEndedEntries || t.bytes > maxEndedBytes {
 		oldest := t.ended[0]
-		if oldest.recording {
-			return
-		}
 		t.ended[0] = nil
 		t.ended = t.ended[1:]
 		t.bytes -= len(oldest.answer.Payload)
