instance: the owner explains, waiting jobs move, a guarantee draws only what it has left

Cause: 'job show' must say why a job waits, which only the owner's policy knows; jobs of an account with a guarantee all waited in the guarantee's data centre although others were empty. Ruled out: each instance running a policy of every data centre to explain (memory for nothing). After: a job counts against the guarantee only while its account uses less than it has; others go where the least is asked, and a job that waits 30 s moves to a data centre with idle workers and no waiting job.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -49,7 +49,7 @@
 	// Submit adds a job or returns the one that has the id already.
 	Submit(ctx context.Context, id string, spec *apiv1.JobSpec) (*apiv1.Job, error)
 	// Job returns a job of the account.
-	Job(account, id string) (*apiv1.JobView, error)
+	Job(ctx context.Context, account, id string) (*apiv1.JobView, error)
 	// List returns the account's jobs in the order of their ids.
 	List(account string) []*apiv1.Job
 	// Cancel ends a job of the account.
@@ -285,7 +285,7 @@
 	if err != nil {
 		return err
 	}
-	view, err := h.config.Jobs.Job(account, c.Param("id"))
+	view, err := h.config.Jobs.Job(c.Request().Context(), account, c.Param("id"))
 	if err != nil {
 		return err
 	}
--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -1,24 +1,21 @@
 package instance
 
 import (
-	"context"
-
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/membership"
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
 	"github.com/dotterelgauge/dotterelgauge/internal/policymsg"
 	"github.com/dotterelgauge/dotterelgauge/internal/problem"
-	"github.com/dotterelgauge/dotterelgauge/internal/state"
 )
 
 // DataCentre returns where the job should wait: where its caller says, else where its account holds a
-// guarantee of the shape, else where the least is asked of each accelerator. The error is a *problem.Error.
+// guarantee of the shape that it does not use, else where the least is asked of each accelerator. The error is a *problem.Error.
 func (d *domains) DataCentre(spec *apiv1.JobSpec) (string, error) {
 	view := d.instance.members.View()
 	best := choice{}
 	found := false
 	for _, name := range candidates(view, spec.DataCentre) {
-		if !fits(view, name, spec) {
+		if !fits(policymsg.Workers(view.Workers, name), spec) {
 			continue
 		}
 		next := d.choice(view, name, spec)
@@ -41,10 +38,10 @@
 	return view.DataCentres()
 }
 
-// fits reports whether the job fits into the data centre when it is empty.
-func fits(view membership.View, name string, spec *apiv1.JobSpec) bool {
+// fits reports whether the job fits on the workers when they are empty.
+func fits(workers []policy.Worker, spec *apiv1.JobSpec) bool {
 	var able []policy.Worker
-	for _, worker := range policymsg.Workers(view.Workers, name) {
+	for _, worker := range workers {
 		if worker.Cores >= int(spec.Cores) && worker.MemoryMiB >= int(spec.MemoryMib) {
 			able = append(able, worker)
 		}
@@ -60,7 +57,7 @@
 // choice is a data centre that a job could wait in.
 type choice struct {
 	name string
-	// guaranteed says that the account holds a guarantee of the shape here.
+	// guaranteed says that the account holds a guarantee of the shape here that its live jobs leave unused.
 	guaranteed bool
 	// asked and accelerators are what the live jobs ask for and what there is.
 	asked        int64
@@ -83,23 +80,35 @@
 	}
 	i := d.instance
 	var sheet *apiv1.Sheet
+	alike := uint32(0)
 	i.ledger.View(func() {
 		sheet = i.state.Revision().GetSheet()
-		for _, job := range i.state.Jobs((*state.Job).Live) {
-			if job.Spec.DataCentre == name {
-				result.asked += int64(job.Spec.Shape.Members) * int64(job.Spec.Shape.Accelerators)
+		for _, job := range i.state.LiveJobs(name) {
+			result.asked += accelerators(job.Spec)
+			if job.Spec.Account == spec.Account && sameSize(job.Spec.Shape, spec.Shape) {
+				alike++
 			}
 		}
 	})
+	guaranteed := uint32(0)
 	for _, guarantee := range sheet.GetGuarantees() {
-		same := guarantee.Shape.Members == spec.Shape.Members && guarantee.Shape.Accelerators == spec.Shape.Accelerators
-		if guarantee.Account == spec.Account && guarantee.DataCentre == name && same {
-			result.guaranteed = true
+		if guarantee.Account == spec.Account && guarantee.DataCentre == name && sameSize(guarantee.Shape, spec.Shape) {
+			guaranteed += guarantee.Count
 		}
 	}
+	result.guaranteed = alike < guaranteed
 	return result
 }
 
+func sameSize(a, b *apiv1.Shape) bool {
+	return a.Members == b.Members && a.Accelerators == b.Accelerators
+}
+
+// accelerators returns what a whole gang occupies.
+func accelerators(spec *apiv1.JobSpec) int64 {
+	return int64(spec.Shape.Members) * int64(spec.Shape.Accelerators)
+}
+
 // impossible names the remedy for a job that fits nowhere.
 func impossible(view membership.View, spec *apiv1.JobSpec) error {
 	for members := spec.Shape.Members; members > 0; members-- {
@@ -110,7 +119,7 @@
 			Shape:     &apiv1.Shape{Members: members, Accelerators: spec.Shape.Accelerators, Adjacency: spec.Shape.Adjacency},
 		}
 		for _, name := range candidates(view, spec.DataCentre) {
-			if fits(view, name, smaller) {
+			if fits(policymsg.Workers(view.Workers, name), smaller) {
 				shape := policymsg.Shape(smaller.Shape)
 				return problem.New(problem.Impossible, "no data centre can hold the gang: the largest that fits is "+shape.String()+" in "+name)
 			}
@@ -118,8 +127,3 @@
 	}
 	return problem.New(problem.Impossible, "no worker can hold a member: ask for fewer accelerators, cores or memory, or another data centre")
 }
-
-// Explain says why a waiting job waits; "" when this instance does not know.
-func (d *domains) Explain(_ context.Context, _, _ string) string {
-	return ""
-}
--- a/internal/instance/domains.go
+++ b/internal/instance/domains.go
@@ -226,19 +226,6 @@
 	return false
 }
 
-// owned returns how many data centres this instance places gangs in.
-func (d *domains) owned() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	count := 0
-	for _, known := range d.domains {
-		if known.loop != nil {
-			count++
-		}
-	}
-	return count
-}
-
 // release stops all loops and hands the data centres over.
 func (d *domains) release(ctx context.Context) {
 	d.mu.Lock()
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -30,7 +30,7 @@
 		Revision:     i.revision(),
 		LedgerOffset: i.ledger.Offset(),
 		ClaimsOffset: i.claims.Offset(),
-		Owned:        i.domains.owned(),
+		Owned:        len(i.domains.ownedNames()),
 		HTTPActive:   i.requests.active.Load(),
 		HTTPTotal:    i.requests.total.Load(),
 		Routing:      i.router.Stats(),
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -97,6 +97,9 @@
 		return h.append(ctx, body.Append)
 	case *apiv1.PeerRequest_Answer:
 		return h.answer(ctx, body.Answer)
+	case *apiv1.PeerRequest_Explain:
+		explanation := h.instance.domains.explainOwn(ctx, body.Explain.DataCentre, body.Explain.Job)
+		return &apiv1.PeerReply{Body: &apiv1.PeerReply_Explain{Explain: &apiv1.PeerExplainReply{Explanation: explanation}}}, nil
 	default:
 		return nil, errUnknownQuestion
 	}
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -79,6 +79,7 @@
 	go func() { fail(i.operators.Serve()) }()
 	go i.takeStates(ctx)
 	i.domains.start(ctx)
+	go i.domains.runMoves(ctx)
 	return failed
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -35,7 +35,7 @@
 type Placement interface {
 	// DataCentre returns where the job should wait, or a *problem.Error that names the largest shape that fits.
 	DataCentre(spec *apiv1.JobSpec) (string, error)
-	// Explain says why a waiting job waits; "" when this instance does not know.
+	// Explain says why a waiting job waits, as the owner of its data centre knows it.
 	Explain(ctx context.Context, dataCentre, id string) string
 }
 
@@ -63,6 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
+	spec.DataCentreFixed = spec.DataCentre != ""
 	spec.DataCentre = dataCentre
 	record := &apiv1.Record{
 		Actor:  spec.Account,
@@ -120,14 +121,14 @@
 }
 
 // Job returns a job of the account and why it waits. Errors are *problem.Error.
-func (s *Service) Job(account, id string) (*apiv1.JobView, error) {
+func (s *Service) Job(ctx context.Context, account, id string) (*apiv1.JobView, error) {
 	job, ok := s.find(account, id)
 	if !ok {
 		return nil, notFound()
 	}
 	view := &apiv1.JobView{Job: job}
 	if job.State == apiv1.JobState_JOB_STATE_WAITING {
-		view.Explanation = s.placement.Explain(context.Background(), job.Spec.DataCentre, id)
+		view.Explanation = s.placement.Explain(ctx, job.Spec.DataCentre, id)
 	}
 	return view, nil
 }
--- a/internal/placing/loop_test.go
+++ b/internal/placing/loop_test.go
@@ -382,7 +382,7 @@
 // TestStopMeantForALostRunSparesTheNext has a new owner stop a gang that lapsed before the takeover: by the time
 // that the stop is carried out, the job may run again.
 func TestStopMeantForALostRunSparesTheNext(t *testing.T) {
-	inBubble(t, 6, func(t *testing.T, c *cluster) {
+	inBubble(t, 6, func(_ *testing.T, c *cluster) {
 		a, b := c.newInstance("a", 1).own(1), c.newInstance("b", 2)
 		a.submit("j", ordinary, 3, 8)
 		a.submit("k", ordinary, 2, 8)
