--- a/Makefile
+++ b/Makefile
@@ -35,8 +35,11 @@
 # test runs the formatter, the linter, vet, all tests with the race detector and a short fault run.
 test: format lint vet unit faults-short
 
-bench:
+# bench runs the benchmarks, then measures a site of 8 instances and 50 workers.
+bench: build
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+	go build -o $(BIN)/bench ./test/bench
+	$(BIN)/bench
 
 # events writes docs/EVENTS.md from the catalogue.
 events:
--- a/api/client/client.go
+++ b/api/client/client.go
@@ -53,9 +53,18 @@
 	http  *http.Client
 }
 
+// idleConnections is how many connections to one instance are kept for later calls.
+const idleConnections = 64
+
+// transport carries the calls of all clients.
+var transport = &http.Transport{
+	MaxIdleConnsPerHost: idleConnections,
+	IdleConnTimeout:     time.Minute,
+}
+
 // New returns a client for address (IP:port) that presents the token.
 func New(address, token string) *Client {
-	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: http.DefaultTransport}}
+	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: transport}}
 }
 
 // Request is a short request.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -33,6 +33,7 @@
 	settings *apiv1.Settings
 	author   *apiv1.Author
 	events   *events.Logger
+	traffic  counters
 
 	log       *relay.Log
 	transport *conn.Transport
@@ -78,7 +79,8 @@
 
 // buildPlatform makes the clients of the platform and of the other instances.
 func (i *Instance) buildPlatform() {
-	list := workerclient.NewInstanceList(http.DefaultTransport, i.settings.Platform.InstanceList)
+	listTransport := &http.Transport{DialContext: i.traffic.list.Dial, DisableCompression: true}
+	list := workerclient.NewInstanceList(listTransport, i.settings.Platform.InstanceList)
 	i.members = membership.New(membership.Config{
 		Name:     i.settings.Name,
 		List:     list,
@@ -86,9 +88,9 @@
 		Standing: i.standing,
 		Events:   i.events,
 	})
-	direct := logclient.New(i.settings.Platform.Log)
+	direct := logclient.NewWithDialer(i.settings.Platform.Log, i.traffic.log.Dial)
 	i.log = relay.New(direct, i.asker, i.helpers, i.events)
-	i.transport = conn.New(conn.Config{})
+	i.transport = conn.New(conn.Config{Dial: i.traffic.workers.Dial})
 	i.workers = workerclient.New(i.transport)
 }
 
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/routing"
 	"github.com/dotterelgauge/dotterelgauge/internal/routing/conn"
+	"github.com/dotterelgauge/dotterelgauge/internal/traffic"
 )
 
 // Metrics is what /debug/vars shows of an instance.
@@ -17,10 +18,27 @@
 	Owned        int           `json:"owned_data_centres"`
 	HTTPActive   int64         `json:"http_requests_active"`
 	HTTPTotal    int64         `json:"http_requests_total"`
+	Traffic      Traffic       `json:"traffic"`
 	Routing      routing.Stats `json:"routing"`
 	Connections  conn.Stats    `json:"connections"`
 }
 
+// Traffic is the bytes of each kind of connection since the start. That of workers holds callers' payloads too.
+type Traffic struct {
+	Log       traffic.Bytes `json:"log"`
+	List      traffic.Bytes `json:"instance_list"`
+	Workers   traffic.Bytes `json:"workers"`
+	PeersOut  traffic.Bytes `json:"peers_out"`
+	PeersFrom traffic.Bytes `json:"peers_in"`
+}
+
+// counters count the bytes of the connections to the platform.
+type counters struct {
+	log     traffic.Counter
+	list    traffic.Counter
+	workers traffic.Counter
+}
+
 // Metrics returns the current figures.
 func (i *Instance) Metrics() Metrics {
 	reason := i.notReady()
@@ -33,8 +51,15 @@
 		Owned:        len(i.domains.ownedNames()),
 		HTTPActive:   i.requests.active.Load(),
 		HTTPTotal:    i.requests.total.Load(),
-		Routing:      i.router.Stats(),
-		Connections:  i.transport.Stats(),
+		Traffic: Traffic{
+			Log:       i.traffic.log.Bytes(),
+			List:      i.traffic.list.Bytes(),
+			Workers:   i.traffic.workers.Bytes(),
+			PeersOut:  i.asker.Traffic(),
+			PeersFrom: i.peers.Traffic(),
+		},
+		Routing:     i.router.Stats(),
+		Connections: i.transport.Stats(),
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,7 +13,8 @@
 
 // Client asks peers. It keeps one connection to each and is safe for concurrent use.
 type Client struct {
-	tls *tls.Config
+	tls   *tls.Config
+	meter meter
 
 	mu          sync.Mutex
 	connections map[string]*quic.Conn
@@ -80,6 +81,7 @@
 		return known
 	}
 	c.connections[address] = fresh
+	c.meter.watch(fresh)
 	return fresh
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	handler   Handler
+	meter     meter
 	handlers  sync.WaitGroup
 }
 
@@ -51,6 +52,7 @@
 		if err != nil {
 			return ctx.Err()
 		}
+		s.meter.watch(connection)
 		s.handlers.Go(func() { s.serveConnection(ctx, connection) })
 	}
 }
--- a/internal/platform/logclient/client.go
+++ b/internal/platform/logclient/client.go
@@ -39,11 +39,19 @@
 
 var _ platform.Log = (*Client)(nil)
 
+// Dialer connects to an IP:port.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns a client of the log service at address, an IP:port. It does not connect.
 func New(address string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewWithDialer(address, dialer.DialContext)
+}
+
+// NewWithDialer is New with connections that dial opens.
+func NewWithDialer(address string, dial Dialer) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true,
 	}
--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,74 @@
+// Command bench measures a site of 8 instances and 50 workers on loopback and prints the figures. It judges nothing.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/dotterelgauge/dotterelgauge/test/site"
+)
+
+// options are the arguments.
+type options struct {
+	Program string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
+	Time    time.Duration `help:"How long each measurement lasts." default:"10s"`
+	Seed    uint64        `help:"Seed of the load." default:"1"`
+	Keep    bool          `help:"Keep the working directory with the logs."`
+}
+
+// Size of the measured site.
+const (
+	instances      = 8
+	racks          = 5
+	workersPerRack = 5
+	leaseTerm      = 15 * time.Second
+	// warmUp is how long the site runs before the first measurement.
+	warmUp = 5 * time.Second
+	// limit bounds the whole run.
+	limit = 5 * time.Minute
+)
+
+func main() {
+	var given options
+	kong.Parse(&given, kong.Description("Measures a site of 8 instances and 50 workers on loopback."))
+	if err := run(given); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(given options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	under, err := site.New(ctx, site.Config{
+		Program:        given.Program,
+		Instances:      instances,
+		DataCentres:    []string{"perth-1", "perth-2"},
+		Racks:          racks,
+		WorkersPerRack: workersPerRack,
+		LeaseTerm:      leaseTerm,
+		Retention:      time.Hour,
+		Seed:           given.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	defer under.Stop(given.Keep)
+	if _, err := under.Start(); err != nil {
+		return err
+	}
+	time.Sleep(warmUp)
+	b := &bench{ctx: ctx, site: under, given: given}
+	fmt.Printf("seed %d; %d instances, %d workers, %s each\n", given.Seed, instances, len(under.Workers), given.Time)
+	b.measureIdle()
+	b.measureLoad()
+	b.measureClaim()
+	if err := b.measureThroughput(); err != nil {
+		return err
+	}
+	return b.measureTakeover()
+}
--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -3,18 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/dotterelgauge/dotterelgauge/api/client"
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/logservice"
 	"github.com/dotterelgauge/dotterelgauge/internal/trial"
+	"github.com/dotterelgauge/dotterelgauge/test/site"
 )
 
 const (
@@ -29,7 +27,7 @@
 // fault is one kind of fault; inject blocks until it is over.
 type fault struct {
 	name   string
-	inject func(s *site, random *rand.Rand)
+	inject func(s *faultRun, random *rand.Rand)
 }
 
 // faults are all kinds.
@@ -53,7 +51,7 @@
 }
 
 // injectAll injects faults, two at a time, until the time is over.
-func injectAll(ctx context.Context, s *site, given options) {
+func injectAll(ctx context.Context, s *faultRun, given options) {
 	random := rand.New(rand.NewPCG(given.Seed, 1)) //nolint:gosec // Not a secret.
 	chosen := slices.Clone(faults)
 	if len(given.Only) > 0 {
@@ -78,92 +76,92 @@
 }
 
 // pickInstance locks one instance, so that two faults never end the same process.
-func (s *site) pickInstance(random *rand.Rand) *instance {
-	return s.instances[random.IntN(len(s.instances))]
+func (s *faultRun) pickInstance(random *rand.Rand) *site.Instance {
+	return s.Instances[random.IntN(len(s.Instances))]
 }
 
 var instanceFault sync.Mutex
 
-func kill(s *site, random *rand.Rand) {
+func kill(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
 	i := s.pickInstance(random)
-	defer s.beginFault(i.operators)()
-	i.signal(syscall.SIGKILL)
-	_ = i.process.Wait()
+	defer s.beginFault(i.Operators)()
+	i.Signal(syscall.SIGKILL)
+	_ = i.Process.Wait()
 	time.Sleep(time.Duration(random.Int64N(int64(5 * time.Second))))
 	s.restart(i)
 }
 
 // restart starts the process of an instance again and waits until it is ready.
-func (s *site) restart(i *instance) {
-	if err := s.startInstance(i); err != nil {
+func (s *faultRun) restart(i *site.Instance) {
+	if err := s.StartInstance(i); err != nil {
 		fmt.Println("restart:", err)
 		return
 	}
-	if err := s.awaitReady(i); err != nil {
-		fmt.Printf("restart of %s: %v\n", instanceName(i.number), err)
+	if err := s.AwaitReady(i); err != nil {
+		fmt.Printf("restart of %s: %v\n", i.Name(), err)
 	}
 }
 
 // pause stops a process for longer than a lease.
-func pause(s *site, random *rand.Rand) {
+func pause(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
 	i := s.pickInstance(random)
-	defer s.beginFault(i.operators)()
-	i.signal(syscall.SIGSTOP)
+	defer s.beginFault(i.Operators)()
+	i.Signal(syscall.SIGSTOP)
 	time.Sleep(leaseTerm + time.Duration(random.Int64N(int64(leaseTerm))))
-	i.signal(syscall.SIGCONT)
+	i.Signal(syscall.SIGCONT)
 }
 
 // drain ends a process in order and checks that it does.
-func drain(s *site, random *rand.Rand) {
+func drain(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
 	i := s.pickInstance(random)
-	defer s.beginFault(i.operators)()
-	i.signal(syscall.SIGTERM)
-	err := i.process.Wait()
-	s.drains.Check(err == nil, "%s ended with %v", instanceName(i.number), err)
+	defer s.beginFault(i.Operators)()
+	i.Signal(syscall.SIGTERM)
+	err := i.Process.Wait()
+	s.drains.Check(err == nil, "%s ended with %v", i.Name(), err)
 	s.restart(i)
 }
 
 // logFault switches faults of the log on for a time.
-func logFault(faults logservice.Faults, duration time.Duration) func(*site, *rand.Rand) {
-	return func(s *site, _ *rand.Rand) {
+func logFault(faults logservice.Faults, duration time.Duration) func(*faultRun, *rand.Rand) {
+	return func(s *faultRun, _ *rand.Rand) {
 		defer s.beginFault("")()
-		s.log.SetFaults(faults)
+		s.Log.SetFaults(faults)
 		time.Sleep(duration)
-		s.log.SetFaults(logservice.Faults{})
+		s.Log.SetFaults(logservice.Faults{})
 	}
 }
 
 // flapping switches an outage on and off.
-func flapping(s *site, random *rand.Rand) {
+func flapping(s *faultRun, random *rand.Rand) {
 	defer s.beginFault("")()
 	for range 6 {
-		s.log.SetFaults(logservice.Faults{Outage: true})
+		s.Log.SetFaults(logservice.Faults{Outage: true})
 		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
-		s.log.SetFaults(logservice.Faults{})
+		s.Log.SetFaults(logservice.Faults{})
 		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
 	}
 }
 
 // racingSheets has two operators apply a sheet against the same revision through two instances.
-func racingSheets(s *site, random *rand.Rand) {
+func racingSheets(s *faultRun, random *rand.Rand) {
 	first := s.pickInstance(random)
-	second := s.instances[(first.number+1)%len(s.instances)]
+	second := s.Instances[(first.Number+1)%len(s.Instances)]
 	base, err := s.revision(first)
 	if err != nil {
 		return
 	}
 	var operators sync.WaitGroup
-	for n, i := range []*instance{first, second} {
+	for n, i := range []*site.Instance{first, second} {
 		operators.Go(func() {
-			revision, err := s.applySheet(i, base, 1+random.IntN(2)+n)
+			revision, err := s.ApplySheet(i, base, 1+random.IntN(2)+n)
 			if err == nil {
-				s.config.Accepted(revision, i.operators)
+				s.config.Accepted(revision, i.Operators)
 			}
 		})
 	}
@@ -171,19 +169,19 @@
 }
 
 // workerFault switches faults of one worker on for a time.
-func workerFault(faults string, duration time.Duration) func(*site, *rand.Rand) {
-	return func(s *site, random *rand.Rand) {
-		worker := s.workers[random.IntN(len(s.workers))]
-		s.setWorkerFaults(worker, faults)
+func workerFault(faults string, duration time.Duration) func(*faultRun, *rand.Rand) {
+	return func(s *faultRun, random *rand.Rand) {
+		worker := s.Workers[random.IntN(len(s.Workers))]
+		s.SetWorkerFaults(worker, faults)
 		time.Sleep(duration)
-		s.setWorkerFaults(worker, "{}")
+		s.SetWorkerFaults(worker, "{}")
 	}
 }
 
 // workerLeaves has a worker leave and checks that it gets nothing new after the bound, although the list lags.
-func workerLeaves(s *site, random *rand.Rand) {
-	worker := s.workers[random.IntN(len(s.workers))]
-	s.setWorkerFaults(worker, `{"leave":true}`)
+func workerLeaves(s *faultRun, random *rand.Rand) {
+	worker := s.Workers[random.IntN(len(s.Workers))]
+	s.SetWorkerFaults(worker, `{"leave":true}`)
 	time.Sleep(leaveBound)
 	from := time.Now()
 	time.Sleep(leaveWatch)
@@ -197,23 +195,19 @@
 		}
 		s.leaving.Check(late == 0, "%s started %d requests after the bound", worker.Name, late)
 	}
-	s.setWorkerFaults(worker, "{}")
+	s.SetWorkerFaults(worker, "{}")
 }
 
 // listDown takes the instance list away and makes it lag more.
-func listDown(s *site, _ *rand.Rand) {
-	s.setList("/down?on=true")
+func listDown(s *faultRun, _ *rand.Rand) {
+	s.SetList("/down?on=true")
 	time.Sleep(4 * time.Second)
-	s.setList("/down?on=false")
-}
-
-func stringReader(text string) io.Reader {
-	return strings.NewReader(text)
+	s.SetList("/down?on=false")
 }
 
 // revision returns the revision in force at an instance.
-func (s *site) revision(i *instance) (uint64, error) {
-	status, err := client.New(i.operators, operatorToken).Status(s.ctx)
+func (s *faultRun) revision(i *site.Instance) (uint64, error) {
+	status, err := i.Operator().Status(s.ctx)
 	if err != nil {
 		return 0, err
 	}
--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/api/client"
 	"github.com/dotterelgauge/dotterelgauge/internal/trial"
+	"github.com/dotterelgauge/dotterelgauge/test/site"
 )
 
 // load is the requests and jobs of a run.
@@ -18,15 +19,11 @@
 }
 
 // startLoad asks requests, and submits and cancels jobs, for as long as faults are injected.
-func startLoad(ctx context.Context, s *site, given options) *load {
+func startLoad(ctx context.Context, r *faultRun, given options) *load {
 	l := &load{}
-	var callers []string
-	for _, i := range s.instances {
-		callers = append(callers, i.callers)
-	}
 	config := trial.Config{
-		Callers:   callers,
-		Token:     callerToken,
+		Callers:   r.CallerAddresses(),
+		Token:     site.CallerToken,
 		Requests:  int(given.Time.Seconds()) * requestsPerSecond,
 		PerSecond: requestsPerSecond,
 		Seed:      given.Seed,
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -11,16 +11,18 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/trial"
+	"github.com/dotterelgauge/dotterelgauge/test/site"
 )
 
 // options are the arguments.
 type options struct {
-	Seed    uint64        `help:"Seed of the faults and the load." default:"1"`
-	Time    time.Duration `help:"How long faults are injected." default:"60s"`
-	Program string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
-	Only    []string      `help:"Inject only these faults; all when left out."`
-	Keep    bool          `help:"Keep the working directory with the logs."`
-	Safety  bool          `help:"Print the invariants with a bound in time, but leave them out of the verdict."`
+	Seed      uint64        `help:"Seed of the faults and the load." default:"1"`
+	Time      time.Duration `help:"How long faults are injected." default:"60s"`
+	Program   string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
+	Retention time.Duration `help:"How long the log keeps entries." default:"20s"`
+	Only      []string      `help:"Inject only these faults; all when left out."`
+	Keep      bool          `help:"Keep the working directory with the logs."`
+	Safety    bool          `help:"Print the invariants with a bound in time, but leave them out of the verdict."`
 }
 
 const (
@@ -30,6 +32,8 @@
 	requestsPerSecond = 30
 	// jobsPerBatch is how many gang jobs are submitted together.
 	jobsPerBatch = 6
+	// leaseTerm is the term of the run's leases.
+	leaseTerm = 3 * time.Second
 	// partialWindow is how long a gang may run in part: a start window of 1 s and one lease term.
 	partialWindow = time.Second + leaseTerm
 )
@@ -48,24 +52,34 @@
 func run(given options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), given.Time+4*settleTime)
 	defer cancel()
-	site, err := newSite(ctx, given)
+	under, err := site.New(ctx, site.Config{
+		Program:        given.Program,
+		Instances:      5,
+		DataCentres:    []string{"perth-1", "perth-2"},
+		Racks:          1,
+		WorkersPerRack: 4,
+		LeaseTerm:      leaseTerm,
+		Retention:      given.Retention,
+		Seed:           given.Seed,
+	})
 	if err != nil {
 		return err
 	}
-	defer site.stop(given.Keep)
-	if err := site.start(); err != nil {
+	defer under.Stop(given.Keep)
+	r := newRun(ctx, under)
+	if err := r.start(); err != nil {
 		return err
 	}
-	load := startLoad(ctx, site, given)
-	injectAll(ctx, site, given)
-	site.heal()
-	return report(ctx, site, load, given.Safety)
+	load := startLoad(ctx, r, given)
+	injectAll(ctx, r, given)
+	r.Heal()
+	return report(ctx, r, load, given.Safety)
 }
 
 // report waits for the load to end and prints the invariants.
-func report(ctx context.Context, site *site, load *load, safety bool) error {
+func report(ctx context.Context, r *faultRun, load *load, safety bool) error {
 	outcomes, jobs := load.finish()
-	histories, err := trial.Histories(ctx, site.workers)
+	histories, err := trial.Histories(ctx, r.Workers)
 	if err != nil {
 		return err
 	}
@@ -75,9 +89,9 @@
 	invariants = append(invariants, trial.CheckAtMostOnce(outcomes, histories)...)
 	invariants = append(invariants, trial.CheckGangs(members, histories, partialWindow, time.Now())...)
 	invariants = append(invariants, trial.CheckJobs(jobs))
-	invariants = append(invariants, site.config.Check()...)
-	invariants = append(invariants, site.drains)
-	timed := []*trial.Invariant{site.config.CheckInForce(site.wasFaulty), site.leaving}
+	invariants = append(invariants, r.config.Check()...)
+	invariants = append(invariants, r.drains)
+	timed := []*trial.Invariant{r.config.CheckInForce(r.wasFaulty), r.leaving}
 	if !safety {
 		return trial.PrintInvariants(os.Stdout, append(invariants, timed...))
 	}
