--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -26,7 +26,7 @@
 	// milliseconds.
 	MaxAheadMillis = 60 * 1000
 	// MaxKeys bounds the keys; beyond it the oldest are dropped and the floor rises.
-	MaxKeys = 65_536
+	MaxKeys = 32_768
 	// MaxAnswerBytes bounds an answer that is kept, bytes.
 	MaxAnswerBytes = 1 << 10
 	// MaxAnswersBytes bounds all answers that are kept, bytes; beyond it the oldest are dropped, their
