ledger: long reads of 2 s, so that LastContact tells within 4 s whether the log answers

Cause: an instance that reaches neither log nor peer for 4 s must refuse new work, but with reads of 20 s the last contact of an idle replica was up to 20 s old: a healthy idle fleet would have refused work. Command: go test -race ./internal/ledger, passes.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -177,7 +177,8 @@
 	return r.ready
 }
 
-// LastContact is when the log last answered a read; zero before the first answer.
+// LastContact is when the log last answered a read; zero before the first answer. While the log answers,
+// it is at most about two seconds old.
 func (r *Replica) LastContact() time.Time {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -13,12 +13,13 @@
 const (
 	// readLimit is the most entries of one read.
 	readLimit = 64
-	// longRead is how long a read waits for an entry when nothing else is due.
-	longRead = 20 * time.Second
+	// longRead is how long a read waits for an entry when nothing else is due. LastContact is at most so
+	// old, give or take the way of the answer, while the log answers.
+	longRead = 2 * time.Second
 	// minRead bounds the wait of a read from below.
 	minRead = 10 * time.Millisecond
 	// readGrace is how long an answer may be late beyond the wait before the read is given up.
-	readGrace = 5 * time.Second
+	readGrace = 2 * time.Second
 )
 
 // runReader folds the stream until ctx ends or the fold has to stop.
