routing: a refused repeat of an idempotent request is unknown too; plainer names

Cause: not run is a statement about the request, and an earlier sending of an idempotent one may have run as well. Refused gives the entry the same rule for what it refuses before the Router sees it. Names that were figures of speech gave way to the field's own.

Two faults of TestHistoriesOfKeys under load: it read the count of runs while late dispatches still ran (a race, about 1 in 45 processes of 320 runs each); it waits until they must have ended, which also makes the check stricter.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -58,7 +58,7 @@
 		Payload:   d.request.Payload,
 		Checksum:  d.checksum,
 	})
-	v := r.judge(ctx, d, reply, err)
+	v := r.classify(ctx, d, reply, err)
 	r.countVerdict(v)
 	r.sched.release(d.worker, v)
 	if v == verdictDone {
@@ -68,8 +68,8 @@
 	return result{verdict: v, payload: reply.GetPayload(), worker: d.worker.name}
 }
 
-// judge says what a reply or error proves.
-func (r *Router) judge(ctx context.Context, d dispatch, reply *apiv1.RunReply, err error) verdict {
+// classify says what a reply or error proves.
+func (r *Router) classify(ctx context.Context, d dispatch, reply *apiv1.RunReply, err error) verdict {
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	if errors.Is(err, platform.ErrUnavailable) && cancelled {
 		return verdictWithdrawn
--- a/internal/routing/conn/conn_test.go
+++ b/internal/routing/conn/conn_test.go
@@ -72,24 +72,24 @@
 	near, far := net.Pipe()
 	w.accepted <- far
 	if w.dials.Add(1) <= w.silent {
-		return &deafConn{Conn: near, closed: make(chan struct{})}, nil
+		return &oneWayConn{Conn: near, closed: make(chan struct{})}, nil
 	}
 	return near, nil
 }
 
-// deafConn carries what is written and never anything back.
-type deafConn struct {
+// oneWayConn carries what is written and never anything back.
+type oneWayConn struct {
 	net.Conn
 	once   sync.Once
 	closed chan struct{}
 }
 
-func (c *deafConn) Read([]byte) (int, error) {
+func (c *oneWayConn) Read([]byte) (int, error) {
 	<-c.closed
 	return 0, net.ErrClosed
 }
 
-func (c *deafConn) Close() error {
+func (c *oneWayConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
--- a/internal/routing/drain.go
+++ b/internal/routing/drain.go
@@ -26,9 +26,9 @@
 // It returns what was left at the end of ctx. Close follows.
 func (r *Router) Drain(ctx context.Context) Left {
 	r.work.drain()
-	patient, cancel := r.patientPart(ctx)
+	dispatching, cancel := r.dispatchPart(ctx)
 	defer cancel()
-	if !r.work.wait(patient) {
+	if !r.work.wait(dispatching) {
 		r.sched.close()
 		r.table.cancelWaiting()
 		r.work.wait(ctx)
@@ -37,8 +37,8 @@
 	return Left{InFlight: inFlight, Records: records}
 }
 
-// patientPart is the part of a drain in which waiting requests may still get a worker.
-func (r *Router) patientPart(ctx context.Context) (context.Context, context.CancelFunc) {
+// dispatchPart is the part of a drain in which waiting requests may still get a worker.
+func (r *Router) dispatchPart(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return context.WithCancel(ctx)
--- a/internal/routing/follow.go
+++ b/internal/routing/follow.go
@@ -114,6 +114,9 @@
 
 // pause waits; false means that ctx ended.
 func pause(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
@@ -140,7 +143,7 @@
 			return &apiv1.PeerAnswerReply{State: apiv1.AnswerState_ANSWER_STATE_RUNNING}
 		}
 	}
-	answer, proof := r.table.word(e)
+	answer, proof := r.table.statement(e)
 	if !proof {
 		return &apiv1.PeerAnswerReply{State: apiv1.AnswerState_ANSWER_STATE_UNKNOWN}
 	}
--- a/internal/routing/history_test.go
+++ b/internal/routing/history_test.go
@@ -79,6 +79,12 @@
 	return h.random.IntN(n)
 }
 
+func (h *historyRun) runsOf(payload string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runs[payload]
+}
+
 // answer is a worker that refuses, fails to answer, is slow or answers, by lot.
 func (h *historyRun) answer(ctx context.Context, _ string, request *apiv1.RunRequest) (*apiv1.RunReply, error) {
 	if !pause(ctx, time.Duration(h.draw(30))*time.Millisecond) {
@@ -209,6 +215,8 @@
 			}
 			all.Wait()
 			cancel()
+			// Dispatches outlive their callers; no more runs may come of them.
+			time.Sleep(2 * answerGrace)
 			for i, history := range histories {
 				if !porcupine.CheckOperations(keyModel.ToModel(), history.operations) {
 					t.Errorf("seed %d: key %d: no order explains %+v", seed, i, history.operations)
@@ -216,7 +224,7 @@
 				for _, o := range history.operations {
 					counts[o.Output.(Answer).Outcome]++
 				}
-				if runs := h.runs[fmt.Sprintf("settle %d", i)]; runs > 1 {
+				if runs := h.runsOf(fmt.Sprintf("settle %d", i)); runs > 1 {
 					t.Errorf("seed %d: key %d ran %d times", seed, i, runs)
 				}
 			}
--- a/internal/routing/idempotent.go
+++ b/internal/routing/idempotent.go
@@ -10,8 +10,7 @@
 // and MaxAttempts allow.
 func (r *Router) doIdempotent(ctx context.Context, request Request) Answer {
 	if !r.work.begin() {
-		why := refusal{kind: KindDraining, retryAfter: minRetryAfter}
-		return why.answer(0)
+		return unclaimed(request, &refusal{kind: KindDraining, retryAfter: minRetryAfter})
 	}
 	defer r.work.end()
 	run := &idempotentRun{router: r, request: &request, id: r.nextID()}
@@ -37,17 +36,17 @@
 	for {
 		w, refused := run.router.sched.acquire(ctx, run.request.demand(run.avoid))
 		if refused != nil {
-			return run.giveUp(refused)
+			return run.unanswered(refused)
 		}
-		end := run.race(ctx, w)
+		end := run.sendHedged(ctx, w)
 		if end.verdict.answered() {
 			return end.answer(run.count())
 		}
 		if ctx.Err() != nil {
-			return run.giveUp(&refusal{kind: kindOfEnd(ctx)})
+			return run.unanswered(&refusal{kind: kindOfEnd(ctx)})
 		}
 		if run.attempts >= MaxAttempts || !run.router.mayRetry() {
-			return run.giveUp(&refusal{kind: KindNoWorker, retryAfter: minRetryAfter})
+			return run.unanswered(&refusal{kind: KindNoWorker, retryAfter: minRetryAfter})
 		}
 		run.router.counters.retries.Add(1)
 	}
@@ -62,9 +61,12 @@
 	return false
 }
 
-// giveUp ends the request without an answer.
-func (run *idempotentRun) giveUp(why *refusal) Answer {
+// unanswered ends the request without an answer.
+func (run *idempotentRun) unanswered(why *refusal) Answer {
 	answer := why.answer(run.attempts)
+	if run.request.Retry {
+		answer.Outcome = Unknown
+	}
 	if run.maybeRan {
 		answer.Outcome = Unknown
 		if why.kind != KindDeadline && why.kind != KindCancelled {
@@ -101,9 +103,9 @@
 	return end
 }
 
-// race dispatches to the worker and, when its answer is late and the budget allows, to a second one. The
+// sendHedged dispatches to the worker and, when its answer is late and the budget allows, to a second one. The
 // first answer wins and the other dispatch is cancelled.
-func (run *idempotentRun) race(ctx context.Context, w *worker) result {
+func (run *idempotentRun) sendHedged(ctx context.Context, w *worker) result {
 	delay, known := run.router.latency[run.request.Class].hedgeDelay()
 	if !known || run.attempts+2 > MaxAttempts {
 		return run.send(ctx, w)
--- a/internal/routing/idempotent_test.go
+++ b/internal/routing/idempotent_test.go
@@ -44,6 +44,9 @@
 		f.setWorkers(8)
 		f.workers.setAnswer(refuse(apiv1.RunStatus_RUN_STATUS_REFUSED_FULL))
 		want(t, mustDo(t, f.routers["a"], idempotent("check")), NotRun, KindNoWorker)
+		want(t, mustDo(t, f.routers["a"], retryOf(idempotent("check"))), Unknown, KindNoWorker)
+		want(t, Refused(idempotent("check"), KindDraining, 0), NotRun, KindDraining)
+		want(t, Refused(retryOf(keyed("settle")), KindDraining, 0), Unknown, KindDraining)
 		f.workers.setAnswer(lostAt("w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"))
 		want(t, mustDo(t, f.routers["a"], idempotent("check")), Unknown, KindAnswerLost)
 	})
@@ -103,7 +106,7 @@
 		{cancelled, platform.ErrUnknownEffect, verdictCancelled},
 	}
 	for _, c := range cases {
-		if got := r.judge(c.ctx, dispatch{}, nil, c.err); got != c.want {
+		if got := r.classify(c.ctx, dispatch{}, nil, c.err); got != c.want {
 			t.Errorf("%v with %v: verdict %d, want %d", c.err, c.ctx.Err(), got, c.want)
 		}
 	}
--- a/internal/routing/membership.go
+++ b/internal/routing/membership.go
@@ -23,7 +23,7 @@
 	r.sched.mu.Lock()
 	defer r.sched.mu.Unlock()
 	r.sched.setWorkers(list, r.config.Workers)
-	r.sched.pump()
+	r.sched.grantWaiting()
 }
 
 // SetInstances replaces the live instances, among which the limits of the workers are divided by weight.
@@ -37,7 +37,7 @@
 	r.sched.instances = live
 	r.sched.revision++
 	r.sched.divide()
-	r.sched.pump()
+	r.sched.grantWaiting()
 }
 
 // SetQuarantined names the workers that the ledger holds quarantined or drained; they get nothing.
@@ -45,7 +45,7 @@
 	r.sched.mu.Lock()
 	defer r.sched.mu.Unlock()
 	r.sched.setQuarantined(names)
-	r.sched.pump()
+	r.sched.grantWaiting()
 }
 
 // SetAccounts replaces the weights of the client accounts.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -77,9 +77,9 @@
 	failedRuns  int
 	ejections   int
 	ejected     bool
-	// heldBack says that the worker is passed over until a timer ends it; holds counts the timers.
-	heldBack  bool
-	heldUntil time.Time
+	// onHold says that the worker is passed over until a timer ends it; holds counts the timers.
+	onHold    bool
+	holdUntil time.Time
 	holds     uint64
 	// place is the index in pool.open, or -1.
 	place int
@@ -87,7 +87,7 @@
 
 // usable says whether the worker may get a request now.
 func (w *worker) usable() bool {
-	blocked := w.leaving || w.refusedLeaving || w.quarantined || w.heldBack
+	blocked := w.leaving || w.refusedLeaving || w.quarantined || w.onHold
 	return !blocked && w.inFlight < int(w.limit)
 }
 
@@ -103,15 +103,15 @@
 	open    []*worker
 	random  *rand.Rand
 	ejected int
-	// onReturn is called without the lock when a worker that was passed over is back.
-	onReturn func(w *worker, hold uint64)
+	// onHoldEnd is called without the lock when a worker that was passed over is back.
+	onHoldEnd func(w *worker, hold uint64)
 }
 
-func newPool(seed uint64, onReturn func(*worker, uint64)) *pool {
+func newPool(seed uint64, onHoldEnd func(*worker, uint64)) *pool {
 	return &pool{
-		workers:  make(map[string]*worker),
-		random:   rand.New(rand.NewPCG(seed, seed)),
-		onReturn: onReturn,
+		workers:   make(map[string]*worker),
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		onHoldEnd: onHoldEnd,
 	}
 }
 
@@ -187,7 +187,7 @@
 		w.failedRuns++
 	case verdictFull:
 		w.limit = max(1, w.limit*fullDecrease)
-		p.holdBack(w, fullBackoff)
+		p.hold(w, fullBackoff)
 	case verdictLeaving:
 		w.refusedLeaving = true
 	case verdictLost, verdictUnsent:
@@ -209,7 +209,7 @@
 		return
 	}
 	if (p.ejected+1)*100 > len(p.workers)*maxEjectedPercent {
-		p.holdBack(w, brokenBackoff)
+		p.hold(w, brokenBackoff)
 		return
 	}
 	duration := min(ejectBase<<min(w.ejections, 10), ejectMax)
@@ -217,29 +217,29 @@
 	w.ejected = true
 	w.limit = 1
 	p.ejected++
-	p.holdBack(w, duration)
+	p.hold(w, duration)
 }
 
-// holdBack passes the worker over for the duration, unless it is for longer already.
-func (p *pool) holdBack(w *worker, duration time.Duration) {
+// hold passes the worker over for the duration, unless it is for longer already.
+func (p *pool) hold(w *worker, duration time.Duration) {
 	until := time.Now().Add(duration)
-	if w.heldBack && until.Before(w.heldUntil) {
+	if w.onHold && until.Before(w.holdUntil) {
 		return
 	}
-	w.heldBack = true
-	w.heldUntil = until
+	w.onHold = true
+	w.holdUntil = until
 	w.holds++
 	hold := w.holds
-	time.AfterFunc(duration, func() { p.onReturn(w, hold) })
+	time.AfterFunc(duration, func() { p.onHoldEnd(w, hold) })
 	p.refresh(w)
 }
 
-// letBack ends a hold; it returns false when a later hold replaced it.
-func (p *pool) letBack(w *worker, hold uint64) bool {
+// endHold ends a hold; it returns false when a later hold replaced it.
+func (p *pool) endHold(w *worker, hold uint64) bool {
 	if w.holds != hold {
 		return false
 	}
-	w.heldBack = false
+	w.onHold = false
 	p.clearEjected(w)
 	p.refresh(w)
 	return true
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -8,15 +8,15 @@
 
 // Bounds of the queues.
 const (
-	// ordinaryPatience and patientPatience are how many grants may pass a waiting class over before it gets one.
-	ordinaryPatience = 8
-	patientPatience  = 16
+	// ordinaryPassLimit and patientPassLimit are how many grants may pass a waiting class over before it gets one.
+	ordinaryPassLimit = 8
+	patientPassLimit  = 16
 	// delayGain is the weight of a new sample in the average queue delay.
 	delayGain = 0.25
 )
 
-// patience is, by class, how many grants may pass it over.
-var patience = [classCount]int{Urgent: 0, Ordinary: ordinaryPatience, Patient: patientPatience}
+// passLimit is, by class, how many grants may pass it over.
+var passLimit = [classCount]int{Urgent: 0, Ordinary: ordinaryPassLimit, Patient: patientPassLimit}
 
 // waiter is one request waiting for a worker.
 type waiter struct {
@@ -175,7 +175,7 @@
 }
 
 // classQueues holds one fair queue a class. Urgent goes first, but a class that waits gets one grant after it
-// was passed over as often as its patience.
+// was passed over as often as its pass limit.
 type classQueues struct {
 	queues [classCount]*fairQueue
 	passed [classCount]int
@@ -216,7 +216,7 @@
 	for class := Patient; ; class-- {
 		if c.queues[class].waiting > 0 {
 			first = class
-			if class != Urgent && c.passed[class] >= patience[class] {
+			if class != Urgent && c.passed[class] >= passLimit[class] {
 				return class
 			}
 		}
--- a/internal/routing/queue_test.go
+++ b/internal/routing/queue_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// TestNoClassStarves: urgent goes first, but the others are passed over no more often than their patience.
+// TestNoClassStarves: urgent goes first, but the others are passed over no more often than their pass limit.
 func TestNoClassStarves(t *testing.T) {
 	c := newClassQueues()
 	for class := range classCount {
@@ -66,7 +66,7 @@
 		}
 		gaps[class] = 0
 		// Both lower classes may be due at once; one of them then waits for one more grant.
-		if gaps[Ordinary] > ordinaryPatience+1 || gaps[Patient] > patientPatience+1 {
+		if gaps[Ordinary] > ordinaryPassLimit+1 || gaps[Patient] > patientPassLimit+1 {
 			t.Fatalf("at grant %d: ordinary passed over %d times, patient %d", i, gaps[Ordinary], gaps[Patient])
 		}
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // Router carries requests of this instance's callers to the workers. Its methods may be called at once.
@@ -54,10 +56,10 @@
 }
 
 func (r *Router) route(ctx context.Context, request Request) Answer {
+	request.Retry = request.maybeSentBefore(time.Now())
 	if request.Idempotent {
 		return r.doIdempotent(ctx, request)
 	}
-	request.Retry = request.maybeSentBefore(time.Now())
 	return r.doKeyed(ctx, request)
 }
 
@@ -93,14 +95,24 @@
 }
 
 // maybeSentBefore says, at its arrival, whether an earlier request with the same key may have been sent to any instance:
-// the caller says so, or the key is older than a first request's would be.
+// the caller says so, or the key is older than a first request's would be. Without a key only the caller knows.
 func (q *Request) maybeSentBefore(now time.Time) bool {
+	if q.Key == uuid.Nil {
+		return q.Retry
+	}
 	seconds, nanos := q.Key.Time().UnixTime()
 	made := time.Unix(seconds, nanos)
 	return q.Retry || now.Sub(made) > FirstSendAge
 }
 
-// refuse is the answer to a request that gets no worker. None of its dispatches, if there were any, ran.
+// Refused is the answer to a request that is refused before it reaches a Router: NotRun, but Unknown if an earlier
+// request with the same key may have run.
+func Refused(request Request, kind Kind, retryAfter time.Duration) Answer {
+	request.Retry = request.maybeSentBefore(time.Now())
+	return unclaimed(request, &refusal{kind: kind, retryAfter: retryAfter})
+}
+
+// answer is the answer to a request that gets no worker. None of its dispatches, if there were any, ran.
 func (f *refusal) answer(attempts int) Answer {
 	return Answer{Outcome: NotRun, Kind: f.kind, RetryAfter: f.retryAfter, Attempts: attempts}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -105,8 +105,9 @@
 	Class Class
 	// Idempotent requests may run more than once.
 	Idempotent bool
-	// Retry says that the caller may have sent the key before. Until its claim is decided such a request
-	// is refused as Unknown where a first one is refused as NotRun, for the earlier one may have run.
+	// Retry says that the caller may have sent the request before. Until its claim is decided, and always if it is
+	// idempotent, such a request is refused as Unknown where a first one is refused as NotRun, for the earlier one may
+	// have run.
 	Retry bool
 	// Deadline is when the caller stops waiting; zero means DefaultTimeout from now.
 	Deadline time.Time
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -51,7 +51,7 @@
 		revision:   1,
 		counters:   c,
 	}
-	s.pool = newPool(config.Seed, s.letBack)
+	s.pool = newPool(config.Seed, s.endHold)
 	return s
 }
 
@@ -60,12 +60,12 @@
 	return max(s.weights[account], 1)
 }
 
-// letBack ends a hold on a worker.
-func (s *scheduler) letBack(w *worker, hold uint64) {
+// endHold ends a hold on a worker.
+func (s *scheduler) endHold(w *worker, hold uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pool.letBack(w, hold) {
-		s.pump()
+	if s.pool.endHold(w, hold) {
+		s.grantWaiting()
 	}
 }
 
@@ -150,7 +150,7 @@
 	w := &waiter{account: d.account, class: d.class, avoid: d.avoid, enqueued: now, ready: make(chan struct{})}
 	s.queues.queues[d.class].push(w, s.weight(d.account))
 	s.counters.queued.Add(1)
-	s.pump()
+	s.grantWaiting()
 	return w, nil
 }
 
@@ -213,11 +213,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool.put(w, v)
-	s.pump()
+	s.grantWaiting()
 }
 
-// pump grants free workers to waiters.
-func (s *scheduler) pump() {
+// grantWaiting grants free workers to waiters.
+func (s *scheduler) grantWaiting() {
 	for s.queues.waiting() > 0 && len(s.pool.open) > 0 {
 		w := s.queues.pop(s.weight, time.Now())
 		w.worker = s.pool.pick(w.avoid)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -215,8 +215,8 @@
 	return e.claimed
 }
 
-// word returns what an ended entry says to others: its answer, and whether it proves anything.
-func (t *keyTable) word(e *entry) (answer Answer, proof bool) {
+// statement returns what an ended entry says to others: its answer, and whether it proves anything.
+func (t *keyTable) statement(e *entry) (answer Answer, proof bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return e.answer, e.claimed || e.answer.Outcome == Done
