routing: a silent connection costs an idempotent request one attempt, over real connections

Cause: the router and the transport were tested apart; the failure's way through the worker client wasn't.

--- a/internal/routing/workers_test.go
+++ b/internal/routing/workers_test.go
@@ -1,10 +1,13 @@
 package routing
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,10 +23,10 @@
 	workers []*standin.Worker
 }
 
-func newLoopback(t *testing.T, workers int) *loopback {
+func newLoopback(t *testing.T, workers int, config conn.Config) *loopback {
 	t.Helper()
 	f := newFakeLog()
-	transport := conn.New(conn.Config{})
+	transport := conn.New(config)
 	t.Cleanup(transport.CloseIdleConnections)
 	l := &loopback{router: New(Config{
 		Instance: "a", Claims: &fakeClaims{log: f, instance: "a"}, Holder: &fakeFleet{}, Workers: workerclient.New(transport),
@@ -51,7 +54,7 @@
 		"lost": {LoseAnswers: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := newLoopback(t, 3)
+			l := newLoopback(t, 3, conn.Config{})
 			l.workers[0].SetFaults(faults)
 			var all sync.WaitGroup
 			for i := range 60 {
@@ -81,3 +84,47 @@
 		})
 	}
 }
+
+// oneWayConn is a connection that loses whatever comes back.
+type oneWayConn struct{ net.Conn }
+
+func (c oneWayConn) Read(p []byte) (int, error) {
+	for {
+		if _, err := c.Conn.Read(p); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// TestSilentConnectionCostsOneAttempt: an idempotent request is sent again on another connection, a non-idempotent one
+// ends as unknown.
+func TestSilentConnectionCostsOneAttempt(t *testing.T) {
+	cases := []struct {
+		request  Request
+		outcome  Outcome
+		kind     Kind
+		attempts int
+	}{
+		{idempotent("check"), Done, KindNone, 2},
+		{keyed("settle"), Unknown, KindAnswerLost, 1},
+	}
+	for _, c := range cases {
+		var dials atomic.Int64
+		l := newLoopback(t, 1, conn.Config{
+			SilentAfter: 50 * time.Millisecond,
+			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				dialled, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if err == nil && dials.Add(1) == 1 {
+					return oneWayConn{dialled}, nil
+				}
+				return dialled, err
+			},
+		})
+		c.request.Deadline = time.Now().Add(20 * time.Second)
+		answer := mustDo(t, l.router, c.request)
+		want(t, answer, c.outcome, c.kind)
+		if answer.Attempts != c.attempts {
+			t.Errorf("%s: %d attempts, want %d", c.request.Payload, answer.Attempts, c.attempts)
+		}
+	}
+}
