--- a/internal/placing/decide.go
+++ b/internal/placing/decide.go
@@ -186,8 +186,7 @@
 func (l *Loop) onGang(event gang.Event) {
 	switch {
 	case event.Fenced != nil:
-		l.fenced = true
-		l.config.Observe(Event{Kind: EventFenced, Err: gang.ErrFenced})
+		l.fence()
 	case event.Worker != nil && !event.Worker.Answered:
 		l.suspectWorker(event.Worker.Worker, errSilent)
 	case event.Ended != nil:
@@ -265,7 +264,7 @@
 	switch {
 	case current != nil && current.GetRun() == ended.Run && current.GetState() == apiv1.JobState_JOB_STATE_PLACED:
 		// The ledger took neither this end nor another one: it refuses the epoch.
-		l.onGang(gang.Event{Fenced: &gang.Fenced{}})
+		l.fence()
 	case current == nil:
 		if !settled {
 			l.endForGood(id, ended)
--- a/internal/placing/loop.go
+++ b/internal/placing/loop.go
@@ -49,6 +49,8 @@
 	Jobs(dataCentre string) []*apiv1.Job
 	// Job returns a job if it waits or is placed, else nil.
 	Job(id string) *apiv1.Job
+	// Epoch returns the epoch of the newest ownership of a data centre, whether it is held or was released.
+	Epoch(dataCentre string) uint64
 	// Sheet returns the configuration in force; nil before the first sheet.
 	Sheet() *apiv1.Sheet
 	// Verdicts returns the workers that are not healthy.
@@ -232,9 +234,20 @@
 	}
 }
 
+// fence notes that another instance owns the data centre.
+func (l *Loop) fence() {
+	if !l.fenced {
+		l.fenced = true
+		l.config.Observe(Event{Kind: EventFenced, Err: gang.ErrFenced})
+	}
+}
+
 // step brings the loop up to date and carries out what the policy decides.
 func (l *Loop) step() {
 	l.readViews()
+	if l.fenced {
+		return
+	}
 	l.markWorkers()
 	l.probeWorkers()
 	l.checkpointGangs()
@@ -253,6 +266,10 @@
 		return
 	}
 	l.readAt = now.Add(idleWait)
+	if l.config.View.Epoch(l.config.DataCentre) > l.config.Epoch {
+		l.fence()
+		return
+	}
 	l.readFleet()
 	l.readSheet()
 	l.readVerdicts()
--- a/internal/placing/loop_test.go
+++ b/internal/placing/loop_test.go
@@ -245,8 +245,13 @@
 		a.log.setCut(true)
 		b.own(2)
 		time.Sleep(term)
-		if err := <-a.ended; !errors.Is(err, gang.ErrFenced) {
-			t.Errorf("the old owner's loop ended with %v", err)
+		select {
+		case err := <-a.ended:
+			if !errors.Is(err, gang.ErrFenced) {
+				t.Errorf("the old owner's loop ended with %v", err)
+			}
+		default:
+			t.Fatal("the old owner goes on a term after the takeover")
 		}
 		a.log.setCut(false)
 		time.Sleep(work)
@@ -291,6 +296,23 @@
 	})
 }
 
+// TestPlacementAcceptedLate lets the log take a start after its proposer gave up and released the gang.
+func TestPlacementAcceptedLate(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, c *cluster) {
+		a := c.newInstance("a", 1).own(1)
+		a.submit("j", ordinary, 2, 8)
+		c.log.SetFaults(logservice.Faults{AppendDelayMillis: (15 * time.Second).Milliseconds()})
+		time.Sleep(12 * time.Second)
+		c.log.SetFaults(logservice.Faults{})
+		time.Sleep(time.Minute)
+		a.wantState("j", placed, 2)
+		if runs := c.runs("j"); len(runs) != 2 || runs[0].Run != 2 {
+			t.Errorf("ran %+v, want both members in run 2 only", runs)
+		}
+		a.kill()
+	})
+}
+
 // TestLostLogAnswers loses half of the answers of the log and a tenth of the appends.
 func TestLostLogAnswers(t *testing.T) {
 	inBubble(t, 4, func(t *testing.T, c *cluster) {
--- a/internal/placing/stateview.go
+++ b/internal/placing/stateview.go
@@ -41,6 +41,13 @@
 	return found
 }
 
+// Epoch implements View.
+func (v *StateView) Epoch(dataCentre string) uint64 {
+	var epoch uint64
+	v.replica.View(func() { epoch = v.state.Owner(dataCentre).Epoch })
+	return epoch
+}
+
 // Sheet implements View.
 func (v *StateView) Sheet() *apiv1.Sheet {
 	var sheet *apiv1.Sheet
