--- a/internal/platform/standin/worker/lease.go
+++ b/internal/platform/standin/worker/lease.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/bits"
 	"time"
 
@@ -113,7 +114,7 @@
 	case apiv1.LeaseOperation_LEASE_OPERATION_STOP:
 		w.drop(t, now, CauseStopped)
 	case apiv1.LeaseOperation_LEASE_OPERATION_CHECKPOINT:
-		t.checkpoint = uint32(t.ppm)
+		t.checkpoint = uint32(math.Round(t.ppm))
 	case apiv1.LeaseOperation_LEASE_OPERATION_THROTTLE:
 		t.throttle = lease.GetThrottlePermille()
 	default:
