--- a/internal/placing/decide.go
+++ b/internal/placing/decide.go
@@ -82,15 +82,14 @@
 		known.phase = waiting
 		l.config.Policy.StartRefused(id)
 		l.config.Observe(Event{Kind: EventStartRefused, JobID: id, Run: known.run, Err: err})
-		if known.cancelled {
-			l.jobGone(known)
+		if !l.review(known) {
 			return
 		}
 		if refused != nil {
 			l.noteStartError(known, refused)
 		} else if !rejected(err) {
 			l.logSilent(err)
-		} else if l.stillWaits(id) {
+		} else {
 			l.quiet = time.Now().Add(rejectPause)
 		}
 	}
@@ -112,11 +111,16 @@
 	}
 }
 
-// stillWaits tells whether the ledger shows a job that waits here: no cancellation explains why its
-// start was not logged.
-func (l *Loop) stillWaits(id string) bool {
-	job := l.config.View.Job(id)
-	return job != nil && job.GetState() == apiv1.JobState_JOB_STATE_WAITING
+// review compares a job whose start failed with the ledger, which may have changed meanwhile. It
+// returns whether the job waits there.
+func (l *Loop) review(known *localJob) bool {
+	current := l.config.View.Job(known.job.GetId())
+	if current == nil || current.GetSpec().GetDataCentre() != l.config.DataCentre {
+		l.jobGone(known)
+		return false
+	}
+	l.readJob(current)
+	return known.phase == waiting
 }
 
 // startResult is how a run ended that was logged and did not start whole.
