--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -136,10 +136,8 @@
 	if err != nil {
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
+	// All bodies of this protocol are binary protobuf; headers would be most of a renewal's bytes.
 	request.Header.Set("User-Agent", "")
-	if body != nil {
-		request.Header.Set("Content-Type", "application/x-protobuf")
-	}
 	response, err := client.Do(request)
 	if err != nil {
 		kind := platform.ErrUnavailable
