ledger: tests that survived mutations bite, and a flaky one mended

The test now counts the last parts that reach the log itself, which is what a fresh instance needs; the bounds are the same.

--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -280,7 +280,7 @@
 
 func TestRestartOneAfterAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := newLog()
+		log := &appendTimes{Log: newLog()}
 		const size = 8
 		var fleet []*testReplica
 		for i := range size {
@@ -297,6 +297,11 @@
 				t.Fatalf("life %d: %v", life, err)
 			}
 		}
+		log.mu.Lock()
+		if len(log.snapshots) == 0 {
+			t.Errorf("no snapshot in %v, want one within a quarter of the retention", retention)
+		}
+		log.mu.Unlock()
 		checkSame(t, fleet...)
 		var jobs int
 		fleet[0].View(func() { jobs = len(fleet[0].state.Jobs(nil)) })
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -18,18 +18,30 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/logservice"
 )
 
-// appendTimes notes when appends arrive.
+// appendTimes notes when appends arrive, and when the last part of a snapshot is stored.
 type appendTimes struct {
 	platform.Log
-	mu    sync.Mutex
-	times []time.Time
+	mu        sync.Mutex
+	times     []time.Time
+	snapshots []time.Time
 }
 
 func (a *appendTimes) Append(ctx context.Context, stream string, payload []byte) (int64, error) {
+	arrived := time.Now()
+	offset, err := a.Log.Append(ctx, stream, payload)
 	a.mu.Lock()
-	a.times = append(a.times, time.Now())
-	a.mu.Unlock()
-	return a.Log.Append(ctx, stream, payload)
+	defer a.mu.Unlock()
+	a.times = append(a.times, arrived)
+	entry, decodeErr := ledger.DecodeEntry(payload)
+	if err != nil || decodeErr != nil {
+		return offset, err
+	}
+	for _, record := range entry.Records {
+		if chunk := record.GetSnapshotChunk(); chunk != nil && chunk.Index+1 == chunk.Count {
+			a.snapshots = append(a.snapshots, time.Now())
+		}
+	}
+	return offset, nil
 }
 
 // mostPerSecond is the most appends in any one second.
@@ -48,7 +60,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const size, seconds, perSecond = 8, 20, 50
 		service := newLog()
-		service.SetFaults(logservice.Faults{AppendDelayMillis: 5, LostAfterPermille: 50})
+		service.SetFaults(logservice.Faults{AppendDelayMillis: 5, LostAfterPermille: 200, LostBeforePermille: 600})
 		log := &appendTimes{Log: service}
 		var load sync.WaitGroup
 		for i := range size {
@@ -56,7 +68,7 @@
 			author := &apiv1.Author{Instance: fmt.Sprintf("i%d", i), Incarnation: 1}
 			for _, stream := range []string{platform.StreamLedger, platform.StreamClaims} {
 				replica := ledger.New(ledger.Config{Log: log, Stream: stream, Author: author, Machine: claims.New(), Budget: budget})
-				load.Go(func() { _ = replica.Run(t.Context()) })
+				go func() { _ = replica.Run(t.Context()) }()
 				for n := range seconds * perSecond {
 					load.Go(func() {
 						time.Sleep(time.Duration(n) * time.Second / perSecond)
@@ -68,7 +80,9 @@
 				}
 			}
 		}
-		time.Sleep((seconds + 5) * time.Second)
+		time.Sleep(seconds * time.Second)
+		service.SetFaults(logservice.Faults{AppendDelayMillis: 5})
+		load.Wait()
 		log.mu.Lock()
 		defer log.mu.Unlock()
 		if most := log.mostPerSecond(); most > ledger.FleetAppendsPerSecond || len(log.times) == 0 {
@@ -80,7 +94,7 @@
 func TestOneInstanceWritesEachSnapshot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const size = 8
-		log := newLog()
+		log := &appendTimes{Log: newLog()}
 		var fleet []*testReplica
 		for i := range size {
 			fleet = append(fleet, startRanked(t, log, fmt.Sprintf("i%d", i), uint64(i), i, size))
@@ -91,13 +105,9 @@
 		time.Sleep(5 * retention)
 		_ = fleet[0].stop()
 		time.Sleep(5 * retention)
-		var written []time.Time
-		for _, r := range fleet {
-			r.mu.Lock()
-			written = append(written, r.written...)
-			r.mu.Unlock()
-		}
-		slices.SortFunc(written, time.Time.Compare)
+		log.mu.Lock()
+		written := slices.Clone(log.snapshots)
+		log.mu.Unlock()
 		last := began
 		for _, at := range append(written, time.Now()) {
 			if age := at.Sub(last); age > retention/4 {
@@ -164,13 +174,17 @@
 		log := newLog()
 		a := start(t, log, "a", 1)
 		payload := make([]byte, 100<<10)
+		var proposers sync.WaitGroup
 		for i := range 40 {
 			record := jobRecord(fmt.Sprint(i))
 			record.GetJobSubmitted().Spec.Payload = payload
-			if err := a.Propose(t.Context(), record); err != nil {
-				t.Fatal(err)
-			}
+			proposers.Go(func() {
+				if err := a.Propose(within(t, time.Minute), record); err != nil {
+					t.Error(err)
+				}
+			})
 		}
+		proposers.Wait()
 		before := log.Counters().Appends
 		time.Sleep(retention / 8)
 		if err := a.apply(within(t, 2*time.Second), 0); err != nil {
@@ -186,6 +200,20 @@
 	})
 }
 
+func TestRetentionByNumberNeverLeavesTheLogWithoutASnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logservice.New(logservice.Options{MaxEntries: 20})
+		a := start(t, log, "a", 1)
+		for base := range uint64(100) {
+			if err := a.apply(t.Context(), base); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		checkSame(t, a, start(t, log, "b", 2))
+	})
+}
+
 func TestBadClockAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newLog()
--- a/internal/ledger/fold_test.go
+++ b/internal/ledger/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"flag"
 	"fmt"
 	"testing"
@@ -118,6 +119,15 @@
 	return data
 }
 
+func TestGapStopsTheFold(t *testing.T) {
+	payload := encode(t, &apiv1.Entry{Author: &apiv1.Author{Instance: "a"}, Version: 1, Records: []*apiv1.Record{jobRecord("job")}})
+	replica := newFold()
+	fold(t, replica, 0, payload)
+	if err := replica.FoldEntry(2, payload); !errors.Is(err, ledger.ErrLogBroken) || replica.Offset() != 0 {
+		t.Errorf("entry 2 after entry 0: %v at offset %d, want ErrLogBroken at 0", err, replica.Offset())
+	}
+}
+
 func TestAuthorMarksAreBounded(t *testing.T) {
 	replica := newFold()
 	for i := range 3 * ledger.MaxMarks {
--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,12 +20,9 @@
 // testReplica is a replica of the ledger stream with its state.
 type testReplica struct {
 	*ledger.Replica
-	state *state.State
-	mu    sync.Mutex
-	// written is when this replica had written its snapshots.
-	written []time.Time
-	cancel  context.CancelFunc
-	ended   chan error
+	state  *state.State
+	cancel context.CancelFunc
+	ended  chan error
 }
 
 // start runs a replica until stop or the end of the test.
@@ -44,13 +40,6 @@
 		Author:  &apiv1.Author{Instance: name, Incarnation: incarnation},
 		Machine: r.state,
 		Rank:    func() (int, int) { return rank, size },
-		Notify: func(notice ledger.Notice) {
-			if notice.Kind == ledger.NoticeSnapshotWritten {
-				r.mu.Lock()
-				defer r.mu.Unlock()
-				r.written = append(r.written, time.Now())
-			}
-		},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	r.cancel = cancel
