--- a/internal/ledger/bootstrap.go
+++ b/internal/ledger/bootstrap.go
@@ -84,32 +84,14 @@
 // awaitEntry waits for the log to grow, or after a failure for a pause.
 func (r *Replica) awaitEntry(ctx context.Context, next int64, failure error, failures *backoff) error {
 	if failure == nil {
-		_, failure = r.readUntilImport(ctx, next)
+		_, failure = r.readOnce(ctx, next, 1, longRead)
 	}
 	if failure != nil {
-		return failures.pause(ctx, r.imported)
+		return failures.pause(ctx, nil)
 	}
 	return nil
 }
 
-// readUntilImport waits for an entry; Import ends the wait.
-func (r *Replica) readUntilImport(ctx context.Context, next int64) (*apiv1.ReadReply, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		select {
-		case <-r.imported:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	reply, err := r.readOnce(ctx, next, 1, longRead)
-	cancel()
-	<-ended
-	return reply, err
-}
-
 // searchSnapshot reads what was not yet searched, the newest entries first, and restores the newest
 // complete snapshot that the log can be followed from.
 func (r *Replica) searchSnapshot(ctx context.Context, search *snapshotSearch, oldest, next int64) (bool, error) {
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -27,7 +27,7 @@
 // cutLog is one replica's way to the log, which a test cuts.
 type cutLog struct {
 	platform.Log
-	cut atomic.Bool
+	cut, cutReads atomic.Bool
 }
 
 func (c *cutLog) Append(ctx context.Context, stream string, payload []byte) (int64, error) {
@@ -38,7 +38,7 @@
 }
 
 func (c *cutLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (*apiv1.ReadReply, error) {
-	if c.cut.Load() {
+	if c.cut.Load() || c.cutReads.Load() {
 		return nil, platform.ErrUnavailable
 	}
 	return c.Log.Read(ctx, stream, from, limit, min(wait, time.Second))
@@ -247,11 +247,57 @@
 	})
 }
 
-func TestFreshReplicaNeverStartsEmpty(t *testing.T) {
+func TestOutcomeOfARestoredRecordIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		cut := &cutLog{Log: log}
+		a, b := start(t, log, "a", 1), startRanked(t, cut, "b", 2, 1, 2)
+		submitAll(t.Context(), []*testReplica{a, b}, 1)
+		cut.cutReads.Store(true)
+		// The read on its way ends.
+		time.Sleep(2 * time.Second)
+		outcome := make(chan error, 1)
+		go func() { outcome <- b.apply(t.Context(), 0) }()
+		time.Sleep(2 * retention)
+		cut.cutReads.Store(false)
+		time.Sleep(10 * time.Second)
+		select {
+		case err := <-outcome:
+			if !errors.Is(err, ledger.ErrOutcomeUnknown) {
+				t.Errorf("Propose of a record that a snapshot holds: %v, want ErrOutcomeUnknown", err)
+			}
+		default:
+			t.Error("Propose has not returned")
+		}
+		checkSame(t, a, b)
+	})
+}
+
+func TestDamagedSnapshotIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newLog()
 		a := start(t, log, "a", 1)
 		submitAll(t.Context(), []*testReplica{a}, 5)
+		time.Sleep(2*retention + time.Second)
+		damaged := &apiv1.Record{Sequence: 1, Body: &apiv1.Record_SnapshotChunk{SnapshotChunk: &apiv1.SnapshotChunk{
+			BaseOffset: a.Offset(), Count: 1, Checksum: 1, Data: []byte("damaged"),
+		}}}
+		payload := encode(t, &apiv1.Entry{Author: &apiv1.Author{Instance: "x"}, Version: 1, Records: []*apiv1.Record{damaged}})
+		if _, err := log.Append(t.Context(), platform.StreamLedger, payload); err != nil {
+			t.Fatal(err)
+		}
+		checkSame(t, a, start(t, log, "b", 2))
+	})
+}
+
+func TestFreshReplicaNeverStartsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		cut := &cutLog{Log: log}
+		a, behind := start(t, log, "a", 1), start(t, cut, "c", 3)
+		synctest.Wait()
+		cut.cut.Store(true)
+		submitAll(t.Context(), []*testReplica{a}, 5)
 		offset, snapshot, err := a.Export()
 		if err != nil {
 			t.Fatal(err)
@@ -259,8 +305,9 @@
 		_ = a.stop()
 		time.Sleep(2 * retention)
 		fresh := start(t, log, "b", 2)
+		cut.cut.Store(false)
 		time.Sleep(time.Minute)
-		if fresh.Ready() {
+		if fresh.Ready() || behind.Ready() {
 			t.Fatal("ready although the log has dropped entries and holds no snapshot")
 		}
 		if err := fresh.apply(within(t, time.Second), 0); !errors.Is(err, ledger.ErrNotProposed) {
@@ -286,14 +333,14 @@
 		for i := range size {
 			fleet = append(fleet, startRanked(t, log, fmt.Sprintf("i%d", i), uint64(i), i, size))
 		}
-		submitAll(t.Context(), fleet, 5)
+		submitAll(within(t, time.Minute), fleet, 5)
 		// Each life is shorter than the earliest snapshot of an eighth of the retention.
 		for life := range 10 * size {
 			i := life % size
 			_ = fleet[i].stop()
 			fleet[i] = startRanked(t, log, fmt.Sprintf("i%d", i), uint64(size+life), i, size)
 			time.Sleep(retention / 10 / size)
-			if err := fleet[i].apply(t.Context(), uint64(life)); err != nil {
+			if err := fleet[i].apply(within(t, time.Minute), uint64(life)); err != nil {
 				t.Fatalf("life %d: %v", life, err)
 			}
 		}
@@ -329,7 +376,7 @@
 				if _, err := log.Append(t.Context(), platform.StreamLedger, payload); err != nil {
 					t.Fatal(err)
 				}
-				if err := <-a.ended; !errors.Is(err, ledger.ErrUnknownRecord) {
+				if err := a.result(); !errors.Is(err, ledger.ErrUnknownRecord) {
 					t.Fatalf("Run ended with %v, want ErrUnknownRecord", err)
 				}
 				if a.Ready() || a.Offset() != 0 || a.revision() != 1 {
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -172,7 +172,9 @@
 func TestLargeSnapshotLeavesRoomForRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newLog()
-		a := start(t, log, "a", 1)
+		// The ranks follow so closely that the second's turn comes while the first is writing.
+		a := startRanked(t, log, "a", 1, 0, 64)
+		startRanked(t, log, "c", 3, 1, 64)
 		payload := make([]byte, 100<<10)
 		var proposers sync.WaitGroup
 		for i := range 40 {
@@ -191,8 +193,8 @@
 			t.Fatalf("Propose while a snapshot is written: %v", err)
 		}
 		time.Sleep(time.Minute)
-		if parts := log.Counters().Appends - before; parts < 20 {
-			t.Fatalf("%d appends, want the 4 MB snapshot in parts", parts)
+		if parts := log.Counters().Appends - before; parts < 20 || parts >= 40 {
+			t.Fatalf("%d appends, want the 4 MB snapshot in parts and once", parts)
 		}
 		time.Sleep(retention)
 		b := start(t, log, "b", 2)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -80,8 +80,6 @@
 	proposals *proposals
 	// snapshotWake has a token when a snapshot may be due.
 	snapshotWake chan struct{}
-	// imported has a token when Import brought a state.
-	imported chan struct{}
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -129,7 +127,6 @@
 		config:       config,
 		proposals:    newProposals(),
 		snapshotWake: make(chan struct{}, 1),
-		imported:     make(chan struct{}, 1),
 		random:       rand.New(rand.NewPCG(config.Author.Incarnation, 0)),
 		offset:       noOffset,
 		marks:        newMarks(),
--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -49,7 +49,17 @@
 
 func (r *testReplica) stop() error {
 	r.cancel()
-	return <-r.ended
+	return r.result()
+}
+
+// result is what Run returned, or nil when it has not for a minute.
+func (r *testReplica) result() error {
+	select {
+	case err := <-r.ended:
+		return err
+	case <-time.After(time.Minute):
+		return nil
+	}
 }
 
 // revision reads the configuration revision in force.
@@ -120,15 +130,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logservice.New(logservice.Options{Retention: time.Hour})
 		a := start(t, log, "a", 1)
-		tooLarge := a.Propose(t.Context(), sheetRecord(0, string(make([]byte, ledger.MaxRecordBytes))))
+		tooLarge := a.Propose(within(t, time.Minute), sheetRecord(0, string(make([]byte, ledger.MaxRecordBytes))))
 		var size *ledger.RecordTooLargeError
 		if !errors.As(tooLarge, &size) || !errors.Is(tooLarge, ledger.ErrNotProposed) {
 			t.Errorf("record above the bound: %v, want RecordTooLargeError that is ErrNotProposed", tooLarge)
 		}
-		if err := a.Propose(t.Context(), sheetRecord(0, "\xff")); !errors.Is(err, ledger.ErrNotProposed) {
+		if err := a.Propose(within(t, time.Minute), sheetRecord(0, "\xff")); !errors.Is(err, ledger.ErrNotProposed) {
 			t.Errorf("record that cannot be encoded: %v, want ErrNotProposed", err)
 		}
-		if err := a.apply(t.Context(), 0); err != nil {
+		if err := a.apply(within(t, time.Minute), 0); err != nil {
 			t.Errorf("sound record after unfit ones: %v", err)
 		}
 	})
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -35,14 +35,7 @@
 // Import takes over a state from a peer, which holds every entry up to and including offset. A state that is
 // not newer than the one held is refused with ErrStaleImport.
 func (r *Replica) Import(offset int64, snapshot []byte) error {
-	if err := r.restore(offset, snapshot, true); err != nil {
-		return err
-	}
-	select {
-	case r.imported <- struct{}{}:
-	default:
-	}
-	return nil
+	return r.restore(offset, snapshot, true)
 }
 
 // encodeSnapshot is called with mu held.
