routing: a retry elsewhere outlasts a claim that its holder doesn't know of

Cause: a claim whose answer was lost is in the log until its release is. A retry at another instance was told unknown at once, although it only had to wait (TestRetryElsewhereOutlastsAnUndecidedClaim failed: unknown in place of done). The holder now lets the asker wait for the release and read the log again.

--- a/internal/routing/follow.go
+++ b/internal/routing/follow.go
@@ -136,18 +136,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	select {
-	case <-e.ended:
-	case <-ctx.Done():
-		if !isClosed(e.ended) {
-			return &apiv1.PeerAnswerReply{State: apiv1.AnswerState_ANSWER_STATE_RUNNING}
-		}
+	running := &apiv1.PeerAnswerReply{State: apiv1.AnswerState_ANSWER_STATE_RUNNING}
+	if !await(ctx, e.ended) {
+		return running
 	}
 	answer, proof := r.table.statement(e)
-	if !proof {
-		return &apiv1.PeerAnswerReply{State: apiv1.AnswerState_ANSWER_STATE_UNKNOWN}
+	if proof {
+		return replyOf(answer)
+	}
+	if e.undecided && !isClosed(e.freed) {
+		// The claim may be in the log until the release is: the asker then reads the log again.
+		await(ctx, e.freed)
+		return running
+	}
+	return &apiv1.PeerAnswerReply{State: apiv1.AnswerState_ANSWER_STATE_UNKNOWN}
+}
+
+// await returns whether the channel was closed before ctx ended.
+func await(ctx context.Context, closed <-chan struct{}) bool {
+	select {
+	case <-closed:
+		return true
+	case <-ctx.Done():
+		return isClosed(closed)
 	}
-	return replyOf(answer)
 }
 
 // answerFromLog answers for a key that this instance has no entry of.
--- a/internal/routing/keyed.go
+++ b/internal/routing/keyed.go
@@ -18,11 +18,11 @@
 		} else {
 			r.counters.joined.Add(1)
 		}
-		await := r.awaitEntry
+		end := r.awaitEntry
 		if e.checksum != checksum {
-			await = r.awaitOther
+			end = r.awaitOther
 		}
-		answer, again := await(ctx, e, request, created)
+		answer, again := end(ctx, e, request, created)
 		if !again {
 			return answer
 		}
@@ -43,24 +43,18 @@
 // having run, and its key is free for a new one.
 func (r *Router) awaitEntry(ctx context.Context, e *entry, request Request, created bool) (answer Answer, again bool) {
 	joinedLate := !created && isClosed(e.ended)
-	select {
-	case <-e.ended:
-	case <-ctx.Done():
-		if !isClosed(e.ended) {
-			return r.leaveEntry(ctx, e, request), false
-		}
+	if !await(ctx, e.ended) {
+		return r.leaveEntry(ctx, e, request), false
 	}
 	r.table.leave(e)
 	if !joinedLate || e.answer.Outcome != NotRun {
 		return answerFor(e, request), false
 	}
-	select {
-	case <-e.freed:
+	if await(ctx, e.freed) {
 		return Answer{}, true
-	case <-ctx.Done():
-		// The release may be in the log already and another instance may have run the request since.
-		return Answer{Outcome: Unknown, Kind: KindClaimUnavailable, RetryAfter: minRetryAfter}, false
 	}
+	// The release may be in the log already and another instance may have run the request since.
+	return Answer{Outcome: Unknown, Kind: KindClaimUnavailable, RetryAfter: minRetryAfter}, false
 }
 
 // answerFor is an ended entry's answer to a caller that joined before the end.
@@ -76,20 +70,16 @@
 // won, or the log says that another request's did, is this one known not to have run.
 func (r *Router) awaitOther(ctx context.Context, e *entry, request Request, _ bool) (answer Answer, again bool) {
 	defer r.table.leave(e)
-	select {
-	case <-e.ended:
-	case <-ctx.Done():
+	if !await(ctx, e.ended) {
 		return unclaimed(request, &refusal{kind: kindOfEnd(ctx)}), false
 	}
 	if r.table.wonClaim(e) {
 		return conflict(), false
 	}
-	select {
-	case <-e.freed:
+	if await(ctx, e.freed) {
 		return Answer{}, true
-	case <-ctx.Done():
-		return unclaimed(request, &refusal{kind: kindOfEnd(ctx)}), false
 	}
+	return unclaimed(request, &refusal{kind: kindOfEnd(ctx)}), false
 }
 
 func isClosed(c <-chan struct{}) bool {
