ledger: entries that come fast share a read; claims records without words

Cause: at 200 requests/s each instance spent 42.5 KB/s on the log, of which 18.4 KB/s was payload: one read for each of 76 entries a second. Claims records carried an actor and a reason that no one reads. Before: 42.5 KB/s to and from the log, 18,403 bytes/s appended. Reads of payload alone still exceed 10 KB/s at this rate: see docs/CAPACITY.md.

--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -16,6 +16,9 @@
 	// longRead is how long a read waits for an entry when nothing else is due. LastContact is at most so
 	// old, give or take the way of the answer, while the log answers.
 	longRead = 2 * time.Second
+	// readInterval is the least time between two reads that brought a few entries each: entries that come faster
+	// share a read.
+	readInterval = 25 * time.Millisecond
 	// minRead bounds the wait of a read from below.
 	minRead = 10 * time.Millisecond
 	// readGrace is how long an answer may be late beyond the wait before the read is given up.
@@ -29,6 +32,7 @@
 	}
 	failures := r.newBackoff()
 	for {
+		started := r.config.Now()
 		reply, err := r.readOnce(ctx, r.Offset()+1, readLimit, r.readWait())
 		var trimmed *platform.TrimmedError
 		switch {
@@ -49,6 +53,7 @@
 				return err
 			}
 			r.checkSnapshot()
+			r.paceReads(ctx, started, len(reply.Entries))
 		}
 	}
 }
@@ -72,6 +77,20 @@
 	return min(longRead, max(minRead, at.Sub(r.config.Now())))
 }
 
+// paceReads waits until readInterval has passed since the start of a read that brought a few entries.
+func (r *Replica) paceReads(ctx context.Context, started time.Time, entries int) {
+	rest := readInterval - r.config.Now().Sub(started)
+	if entries == 0 || entries >= readLimit || rest <= 0 {
+		return
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // foldReply folds what a read gave and notes how much of the log is read.
 func (r *Replica) foldReply(reply *apiv1.ReadReply) error {
 	if reply.Next < r.Offset()+1 {
--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
--- a/internal/routing/ledgerclaims.go
+++ b/internal/routing/ledgerclaims.go
@@ -39,9 +39,7 @@
 // Claim implements Claims.
 func (l *LedgerClaims) Claim(ctx context.Context, account string, key uuid.UUID, checksum uint64) (ClaimState, error) {
 	claimed := &apiv1.KeyClaimed{Key: key[:], Account: account, RequestChecksum: checksum}
-	err := l.replica.Propose(ctx, &apiv1.Record{
-		Actor: account, Reason: "request", Body: &apiv1.Record_KeyClaimed{KeyClaimed: claimed},
-	})
+	err := l.replica.Propose(ctx, &apiv1.Record{Body: &apiv1.Record_KeyClaimed{KeyClaimed: claimed}})
 	rejection, err := splitRejection(err)
 	if err != nil {
 		return ClaimState{}, err
@@ -62,9 +60,7 @@
 // Release implements Claims.
 func (l *LedgerClaims) Release(ctx context.Context, account string, key uuid.UUID) error {
 	released := &apiv1.KeyReleased{Key: key[:], Account: account}
-	err := l.replica.ProposeDeferred(ctx, &apiv1.Record{
-		Actor: l.instance, Reason: "not dispatched", Body: &apiv1.Record_KeyReleased{KeyReleased: released},
-	})
+	err := l.replica.ProposeDeferred(ctx, &apiv1.Record{Body: &apiv1.Record_KeyReleased{KeyReleased: released}})
 	_, err = splitRejection(err)
 	return err
 }
@@ -80,9 +76,7 @@
 		done.Answer = packed
 		done.AnswerKept = true
 	}
-	err := l.replica.ProposeDeferred(ctx, &apiv1.Record{
-		Actor: l.instance, Reason: "answered", Body: &apiv1.Record_KeyDone{KeyDone: done},
-	})
+	err := l.replica.ProposeDeferred(ctx, &apiv1.Record{Body: &apiv1.Record_KeyDone{KeyDone: done}})
 	_, err = splitRejection(err)
 	return err
 }
