--- a/internal/ledger/proposals.go
+++ b/internal/ledger/proposals.go
@@ -44,6 +44,8 @@
 type proposals struct {
 	// wake has a token when a record waits.
 	wake chan struct{}
+	// sending has a token when records were sent since expected was asked.
+	sending chan struct{}
 
 	mu sync.Mutex
 	// progress is closed and replaced when records were read back.
@@ -62,6 +64,7 @@
 func newProposals() *proposals {
 	return &proposals{
 		wake:     make(chan struct{}, 1),
+		sending:  make(chan struct{}, 1),
 		progress: make(chan struct{}),
 		sent:     make(map[uint64]*proposal),
 	}
@@ -88,7 +91,7 @@
 	if size := proto.Size(record) + recordOverheadBytes; size > MaxRecordBytes {
 		return &RecordTooLargeError{Bytes: size}
 	}
-	timer := time.AfterFunc(DeferDelay, r.proposals.signal)
+	timer := time.AfterFunc(DeferDelay, func() { signal(r.proposals.wake) })
 	defer timer.Stop()
 	return r.propose(ctx, record, time.Now().Add(DeferDelay))
 }
@@ -125,13 +128,14 @@
 	}
 	q.queue = append(q.queue, p)
 	q.queuedBytes += p.bytes
-	q.signal()
+	signal(q.wake)
 	return nil
 }
 
-func (q *proposals) signal() {
+// signal puts a token into a channel that holds one.
+func signal(channel chan struct{}) {
 	select {
-	case q.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -173,9 +177,21 @@
 		p.record.Sequence = q.sequence
 		q.sent[q.sequence] = p
 	}
+	signal(q.sending)
 	return batch
 }
 
+// expected says whether a record of this replica is to be read back.
+func (q *proposals) expected() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case <-q.sending:
+	default:
+	}
+	return len(q.sent) > 0
+}
+
 // waiting reports whether a record asks for an append now. Deferred ones that are not due go along.
 func (q *proposals) waiting() bool {
 	now := time.Now()
