--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -36,6 +36,9 @@
 	HeaderAttempts = "Dotterelgauge-Attempts"
 )
 
+// requestsPath is where short requests are sent.
+const requestsPath = "/v1/requests"
+
 // maxTimeout bounds how long a caller waits.
 const maxTimeout = 2 * time.Minute
 
@@ -76,7 +79,7 @@
 func Callers(config CallersConfig) http.Handler {
 	h := &callers{config: config}
 	e := newEcho(int64(config.PayloadBytes) + reasonTrailerBytes)
-	e.POST("/v1/requests", h.request)
+	e.POST(requestsPath, h.request)
 	e.POST("/v1/jobs", h.submit)
 	e.GET("/v1/jobs", h.list)
 	e.GET("/v1/jobs/:id", h.job)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/problem"
 )
@@ -111,6 +112,9 @@
 		seconds := (detail.RetryAfter.Milliseconds() + milli - 1) / milli
 		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
+	if c.Path() == requestsPath && detail.Outcome == apiv1.Outcome_OUTCOME_UNSPECIFIED {
+		detail = withOutcome(detail)
+	}
 	body, encodeError := encode(detail.Message())
 	if encodeError != nil {
 		body = nil
@@ -118,6 +122,17 @@
 	_ = c.Blob(detail.Kind.Status, mimeProblem, body)
 }
 
+// withOutcome completes a problem that the HTTP library found with a request: it refuses before the request is
+// run, but a failure of the instance may come after.
+func withOutcome(detail *problem.Error) *problem.Error {
+	complete := *detail
+	complete.Outcome = apiv1.Outcome_OUTCOME_NOT_RUN
+	if detail.Kind.Status >= http.StatusInternalServerError {
+		complete.Outcome = apiv1.Outcome_OUTCOME_UNKNOWN
+	}
+	return &complete
+}
+
 // fromStatus turns an error of the HTTP library into a problem.
 func fromStatus(status int, err error) *problem.Error {
 	switch status {
