ledger: ProposeLazily lets records that nobody waits for share appends

Cause: a claim waits for the budget, and the ends of requests took half of it. Ruled out: a longer interval for all records, which would delay what a caller waits for. Tests: TestLazyRecordsShareAppends.

--- a/internal/ledger/appender.go
+++ b/internal/ledger/appender.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// appendWaiting sends batches until nothing waits.
+// appendWaiting sends batches, each of all that waits, until nothing is due.
 func (r *Replica) appendWaiting(ctx context.Context) error {
 	backoff := r.newBackoff()
-	for r.proposals.waiting() {
+	for r.proposals.due() {
 		if !r.Ready() {
 			if err := backoff.pause(ctx, nil); err != nil {
 				return err
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -169,6 +169,29 @@
 	})
 }
 
+func TestLazyRecordsShareAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const records, gap = 40, 100 * time.Millisecond
+		log := newLog()
+		log.SetFaults(logservice.Faults{AppendDelayMillis: 5})
+		a := start(t, log, "a", 1)
+		var lazy sync.WaitGroup
+		for i := range uint64(records) {
+			lazy.Go(func() {
+				began := time.Now()
+				if err := a.ProposeLazily(t.Context(), jobRecord(fmt.Sprint(i))); err != nil || time.Since(began) > time.Second {
+					t.Errorf("lazy record: %v after %v", err, time.Since(began))
+				}
+			})
+			time.Sleep(gap)
+		}
+		lazy.Wait()
+		if appends := log.Counters().Appends; appends > records/2 {
+			t.Errorf("%d appends of %d lazy records, want at most half as many", appends, records)
+		}
+	})
+}
+
 func TestSheetIsInForceEverywhereWithinFiveSeconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newLog()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -161,6 +161,7 @@
 
 // Subscribe calls observe in log order after each step of the fold, without a lock of the replica
 // that View needs. An entry is applied whole before its events are told. Snapshot chunks are not told.
+// The fold waits for observe, which must not call Propose or Import itself but may start a goroutine.
 func (r *Replica) Subscribe(observe func(Event)) {
 	r.stepMu.Lock()
 	defer r.stepMu.Unlock()
--- a/internal/ledger/proposals.go
+++ b/internal/ledger/proposals.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
@@ -19,6 +20,8 @@
 	recordOverheadBytes = 64
 	// maxBatchBytes bounds the records of one append, bytes.
 	maxBatchBytes = platform.MaxEntryBytes - 4<<10
+	// lazyDelay is how long a record of ProposeLazily waits for an append that is made for another.
+	lazyDelay = 250 * time.Millisecond
 	// maxQueuedRecords bounds the proposals that wait to be sent.
 	maxQueuedRecords = 8192
 	// maxQueuedBytes bounds their size, bytes.
@@ -29,6 +32,8 @@
 type proposal struct {
 	record *apiv1.Record
 	bytes  int
+	// due is when an append is made for this record; it rides with an earlier one.
+	due time.Time
 	// done gets the outcome once.
 	done chan error
 	// abandoned: the proposer has gone and was told that the outcome is not known.
@@ -70,6 +75,17 @@
 // certainly never reached the log, else ErrOutcomeUnknown. The record belongs to the replica from here
 // on, which sets its sequence, and its time unless it has one.
 func (r *Replica) Propose(ctx context.Context, record *apiv1.Record) error {
+	return r.proposeChecked(ctx, record, 0)
+}
+
+// ProposeLazily is Propose for a record that nobody waits for, such as the end of a request whose answer
+// is out: it shares the next append, and has one of its own only after lazyDelay. It saves the budget
+// for records that somebody waits for.
+func (r *Replica) ProposeLazily(ctx context.Context, record *apiv1.Record) error {
+	return r.proposeChecked(ctx, record, lazyDelay)
+}
+
+func (r *Replica) proposeChecked(ctx context.Context, record *apiv1.Record, delay time.Duration) error {
 	encoded, err := proto.Marshal(record)
 	if err != nil {
 		return errors.Wrapf(ErrNotProposed, "the record cannot be encoded, correct it (%v)", err)
@@ -77,21 +93,25 @@
 	if size := len(encoded) + recordOverheadBytes; size > MaxRecordBytes {
 		return &RecordTooLargeError{Bytes: size}
 	}
-	return r.propose(ctx, record)
+	return r.propose(ctx, record, delay)
 }
 
-func (r *Replica) propose(ctx context.Context, record *apiv1.Record) error {
+func (r *Replica) propose(ctx context.Context, record *apiv1.Record, delay time.Duration) error {
 	if record.TimeUnixMs == 0 {
 		record.TimeUnixMs = r.config.Now().UnixMilli()
 	}
 	p := &proposal{
 		record: record,
 		bytes:  proto.Size(record) + recordOverheadBytes,
+		due:    time.Now().Add(delay),
 		done:   make(chan error, 1),
 	}
 	if err := r.proposals.enqueue(p); err != nil {
 		return err
 	}
+	if delay > 0 {
+		defer time.AfterFunc(delay, func() { signal(r.proposals.wake) }).Stop()
+	}
 	select {
 	case err := <-p.done:
 		return err
@@ -175,10 +195,12 @@
 	return len(q.sent) > 0
 }
 
-func (q *proposals) waiting() bool {
+// due says whether a waiting record is to be sent now.
+func (q *proposals) due() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.queue) > 0
+	now := time.Now()
+	return slices.ContainsFunc(q.queue, func(p *proposal) bool { return !p.due.After(now) })
 }
 
 // giveBack returns a batch that certainly never reached the log to the head of the queue. Its
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	for _, record := range records {
 		record.Actor = r.config.Author.Instance
-		if err := r.propose(ctx, record); err != nil {
+		if err := r.propose(ctx, record, 0); err != nil {
 			return errors.Wrap(err, "write snapshot")
 		}
 	}
