--- a/internal/ledger/proposals.go
+++ b/internal/ledger/proposals.go
@@ -26,8 +26,6 @@
 	maxQueuedRecords = 8192
 	// maxQueuedBytes bounds their size, bytes.
 	maxQueuedBytes = 4 << 20
-	// DeferDelay is how long a deferred record waits for others to share its append.
-	DeferDelay = 250 * time.Millisecond
 )
 
 // proposal is one record on its way into the log and back.
@@ -40,8 +38,6 @@
 	done chan error
 	// abandoned: the proposer has gone and was told that the outcome is not known.
 	abandoned bool
-	// due is when the record asks for an append of its own; zero means at once.
-	due time.Time
 }
 
 // proposals hold the records of this replica that wait to be sent or to be read back.
@@ -109,7 +105,6 @@
 		bytes:  proto.Size(record) + recordOverheadBytes,
 		due:    time.Now().Add(delay),
 		done:   make(chan error, 1),
-		due:    due,
 	}
 	if err := r.proposals.enqueue(p); err != nil {
 		return err
--- a/internal/ledger/replica_test.go
+++ b/internal/ledger/replica_test.go
@@ -127,9 +127,9 @@
 	})
 }
 
-// TestDeferredRecordsGoAlong proposes a deferred record while the append of another is under way, again and again.
+// TestLazyRecordsGoAlong proposes a lazy record while the append of another is under way, again and again.
 // It goes with the next one, so the log takes an append for each pair.
-func TestDeferredRecordsGoAlong(t *testing.T) {
+func TestLazyRecordsGoAlong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const pairs = 20
 		log := logservice.New(logservice.Options{Retention: time.Hour})
@@ -140,7 +140,7 @@
 		for range pairs {
 			proposed.Go(func() { _ = a.apply(within(t, time.Minute), 0) })
 			time.Sleep(10 * time.Millisecond)
-			proposed.Go(func() { _ = a.ProposeDeferred(within(t, time.Minute), sheetRecord(0, "later")) })
+			proposed.Go(func() { _ = a.ProposeLazily(within(t, time.Minute), sheetRecord(0, "later")) })
 			time.Sleep(190 * time.Millisecond)
 		}
 		proposed.Wait()
--- a/internal/routing/ledgerclaims.go
+++ b/internal/routing/ledgerclaims.go
@@ -16,8 +16,8 @@
 type Replica interface {
 	// Propose appends a record and returns its outcome; see ledger.Replica.
 	Propose(ctx context.Context, record *apiv1.Record) error
-	// ProposeDeferred is Propose for a record that nobody waits for.
-	ProposeDeferred(ctx context.Context, record *apiv1.Record) error
+	// ProposeLazily is Propose for a record that nobody waits for.
+	ProposeLazily(ctx context.Context, record *apiv1.Record) error
 	// View calls read while the table doesn't change.
 	View(read func())
 }
@@ -60,7 +60,7 @@
 // Release implements Claims.
 func (l *LedgerClaims) Release(ctx context.Context, account string, key uuid.UUID) error {
 	released := &apiv1.KeyReleased{Key: key[:], Account: account}
-	err := l.replica.ProposeDeferred(ctx, &apiv1.Record{Body: &apiv1.Record_KeyReleased{KeyReleased: released}})
+	err := l.replica.ProposeLazily(ctx, &apiv1.Record{Body: &apiv1.Record_KeyReleased{KeyReleased: released}})
 	_, err = splitRejection(err)
 	return err
 }
@@ -76,7 +76,7 @@
 		done.Answer = packed
 		done.AnswerKept = true
 	}
-	err := l.replica.ProposeDeferred(ctx, &apiv1.Record{Body: &apiv1.Record_KeyDone{KeyDone: done}})
+	err := l.replica.ProposeLazily(ctx, &apiv1.Record{Body: &apiv1.Record_KeyDone{KeyDone: done}})
 	_, err = splitRejection(err)
 	return err
 }
