replay: takeovers of the owner amid a trace

Seen to fail by mutation: gangs not restored (the run does not end), jobs not submitted, conditions not told, a lost start told as refused, a stop ordered twice.

--- a/internal/replay/domain.go
+++ b/internal/replay/domain.go
@@ -58,13 +58,18 @@
 	failures         int
 	stopReason       policy.StopReason
 	stopKeeps        bool
+	// restored gangs were placed by an earlier owner.
+	restored bool
 }
 
 // domain is one data centre in a replay.
 type domain struct {
-	site    *site
-	policy  policy.Policy
-	options Options
+	site   *site
+	policy policy.Policy
+	// renew makes the policy of the next owner.
+	renew         func() policy.Policy
+	configuration *configuration
+	options       Options
 
 	nowMillis int64
 	// activeMillis is when events other than wakes and probes were last due or to come.
@@ -84,25 +89,25 @@
 	evidence policy.EvidenceKeeper
 }
 
-func newDomain(site *site, tested policy.Policy, options Options, measured window) *domain {
+func newDomain(site *site, renew func() policy.Policy, options Options, measured window) *domain {
 	d := &domain{
 		site:    site,
-		policy:  tested,
+		renew:   renew,
 		options: options,
 		jobs:    map[string]*job{},
 		checker: newChecker(site),
 		health:  newHealth(),
 	}
 	d.meter = newMeter(measured, d.checker)
-	d.evidence, _ = tested.(policy.EvidenceKeeper)
 	d.claims = newClaimChecker(d.checker, measured)
-	d.configure(&site.configuration)
-	for _, worker := range site.workers {
-		tested.AddWorker(worker)
-	}
+	d.takeOver(&site.configuration)
 	for at := range site.inputs {
 		d.queue.push(event{timeMillis: site.inputs[at].timeMillis, kind: inputDue, input: &site.inputs[at]})
 	}
+	if options.TakeoverMillis > 0 && len(site.inputs) > 0 {
+		d.nowMillis = site.inputs[0].timeMillis
+		d.pushTakeover()
+	}
 	return d
 }
 
@@ -137,6 +142,7 @@
 
 func (d *domain) configure(replaced *configuration) {
 	d.changed = true
+	d.configuration = replaced
 	d.policy.Configure(replaced.accounts, replaced.teams, replaced.guarantees)
 	d.checker.configure(replaced)
 	d.claims.configure(replaced)
@@ -147,11 +153,20 @@
 		d.handleInput(due.input)
 		return
 	}
-	if due.kind == probeDue {
+	switch due.kind {
+	case probeDue:
 		d.probed(due.worker)
 		return
+	case takeoverDue:
+		d.takeOver(d.configuration)
+		if d.queue.active > 0 {
+			d.pushTakeover()
+		}
+		return
+	case wakeDue:
+		return
 	}
-	if due.kind == wakeDue || due.job.run != due.run || due.job.phase == ended {
+	if due.job.run != due.run || due.job.phase == ended {
 		return
 	}
 	switch due.kind {
@@ -204,10 +219,7 @@
 		return
 	}
 	if target.phase == starting {
-		d.policy.StartRefused(target.spec.ID)
-		d.free(target)
-		target.phase = waiting
-		d.claims.waits(target)
+		d.refuse(target)
 	}
 	if target.phase == running || target.phase == stopping {
 		d.end(target, policy.Cancelled, target.keptMillis)
@@ -243,9 +255,7 @@
 			continue
 		}
 		if hit.phase == starting {
-			d.policy.StartRefused(hit.spec.ID)
-			d.free(hit)
-			d.backToQueue(hit)
+			d.refuse(hit)
 			continue
 		}
 		d.end(hit, policy.LostEnd, hit.keptMillis)
--- a/internal/replay/events.go
+++ b/internal/replay/events.go
@@ -16,6 +16,7 @@
 	stopDue
 	wakeDue
 	probeDue
+	takeoverDue
 )
 
 // event is something that happens at a data centre.
@@ -35,11 +36,11 @@
 type eventQueue struct {
 	events   []event
 	sequence int
-	// active counts the events that are neither wakes nor probes.
+	// active counts the events that are no wakes, probes or takeovers.
 	active int
 }
 
-func (e *event) isActive() bool { return e.kind != wakeDue && e.kind != probeDue }
+func (e *event) isActive() bool { return e.kind < wakeDue }
 
 func (q *eventQueue) pop() event {
 	due := heap.Pop(q).(event)
--- a/internal/replay/regression_test.go
+++ b/internal/replay/regression_test.go
@@ -141,19 +141,33 @@
 		for seed := uint64(1); seed <= seeds; seed++ {
 			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				checkSeed(t, name, seed)
+				checkSeed(t, name, seed, replay.Options{})
 			})
 		}
 	}
 }
 
-func checkSeed(t *testing.T, name string, seed uint64) {
+// TestAlwaysThroughTakeovers changes the owner of every data centre all the time.
+func TestAlwaysThroughTakeovers(t *testing.T) {
+	const (
+		seed  = 5
+		every = 20*minute + 7
+	)
+	for _, name := range tracegen.Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkSeed(t, name, seed, replay.Options{TakeoverMillis: every})
+		})
+	}
+}
+
+func checkSeed(t *testing.T, name string, seed uint64, options replay.Options) {
 	trace, err := tracegen.Make(name, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	candidates := []replay.Candidate{preset(policy.PresetLounge), preset(policy.PresetGallery)}
-	result, err := replay.Run(trace, nil, replay.Options{Policies: candidates})
+	options.Policies = []replay.Candidate{preset(policy.PresetLounge), preset(policy.PresetGallery)}
+	result, err := replay.Run(trace, nil, options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -49,6 +49,9 @@
 	StartMillis int64
 	FailMillis  int64
 	MaxFailures int
+	// TakeoverMillis is the time between changes of the owner: a fresh policy is given the workers, the waiting and
+	// the running jobs, as a new owner reads them from the ledger. 0 means none.
+	TakeoverMillis int64
 }
 
 func (o Options) withDefaults() Options {
@@ -91,7 +94,7 @@
 func (p *plan) run(candidate Candidate, options Options) PolicyResult {
 	totals := newTotals(p.window)
 	for _, site := range p.sites {
-		domain := newDomain(site, candidate.New(), options, p.window)
+		domain := newDomain(site, candidate.New, options, p.window)
 		domain.run()
 		totals.add(domain)
 	}
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -21,6 +21,7 @@
 		return
 	}
 	target.phase = starting
+	target.restored = false
 	target.run++
 	target.members = slices.Clone(decision.Members)
 	d.checker.take(target)
@@ -73,6 +74,10 @@
 // stop applies a Stop decision: a checkpoint if there is time for one, else a stop at the bound.
 func (d *domain) stop(decision *policy.Stop) {
 	target := d.jobs[decision.JobID]
+	if target != nil && target.phase == stopping && target.restored {
+		// The owner before has ordered the stop already.
+		return
+	}
 	if target == nil || target.phase != running {
 		d.checker.violate(InvalidDecision, decision.JobID, "stop of a job that does not run", d.nowMillis)
 		return
@@ -115,6 +120,9 @@
 		culprit = target.members[0].Worker
 	}
 	target.failures++
+	if !slices.Contains(target.spec.FailedWorkers, culprit) {
+		target.spec.FailedWorkers = append(slices.Clone(target.spec.FailedWorkers), culprit)
+	}
 	if told, ok := d.policy.(failureObserver); ok {
 		told.StartFailed(target.spec.ID, culprit, d.nowMillis)
 	}
--- a/internal/replay/runs_test.go
+++ b/internal/replay/runs_test.go
@@ -46,7 +46,7 @@
 
 func (s *stopper) Decide(nowMillis int64) []policy.Decision {
 	decisions := s.Policy.Decide(nowMillis)
-	if !s.stopped && nowMillis >= start+15*minute {
+	if due := start + 15*minute; !s.stopped && nowMillis >= due && nowMillis < due+minute {
 		s.stopped = true
 		stop := &policy.Stop{JobID: s.victim, Reason: s.reason, WithinMillis: 1500}
 		decisions = append(decisions, policy.Decision{Stop: stop})
