policy: entitlement for a guaranteed shape with its cells, in place of words of our own; comments reflowed

Cause: read as a newcomer, home, slot, tenant and rehousing need explaining, and slot means a worker's slot for short requests elsewhere.

--- a/internal/policy/account.go
+++ b/internal/policy/account.go
@@ -98,9 +98,9 @@
 // guaranteeState is a guarantee with its unused shapes.
 type guaranteeState struct {
 	Guarantee
-	// idle holds the slots that no gang uses any part of, used the others.
-	idle *btree.BTreeG[*slot]
-	used *btree.BTreeG[*slot]
+	// idle holds the entitlements that no gang uses any part of, used the others.
+	idle *btree.BTreeG[*entitlement]
+	used *btree.BTreeG[*entitlement]
 	// left is what entitled has not counted yet.
 	left int
 }
--- a/internal/policy/claims_test.go
+++ b/internal/policy/claims_test.go
@@ -127,7 +127,8 @@
 	})
 }
 
-// TestNewOwnerGoesOn hands a random history over to a new scheduler, which goes on without overlaps and meets all claims.
+// TestNewOwnerGoesOn hands a random history over to a new scheduler, which goes on without overlaps and meets all
+// claims.
 func TestNewOwnerGoesOn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -8,7 +8,8 @@
 	Speed int64
 	// Fragmentation is the price of every accelerator of a larger free cell that a placement breaks.
 	Fragmentation int64
-	// ShortFirst multiplies the expected run time in the order of waiting jobs: the larger, the more short jobs go first.
+	// ShortFirst multiplies the expected run time in the order of waiting jobs: the larger, the more short jobs go
+	// first.
 	ShortFirst int64
 }
 
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -45,13 +45,13 @@
 	return decisions
 }
 
-// settle brings the indexes and the homes up to date with workers and sheet.
+// settle brings the indexes and the guaranteed cells up to date with workers and sheet.
 func (s *Scheduler) settle() {
 	if s.layoutStale {
 		s.buildLayout()
 	}
 	if s.unpacked {
-		s.packHomes()
+		s.packEntitlements()
 	}
 	if len(s.restored) > 0 {
 		s.protectRestored()
--- a/internal/policy/homes.go
+++ b/internal/policy/entitlement.go
@@ -7,28 +7,29 @@
 	"github.com/google/btree"
 )
 
-// slot is one guaranteed shape, or one spare worker, with the cells that are set aside for it at present.
-type slot struct {
+// entitlement is one guaranteed shape, or one spare worker, with the cells that are set aside for it at present.
+type entitlement struct {
 	number int
 	// guarantee is nil for a spare worker.
 	guarantee *guaranteeState
 	account   *accountState
-	units     []*homeUnit
+	units     []*entitledUnit
 	// busy counts the units that protected gangs use; blocked counts those on workers that take no work.
 	busy    int
 	blocked int
-	// oneRack slots keep all units in one rack; fixedRack slots never change it, for its spare worker is there.
+	// oneRack entitlements keep all units in one rack; fixedRack entitlements never change it, for its spare worker
+	// is there.
 	oneRack   bool
 	fixedRack bool
-	// filed is the set of its guarantee that the slot is in.
-	filed *btree.BTreeG[*slot]
+	// filed is the set of its guarantee that the entitlement is in.
+	filed *btree.BTreeG[*entitlement]
 }
 
-// homeUnit is the part of a slot that has to stay together on one worker.
-type homeUnit struct {
-	slot   *slot
-	worker *workerState
-	mask   uint32
+// entitledUnit is the part of an entitlement that has to stay together on one worker.
+type entitledUnit struct {
+	entitlement *entitlement
+	worker      *workerState
+	mask        uint32
 	// region is the smallest cell around mask; 0 when there is none, and the unit can't change places.
 	region uint32
 	// class is the size class of the region.
@@ -37,42 +38,42 @@
 	blocked bool
 }
 
-func lessSlot(a, b *slot) bool {
+func lessEntitlement(a, b *entitlement) bool {
 	return a.number < b.number
 }
 
-// addSlot sets the members aside. A nil guarantee makes them a spare worker.
-func (s *Scheduler) addSlot(g *guaranteeState, account *accountState, members []spot) {
-	s.slotCount++
-	sl := &slot{number: s.slotCount, guarantee: g, account: account}
+// addEntitlement sets the members aside. A nil guarantee makes them a spare worker.
+func (s *Scheduler) addEntitlement(g *guaranteeState, account *accountState, members []spot) {
+	s.entitlementCount++
+	ent := &entitlement{number: s.entitlementCount, guarantee: g, account: account}
 	together := g == nil
 	if g != nil {
-		sl.oneRack = g.Shape.rackBound()
-		sl.fixedRack = sl.oneRack && g.Spare
+		ent.oneRack = g.Shape.rackBound()
+		ent.fixedRack = ent.oneRack && g.Spare
 		together = g.Shape.Adjacency == SameWorker
 	} else {
-		sl.fixedRack = true
+		ent.fixedRack = true
 	}
 	for _, m := range members {
-		if last := len(sl.units) - 1; together && last >= 0 {
-			sl.units[last].mask |= m.mask
+		if last := len(ent.units) - 1; together && last >= 0 {
+			ent.units[last].mask |= m.mask
 			continue
 		}
-		sl.units = append(sl.units, &homeUnit{slot: sl, worker: m.worker, mask: m.mask})
+		ent.units = append(ent.units, &entitledUnit{entitlement: ent, worker: m.worker, mask: m.mask})
 	}
-	for _, u := range sl.units {
+	for _, u := range ent.units {
 		u.setRegion()
 		u.worker.units = append(u.worker.units, u)
-		u.worker.home |= u.mask
+		u.worker.guaranteed |= u.mask
 	}
-	s.slots = append(s.slots, sl)
-	for _, u := range sl.units {
+	s.entitlements = append(s.entitlements, ent)
+	for _, u := range ent.units {
 		s.fileUnit(u)
 	}
 }
 
 // setRegion finds the smallest cell around the mask.
-func (u *homeUnit) setRegion() {
+func (u *entitledUnit) setRegion() {
 	first := bits.TrailingZeros32(u.mask)
 	for class := range cellSizes {
 		region := enclosing(first, class)
@@ -84,21 +85,21 @@
 	u.region, u.class = 0, -1
 }
 
-// dropSlot gives the cells up.
-func (s *Scheduler) dropSlot(sl *slot) {
-	for _, u := range sl.units {
+// dropEntitlement gives the cells up.
+func (s *Scheduler) dropEntitlement(ent *entitlement) {
+	for _, u := range ent.units {
 		w := u.worker
-		w.units = slices.DeleteFunc(w.units, func(other *homeUnit) bool { return other == u })
-		w.home &^= u.mask
+		w.units = slices.DeleteFunc(w.units, func(other *entitledUnit) bool { return other == u })
+		w.guaranteed &^= u.mask
 	}
-	s.unfileSlot(sl)
-	s.slots = slices.DeleteFunc(s.slots, func(other *slot) bool { return other == sl })
+	s.unfileEntitlement(ent)
+	s.entitlements = slices.DeleteFunc(s.entitlements, func(other *entitlement) bool { return other == ent })
 }
 
-func (s *Scheduler) unfileSlot(sl *slot) {
-	if sl.filed != nil {
-		sl.filed.Delete(sl)
-		sl.filed = nil
+func (s *Scheduler) unfileEntitlement(ent *entitlement) {
+	if ent.filed != nil {
+		ent.filed.Delete(ent)
+		ent.filed = nil
 	}
 }
 
@@ -110,39 +111,39 @@
 }
 
 // fileUnit notes whether gangs use the unit, and whether its worker takes work.
-func (s *Scheduler) fileUnit(u *homeUnit) {
-	sl, w := u.slot, u.worker
-	if sl.guarantee == nil {
+func (s *Scheduler) fileUnit(u *entitledUnit) {
+	ent, w := u.entitlement, u.worker
+	if ent.guarantee == nil {
 		return
 	}
 	if busy := u.mask&w.protected != 0; busy != u.busy {
 		u.busy = busy
-		sl.busy += signOf(busy)
+		ent.busy += signOf(busy)
 	}
 	if blocked := w.condition != Healthy; blocked != u.blocked {
 		u.blocked = blocked
-		sl.blocked += signOf(blocked)
+		ent.blocked += signOf(blocked)
 	}
-	s.enterSlot(sl)
+	s.fileEntitlement(ent)
 }
 
-// enterSlot notes whether the slot is unused, used or out of reach.
-func (s *Scheduler) enterSlot(sl *slot) {
-	set := sl.guarantee.idle
+// fileEntitlement notes whether the entitlement is unused, used or out of reach.
+func (s *Scheduler) fileEntitlement(ent *entitlement) {
+	set := ent.guarantee.idle
 	switch {
-	case sl.blocked > 0:
+	case ent.blocked > 0:
 		set = nil
-	case sl.busy > 0:
-		set = sl.guarantee.used
+	case ent.busy > 0:
+		set = ent.guarantee.used
 	}
-	if set != sl.filed {
-		s.unfileSlot(sl)
-		sl.filed = set
+	if set != ent.filed {
+		s.unfileEntitlement(ent)
+		ent.filed = set
 		if set != nil {
-			set.ReplaceOrInsert(sl)
+			set.ReplaceOrInsert(ent)
 		}
 	}
-	if sl.busy == 0 && sl.blocked > 0 {
+	if ent.busy == 0 && ent.blocked > 0 {
 		s.unpacked = true
 	}
 }
@@ -160,9 +161,10 @@
 	ra, rb uint32
 }
 
-// swap exchanges all homes in the cells ra of worker a and rb of worker b. Gangs stay where they are. It returns
-// false, and changes nothing, when a protected gang stands in either cell, a home reaches beyond it, a spare
-// worker would no longer cover its rack, or a worker could not give every home its share of cores and memory.
+// swap exchanges all guaranteed cells in the cells ra of worker a and rb of worker b. Gangs stay where they are. It
+// returns false, and changes nothing, when a protected gang stands in either cell, a guaranteed cell reaches beyond
+// it, a spare worker would no longer cover its rack, or a worker could not give every guaranteed cell its share of
+// cores and memory.
 func (s *Scheduler) swap(a *workerState, ra uint32, b *workerState, rb uint32) bool {
 	if a == b && ra == rb {
 		return false
@@ -183,7 +185,8 @@
 	return true
 }
 
-// movable reports whether all homes that touch the region can leave it, for a worker alike in rack and width or not.
+// movable reports whether all guaranteed cells that touch the region can leave it, for a worker alike in rack and
+// width or not.
 func (w *workerState) movable(region uint32, alike bool) bool {
 	if region == 0 || region&^w.all != 0 || w.protected&region != 0 || w.condition != Healthy || w.distrusted {
 		return false
@@ -192,7 +195,7 @@
 		if u.mask&region == 0 {
 			continue
 		}
-		if u.region == 0 || u.region&^region != 0 || u.slot.fixedRack && !alike {
+		if u.region == 0 || u.region&^region != 0 || u.entitlement.fixedRack && !alike {
 			return false
 		}
 	}
@@ -201,7 +204,7 @@
 
 // exchangeUnits moves the units of the two regions to the same offsets of the other one.
 func (s *Scheduler) exchangeUnits(a *workerState, ra uint32, b *workerState, rb uint32) {
-	var fromA, fromB [largestCell]*homeUnit
+	var fromA, fromB [largestCell]*entitledUnit
 	countA, countB := a.takeUnits(ra, &fromA), b.takeUnits(rb, &fromB)
 	fa, fb := bits.TrailingZeros32(ra), bits.TrailingZeros32(rb)
 	for _, u := range fromA[:countA] {
@@ -212,7 +215,7 @@
 	}
 }
 
-func (w *workerState) takeUnits(region uint32, taken *[largestCell]*homeUnit) int {
+func (w *workerState) takeUnits(region uint32, taken *[largestCell]*entitledUnit) int {
 	count, kept := 0, 0
 	for _, u := range w.units {
 		if u.mask&region == 0 {
@@ -222,22 +225,22 @@
 		}
 		taken[count] = u
 		count++
-		w.home &^= u.mask
+		w.guaranteed &^= u.mask
 	}
 	clear(w.units[kept:])
 	w.units = w.units[:kept]
 	return count
 }
 
-func (w *workerState) putUnit(u *homeUnit, from, to int) {
+func (w *workerState) putUnit(u *entitledUnit, from, to int) {
 	u.mask = u.mask >> from << to
 	u.region = u.region >> from << to
 	u.worker = w
 	w.units = append(w.units, u)
-	w.home |= u.mask
+	w.guaranteed |= u.mask
 }
 
-// newSlotSet returns an empty set of slots.
-func newSlotSet() *btree.BTreeG[*slot] {
-	return btree.NewG(treeDegree, lessSlot)
+// newEntitlementSet returns an empty set of entitlements.
+func newEntitlementSet() *btree.BTreeG[*entitlement] {
+	return btree.NewG(treeDegree, lessEntitlement)
 }
--- a/internal/policy/guaranteed.go
+++ b/internal/policy/guaranteed.go
@@ -7,8 +7,8 @@
 	"github.com/google/btree"
 )
 
-// slotTries bounds the slots of one guarantee that are looked at.
-const slotTries = 16
+// entitlementTries bounds the entitlements of one guarantee that are looked at.
+const entitlementTries = 16
 
 // holds reports whether every gang of the other shape fits, member for member, where one of this shape does.
 func (s Shape) holds(other Shape) bool {
@@ -18,39 +18,40 @@
 	return other.Members <= 1 || other.Adjacency >= s.Adjacency
 }
 
-// findGuaranteed looks for room for the gang in a slot of its account that holds its shape, whatever borrowers stand
-// there, and leaves it in s.trial: free room beside the gangs of a used slot of the smallest such shape; else an
-// unused slot, the smallest first, which is returned; else any room in a used one. Without a slot returned the room
-// is in a used one.
-func (s *Scheduler) findGuaranteed(r *run, q *request) (*slot, bool) {
+// findGuaranteed looks for room for the gang in an entitlement of its account that holds its shape, whatever
+// borrowers stand there, and leaves it in s.trial: free room beside the gangs of a used entitlement of the smallest
+// such shape; else an unused entitlement, the smallest first, which is returned; else any room in a used one.
+// Without an entitlement returned the room is in a used one.
+func (s *Scheduler) findGuaranteed(r *run, q *request) (*entitlement, bool) {
 	smallest := true
 	for _, g := range r.account.guarantees {
 		if !g.Shape.holds(r.Shape) {
 			continue
 		}
-		if smallest && s.slotWithRoom(g.used, q, true) != nil {
+		if smallest && s.entitlementWithRoom(g.used, q, true) != nil {
 			return nil, true
 		}
 		smallest = false
-		if sl := s.slotWithRoom(g.idle, q, false); sl != nil {
-			return sl, true
+		if ent := s.entitlementWithRoom(g.idle, q, false); ent != nil {
+			return ent, true
 		}
 	}
 	for _, g := range r.account.guarantees {
-		if g.Shape.holds(r.Shape) && s.slotWithRoom(g.used, q, false) != nil {
+		if g.Shape.holds(r.Shape) && s.entitlementWithRoom(g.used, q, false) != nil {
 			return nil, true
 		}
 	}
 	return nil, false
 }
 
-// slotWithRoom returns the first slot with room for the gang; with free only room that nobody uses counts.
-func (s *Scheduler) slotWithRoom(slots *btree.BTreeG[*slot], q *request, free bool) *slot {
-	var found *slot
-	left := slotTries
-	slots.Ascend(func(sl *slot) bool {
-		if s.takeSlot(sl, q) && (!free || s.trial.free(q)) {
-			found = sl
+// entitlementWithRoom returns the first entitlement with room for the gang; with free only room that nobody uses
+// counts.
+func (s *Scheduler) entitlementWithRoom(entitlements *btree.BTreeG[*entitlement], q *request, free bool) *entitlement {
+	var found *entitlement
+	left := entitlementTries
+	entitlements.Ascend(func(ent *entitlement) bool {
+		if s.takeEntitlement(ent, q) && (!free || s.trial.free(q)) {
+			found = ent
 		}
 		left--
 		return found == nil && left > 0
@@ -70,14 +71,14 @@
 	return true
 }
 
-// takeSlot fills the trial with room in the slot; false when the whole gang does not find it.
-func (s *Scheduler) takeSlot(sl *slot, q *request) bool {
+// takeEntitlement fills the trial with room in the entitlement; false when the whole gang does not find it.
+func (s *Scheduler) takeEntitlement(ent *entitlement, q *request) bool {
 	s.trial.reset()
-	for _, u := range sl.units {
+	for _, u := range ent.units {
 		if len(s.trial.spots) > 0 && !q.reaches(s.trial.spots[0].worker, u.worker) {
 			s.trial.reset()
 		}
-		s.takeHome(q, u.worker, u.mask&^u.worker.protected)
+		s.takeGuaranteed(q, u.worker, u.mask&^u.worker.protected)
 		if len(s.trial.spots) == q.members {
 			return true
 		}
@@ -85,18 +86,19 @@
 	return false
 }
 
-// takeHome adds members on the mask to the trial, free accelerators first, as many as the worker's firm capacity allows.
-func (s *Scheduler) takeHome(q *request, w *workerState, mask uint32) {
+// takeGuaranteed adds members on the mask to the trial, free accelerators first, as many as the worker's firm
+// capacity allows.
+func (s *Scheduler) takeGuaranteed(q *request, w *workerState, mask uint32) {
 	if slices.Contains(q.avoid, w.Name) {
 		return
 	}
 	taken, members := s.trial.on(w)
 	mask &^= taken
-	size, home := cellSizes[q.class], bits.OnesCount32(w.home)
+	size, guaranteed := cellSizes[q.class], bits.OnesCount32(w.guaranteed)
 	free := mask &^ (w.used | w.claimed)
 	for len(s.trial.spots) < q.members {
 		members++
-		if cores, memory := w.over(members, size, q.cores, q.memory); !w.firmWith(home, cores, memory) {
+		if cores, memory := w.over(members, size, q.cores, q.memory); !w.firmWith(guaranteed, cores, memory) {
 			return
 		}
 		cell := takeCell(free, q.class)
--- a/internal/policy/merge.go
+++ b/internal/policy/merge.go
@@ -80,6 +80,6 @@
 
 // staysInside reports whether the hole lies beside another gang in a guaranteed shape that holds the protected run.
 func (s *Scheduler) staysInside(m *run, to spot) bool {
-	sl := coveredBy(m.account, to)
-	return sl != nil && sl.busy > 0 && sl.blocked == 0 && sl.guarantee.Shape.holds(m.Shape) && coveredBy(m.account, m.spots[0]) != sl
+	ent := coveredBy(m.account, to)
+	return ent != nil && ent.busy > 0 && ent.blocked == 0 && ent.guarantee.Shape.holds(m.Shape) && coveredBy(m.account, m.spots[0]) != ent
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -175,7 +175,8 @@
 
 // EvidenceKeeper is implemented by policies that tell faulty workers from faulty jobs.
 type EvidenceKeeper interface {
-	// StartFailed notes that the worker could not start a task of the job. The run itself ends with Ended or StartRefused.
+	// StartFailed notes that the worker could not start a task of the job. The run itself ends with Ended or
+	// StartRefused.
 	StartFailed(jobID, worker string, nowMillis int64)
 	// Probed notes the result of a probe.
 	Probed(worker string, healthy bool, nowMillis int64)
--- a/internal/policy/preemption.go
+++ b/internal/policy/preemption.go
@@ -42,7 +42,7 @@
 		return
 	}
 	v.lost += r.lostIfStopped(s.now)
-	if s.graced(r) || r.tenant {
+	if s.graced(r) || r.reassigning {
 		v.graced++
 	}
 }
--- a/internal/policy/properties_test.go
+++ b/internal/policy/properties_test.go
@@ -146,8 +146,8 @@
 	}
 }
 
-// TestHistories checks after every step that gangs are whole, cells do not overlap, quotas hold, homes stay packed,
-// protected gangs are not stopped and every waiting job has a reason.
+// TestHistories checks after every step that gangs are whole, cells do not overlap, quotas hold, guaranteed cells
+// stay packed, protected gangs are not stopped and every waiting job has a reason.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
--- a/internal/policy/protect.go
+++ b/internal/policy/protect.go
@@ -9,19 +9,19 @@
 type transaction struct {
 	exchanges []exchange
 	marked    []spot
-	moved     []*slot
+	moved     []*entitlement
 }
 
-// protect brings the spots inside the guarantee of the run's account: it moves the unused slot under the spots,
-// exchanging homes, and marks the spots; without a slot the spots must lie in one that is used already. On false
-// nothing has changed.
-func (s *Scheduler) protect(r *run, spots []spot, sl *slot) bool {
+// protect brings the spots inside the guarantee of the run's account: it moves the unused entitlement under the
+// spots, exchanging guaranteed cells, and marks the spots; without an entitlement the spots must lie in one that is
+// used already. On false nothing has changed.
+func (s *Scheduler) protect(r *run, spots []spot, ent *entitlement) bool {
 	if r.Shape.Accelerators == 0 || len(spots) == 0 {
 		return false
 	}
 	roomier := r.account.roomier
 	s.transaction.reset()
-	if (sl == nil || s.moveSlot(sl, spots, spots[0].worker.rack)) && s.markAll(r, spots) {
+	if (ent == nil || s.moveEntitlement(ent, spots, spots[0].worker.rack)) && s.markAll(r, spots) {
 		return true
 	}
 	s.rollback(r)
@@ -29,36 +29,37 @@
 	return false
 }
 
-// moveSlot moves the units of an unused slot under the spots, and what is left of it elsewhere in the rack.
-func (s *Scheduler) moveSlot(sl *slot, spots []spot, rack *rackState) bool {
+// moveEntitlement moves the units of an unused entitlement under the spots, and what is left of it elsewhere in the
+// rack.
+func (s *Scheduler) moveEntitlement(ent *entitlement, spots []spot, rack *rackState) bool {
 	next := 0
 	for _, sp := range spots {
-		if sl.covers(sp) {
+		if ent.covers(sp) {
 			continue
 		}
-		for next < len(sl.units) && sl.units[next].underAny(spots) {
+		for next < len(ent.units) && ent.units[next].underAny(spots) {
 			next++
 		}
-		if next == len(sl.units) {
+		if next == len(ent.units) {
 			return false
 		}
-		u := sl.units[next]
+		u := ent.units[next]
 		if !s.exchange(u, sp.worker, enclosing(bits.TrailingZeros32(sp.mask), u.class)) {
 			return false
 		}
 	}
-	for _, u := range sl.units {
-		if sl.oneRack && u.worker.rack != rack && !s.moveWithin(u, rack, nil) {
+	for _, u := range ent.units {
+		if ent.oneRack && u.worker.rack != rack && !s.moveWithin(u, rack, nil) {
 			return false
 		}
 	}
 	return s.transaction.keepsRacks()
 }
 
-// keepsRacks reports whether all slots that were moved and are bound to one rack are within one.
+// keepsRacks reports whether all entitlements that were moved and are bound to one rack are within one.
 func (tx *transaction) keepsRacks() bool {
-	for _, sl := range tx.moved {
-		if !sl.keepsRack() {
+	for _, ent := range tx.moved {
+		if !ent.keepsRack() {
 			return false
 		}
 	}
@@ -66,7 +67,7 @@
 }
 
 // moveWithin moves the unit to any place on the rack's workers but those to avoid.
-func (s *Scheduler) moveWithin(u *homeUnit, rack *rackState, avoid []string) bool {
+func (s *Scheduler) moveWithin(u *entitledUnit, rack *rackState, avoid []string) bool {
 	if u.class < 0 {
 		return false
 	}
@@ -76,7 +77,7 @@
 		}
 		for first := 0; first < w.Accelerators; first += cellSizes[u.class] {
 			region := enclosing(first, u.class)
-			if !u.slot.touches(w, region) && s.exchange(u, w, region) {
+			if !u.entitlement.touches(w, region) && s.exchange(u, w, region) {
 				return true
 			}
 		}
@@ -84,8 +85,8 @@
 	return false
 }
 
-func (sl *slot) touches(w *workerState, region uint32) bool {
-	for _, u := range sl.units {
+func (ent *entitlement) touches(w *workerState, region uint32) bool {
+	for _, u := range ent.units {
 		if u.worker == w && u.mask&region != 0 {
 			return true
 		}
@@ -93,8 +94,8 @@
 	return false
 }
 
-func (sl *slot) covers(sp spot) bool {
-	for _, u := range sl.units {
+func (ent *entitlement) covers(sp spot) bool {
+	for _, u := range ent.units {
 		if u.coversSpot(sp) {
 			return true
 		}
@@ -102,11 +103,11 @@
 	return false
 }
 
-func (u *homeUnit) coversSpot(sp spot) bool {
+func (u *entitledUnit) coversSpot(sp spot) bool {
 	return u.worker == sp.worker && sp.mask&^(u.mask&^u.worker.protected) == 0
 }
 
-func (u *homeUnit) underAny(spots []spot) bool {
+func (u *entitledUnit) underAny(spots []spot) bool {
 	for _, sp := range spots {
 		if u.worker == sp.worker && u.mask&sp.mask != 0 {
 			return true
@@ -115,44 +116,44 @@
 	return false
 }
 
-func (sl *slot) keepsRack() bool {
-	if !sl.oneRack {
+func (ent *entitlement) keepsRack() bool {
+	if !ent.oneRack {
 		return true
 	}
-	for _, u := range sl.units {
-		if u.worker.rack != sl.units[0].worker.rack {
+	for _, u := range ent.units {
+		if u.worker.rack != ent.units[0].worker.rack {
 			return false
 		}
 	}
 	return true
 }
 
-// markAll marks the spots when one slot that holds the run's shape covers them all. On false some may be marked, as
-// the transaction records.
+// markAll marks the spots when one entitlement that holds the run's shape covers them all. On false some may be
+// marked, as the transaction records.
 func (s *Scheduler) markAll(r *run, spots []spot) bool {
-	var first *slot
+	var first *entitlement
 	for _, sp := range spots {
-		sl := coveredBy(r.account, sp)
-		if sl == nil || first != nil && sl != first || !sl.guarantee.Shape.holds(r.Shape) || !s.markProtected(r, sp) {
+		ent := coveredBy(r.account, sp)
+		if ent == nil || first != nil && ent != first || !ent.guarantee.Shape.holds(r.Shape) || !s.markProtected(r, sp) {
 			return false
 		}
-		first = sl
+		first = ent
 	}
 	return true
 }
 
-// coveredBy returns the account's slot in whose unprotected cells the spot lies, nil when there is none.
-func coveredBy(a *accountState, sp spot) *slot {
+// coveredBy returns the account's entitlement in whose unprotected cells the spot lies, nil when there is none.
+func coveredBy(a *accountState, sp spot) *entitlement {
 	for _, u := range sp.worker.units {
-		if u.slot.account == a && u.slot.guarantee != nil && u.coversSpot(sp) {
-			return u.slot
+		if u.entitlement.account == a && u.entitlement.guarantee != nil && u.coversSpot(sp) {
+			return u.entitlement
 		}
 	}
 	return nil
 }
 
-// exchange swaps the homes of the unit's region and of the region given, and records it.
-func (s *Scheduler) exchange(u *homeUnit, to *workerState, region uint32) bool {
+// exchange swaps the guaranteed cells of the unit's region and of the region given, and records it.
+func (s *Scheduler) exchange(u *entitledUnit, to *workerState, region uint32) bool {
 	from, was := u.worker, u.region
 	if u.class < 0 || !s.swap(from, was, to, region) {
 		return false
@@ -168,8 +169,8 @@
 
 func (tx *transaction) noteMoved(w *workerState, region uint32) {
 	for _, u := range w.units {
-		if u.mask&region != 0 && u.slot.oneRack {
-			tx.moved = append(tx.moved, u.slot)
+		if u.mask&region != 0 && u.entitlement.oneRack {
+			tx.moved = append(tx.moved, u.entitlement)
 		}
 	}
 }
@@ -182,11 +183,11 @@
 }
 
 // markProtected marks the spot; false, with nothing changed, when the member asks for more cores or memory than can
-// be given beside the other homes of the worker.
+// be given beside the other guaranteed cells of the worker.
 func (s *Scheduler) markProtected(r *run, sp spot) bool {
 	w := sp.worker
 	cores, memory := w.over(1, r.Shape.Accelerators, r.Cores, r.MemoryMiB)
-	if !w.firmWith(bits.OnesCount32(w.home), cores, memory) {
+	if !w.firmWith(bits.OnesCount32(w.guaranteed), cores, memory) {
 		return false
 	}
 	w.protected |= sp.mask
--- a/internal/policy/repack.go
+++ b/internal/policy/repack.go
@@ -24,7 +24,7 @@
 
 // configureGuarantees replaces the guarantees. Shapes that stay keep their cells where gangs use them.
 func (s *Scheduler) configureGuarantees(guarantees []Guarantee) {
-	old := s.slots
+	old := s.entitlements
 	s.guarantees = nil
 	for _, a := range s.accountList {
 		a.guarantees = nil
@@ -33,7 +33,7 @@
 		if g.Count == 0 {
 			continue
 		}
-		state := &guaranteeState{Guarantee: g, idle: newSlotSet(), used: newSlotSet()}
+		state := &guaranteeState{Guarantee: g, idle: newEntitlementSet(), used: newEntitlementSet()}
 		s.guarantees = append(s.guarantees, state)
 		a := s.accountOf(g.Account)
 		a.guarantees = append(a.guarantees, state)
@@ -42,42 +42,42 @@
 		slices.SortStableFunc(a.guarantees, func(x, y *guaranteeState) int { return cmp.Compare(x.Shape.Total(), y.Shape.Total()) })
 	}
 	kept := make(map[*guaranteeState]int)
-	for _, sl := range slices.Clone(old) {
-		s.unfileSlot(sl)
-		if state := s.successor(sl, kept); state != nil && sl.busy > 0 {
+	for _, ent := range slices.Clone(old) {
+		s.unfileEntitlement(ent)
+		if state := s.successor(ent, kept); state != nil && ent.busy > 0 {
 			kept[state]++
-			sl.guarantee = state
-			sl.fixedRack = sl.oneRack && state.Spare
+			ent.guarantee = state
+			ent.fixedRack = ent.oneRack && state.Spare
 			continue
 		}
-		s.vacate(sl)
+		s.vacate(ent)
 	}
 	s.unpacked = true
 }
 
-// successor returns the new guarantee that takes over the slot, nil when there is none.
-func (s *Scheduler) successor(sl *slot, kept map[*guaranteeState]int) *guaranteeState {
-	if sl.guarantee == nil {
+// successor returns the new guarantee that takes over the entitlement, nil when there is none.
+func (s *Scheduler) successor(ent *entitlement, kept map[*guaranteeState]int) *guaranteeState {
+	if ent.guarantee == nil {
 		return nil
 	}
 	for _, state := range s.guarantees {
-		if state.Account == sl.guarantee.Account && state.Shape == sl.guarantee.Shape && kept[state] < state.Count {
+		if state.Account == ent.guarantee.Account && state.Shape == ent.guarantee.Shape && kept[state] < state.Count {
 			return state
 		}
 	}
 	return nil
 }
 
-// vacate drops the slot; protected gangs in it become borrowers.
-func (s *Scheduler) vacate(sl *slot) {
-	for _, u := range sl.units {
+// vacate drops the entitlement; protected gangs in it become borrowers.
+func (s *Scheduler) vacate(ent *entitlement) {
+	for _, u := range ent.units {
 		for _, r := range slices.Clone(u.worker.runs) {
 			if r.protected && r.overlaps(spot{worker: u.worker, mask: u.mask}) {
 				s.demote(r)
 			}
 		}
 	}
-	s.dropSlot(sl)
+	s.dropEntitlement(ent)
 }
 
 // demote makes a protected run a borrower.
@@ -101,7 +101,7 @@
 	r.backfilled = false
 }
 
-// keepMode says which slots packing leaves where they are, when all their workers take work.
+// keepMode says which entitlements packing leaves where they are, when all their workers take work.
 type keepMode uint8
 
 const (
@@ -110,9 +110,9 @@
 	keepNone
 )
 
-// packHomes sets cells aside for all guarantees again, and changes no more than needed: slots in reach stay, else those
-// in use, else none.
-func (s *Scheduler) packHomes() {
+// packEntitlements sets cells aside for all guarantees again, and changes no more than needed: entitlements in
+// reach stay, else those in use, else none.
+func (s *Scheduler) packEntitlements() {
 	s.unpacked = false
 	var best *packer
 	var mode keepMode
@@ -141,13 +141,13 @@
 	return lacks
 }
 
-// packWithout packs the homes on other workers than those where the job failed and nothing got on since. False, with
-// nothing changed, means that there are none, or that not all guarantees pack without them.
+// packWithout packs the guaranteed cells on other workers than those where the job failed and nothing got on since.
+// False, with nothing changed, means that there are none, or that not all guarantees pack without them.
 func (s *Scheduler) packWithout(r *run) bool {
 	var distrusted []*workerState
 	for _, name := range r.FailedWorkers {
 		w := s.byName[name]
-		if w != nil && w.condition == Healthy && !w.distrusted && w.home != 0 && len(w.evidence.failures) > 0 {
+		if w != nil && w.condition == Healthy && !w.distrusted && w.guaranteed != 0 && len(w.evidence.failures) > 0 {
 			w.distrusted = true
 			distrusted = append(distrusted, w)
 		}
@@ -168,7 +168,7 @@
 	return false
 }
 
-// pack packs as much as fits on the healthy workers, around the slots to keep.
+// pack packs as much as fits on the healthy workers, around the entitlements to keep.
 func (s *Scheduler) pack(keep keepMode) *packer {
 	guarantees := make([]Guarantee, len(s.guarantees))
 	for i, g := range s.guarantees {
@@ -197,9 +197,9 @@
 	}
 	p := newPacker(workers, guarantees)
 	p.partial = true
-	for _, sl := range s.slots {
-		if sl.stays(keep) {
-			p.keep(slices.Index(s.guarantees, sl.guarantee), sl)
+	for _, ent := range s.entitlements {
+		if ent.stays(keep) {
+			p.keep(slices.Index(s.guarantees, ent.guarantee), ent)
 		}
 	}
 	if keep == keepNone {
@@ -215,50 +215,50 @@
 	return p
 }
 
-// staying returns the number of accelerators of the worker in slots that stay where they are.
+// staying returns the number of accelerators of the worker in entitlements that stay where they are.
 func (w *workerState) staying(keep keepMode) int {
 	count := 0
 	for _, u := range w.units {
-		if u.slot.stays(keep) {
+		if u.entitlement.stays(keep) {
 			count += bits.OnesCount32(u.mask)
 		}
 	}
 	return count
 }
 
-// stays reports whether packing leaves the slot where it is.
-func (sl *slot) stays(keep keepMode) bool {
-	if sl.guarantee == nil || sl.blocked > 0 || sl.distrusted() {
+// stays reports whether packing leaves the entitlement where it is.
+func (ent *entitlement) stays(keep keepMode) bool {
+	if ent.guarantee == nil || ent.blocked > 0 || ent.distrusted() {
 		return false
 	}
-	return keep == keepAll || keep == keepUsed && sl.busy > 0
+	return keep == keepAll || keep == keepUsed && ent.busy > 0
 }
 
-// distrusted reports whether an unused slot has a unit on a worker that is to get no homes.
-func (sl *slot) distrusted() bool {
-	return sl.busy == 0 && slices.ContainsFunc(sl.units, func(u *homeUnit) bool { return u.worker.distrusted })
+// distrusted reports whether an unused entitlement has a unit on a worker that is to get no guaranteed cells.
+func (ent *entitlement) distrusted() bool {
+	return ent.busy == 0 && slices.ContainsFunc(ent.units, func(u *entitledUnit) bool { return u.worker.distrusted })
 }
 
-// keep leaves a slot where it is.
-func (p *packer) keep(position int, sl *slot) {
+// keep leaves an entitlement where it is.
+func (p *packer) keep(position int, ent *entitlement) {
 	p.guarantees[position].Count--
-	for _, u := range sl.units {
+	for _, u := range ent.units {
 		at, healthy := p.index[u.worker.Name]
 		if !healthy {
 			continue
 		}
 		p.free[at] &^= u.mask
-		if sl.oneRack && sl.guarantee.Spare {
+		if ent.oneRack && ent.guarantee.Spare {
 			p.boundRacks = append(p.boundRacks, u.worker.Rack)
 		}
 	}
 }
 
-// adopt replaces the slots but for those to keep by the packed ones.
+// adopt replaces the entitlements but for those to keep by the packed ones.
 func (s *Scheduler) adopt(p *packer, keep keepMode) {
-	for _, sl := range slices.Clone(s.slots) {
-		if !sl.stays(keep) {
-			s.vacate(sl)
+	for _, ent := range slices.Clone(s.entitlements) {
+		if !ent.stays(keep) {
+			s.vacate(ent)
 		}
 	}
 	for _, packed := range p.packed {
@@ -267,11 +267,11 @@
 			spots = append(spots, spot{worker: s.byName[m.Worker], mask: m.Mask})
 		}
 		if packed.Guarantee < 0 {
-			s.addSlot(nil, nil, spots)
+			s.addEntitlement(nil, nil, spots)
 			continue
 		}
 		g := s.guarantees[packed.Guarantee]
-		s.addSlot(g, s.accountOf(g.Account), spots)
+		s.addEntitlement(g, s.accountOf(g.Account), spots)
 	}
 	s.risks = s.risks[:0]
 	for _, m := range p.missing {
@@ -321,6 +321,6 @@
 // protectWhereItIs brings a borrower inside its account's guarantee without moving it.
 func (s *Scheduler) protectWhereItIs(r *run) bool {
 	q := r.request()
-	sl, found := s.findGuaranteed(r, &q)
-	return found && s.protect(r, r.spots, sl)
+	ent, found := s.findGuaranteed(r, &q)
+	return found && s.protect(r, r.spots, ent)
 }
--- a/internal/policy/run.go
+++ b/internal/policy/run.go
@@ -26,8 +26,8 @@
 	spots []spot
 	// protected runs are inside their account's guarantee and never victims.
 	protected bool
-	// tenant is set while the run's slot is being given to another gang of its account.
-	tenant bool
+	// reassigning is set while the run's entitlement is being given to another gang of its account.
+	reassigning bool
 	// backfilled runs stand on cells held for the reservation.
 	backfilled bool
 	// stop is the decision that the run must leave; stopIssued when it is out.
--- a/internal/policy/scheduler.go
+++ b/internal/policy/scheduler.go
@@ -29,9 +29,9 @@
 	accountList []*accountState
 	teams       map[teamName]*teamState
 
-	guarantees []*guaranteeState
-	slots      []*slot
-	slotCount  int
+	guarantees       []*guaranteeState
+	entitlements     []*entitlement
+	entitlementCount int
 	// unpacked is set when guarantees have to be packed again; risks are those without cells.
 	unpacked bool
 	risks    []Risk
@@ -138,7 +138,7 @@
 	}
 	s.refreshUnits(w)
 	s.refresh(w)
-	s.unpacked = s.unpacked || condition != Healthy && w.home != 0 || condition == Healthy && len(s.risks) > 0
+	s.unpacked = s.unpacked || condition != Healthy && w.guaranteed != 0 || condition == Healthy && len(s.risks) > 0
 	s.freed = true
 }
 
--- a/internal/policy/sites.go
+++ b/internal/policy/sites.go
@@ -18,9 +18,10 @@
 }
 
 // ChooseDataCentres gives every open guarantee a data centre beside those that are fixed: the one that has the most
-// accelerators left to guarantee, the largest guarantees first. A guarantee that no data centre holds whole is divided. The result has
-// the fixed guarantees first, then the open ones in their order. It returns a *PackError when a fixed guarantee does
-// not pack, or an open one fits nowhere beside the others, and an error that wraps ErrShape for a wrong shape.
+// accelerators left to guarantee, the largest guarantees first. A guarantee that no data centre holds whole is
+// divided. The result has the fixed guarantees first, then the open ones in their order. It returns a *PackError
+// when a fixed guarantee does not pack, or an open one fits nowhere beside the others, and an error that wraps
+// ErrShape for a wrong shape.
 func ChooseDataCentres(sites []Site, fixed []SitedGuarantee, open []Guarantee) ([]SitedGuarantee, error) {
 	if err := checkShapes(open); err != nil {
 		return nil, err
--- a/internal/policy/worker.go
+++ b/internal/policy/worker.go
@@ -17,18 +17,18 @@
 	held uint32
 	// protected accelerators are used or claimed by gangs inside their account's guarantee.
 	protected uint32
-	// home accelerators belong to guaranteed cells.
-	home uint32
+	// guaranteed accelerators belong to guaranteed cells.
+	guaranteed uint32
 	// freeCores and freeMemory are left by all gangs; negative while victims leave.
 	freeCores  int
 	freeMemory int
 	// overCores and overMemory are what protected gangs take beyond the share of their accelerators.
 	overCores  int
 	overMemory int
-	units      []*homeUnit
+	units      []*entitledUnit
 	runs       []*run
 	evidence   evidence
-	// distrusted workers get no homes: tasks failed there, and a claim can't be met otherwise.
+	// distrusted workers get no guaranteed cells: tasks failed there, and a claim can't be met otherwise.
 	distrusted bool
 	// leaf and rackLeaf are the positions in the two indexes.
 	leaf     int
@@ -80,15 +80,15 @@
 	return members * max(cores-shareCores, 0), members * max(memoryMiB-shareMemory, 0)
 }
 
-// firm reports whether every home accelerator can get its share of cores and memory beside what protected gangs take
-// beyond theirs, once all borrowers have left.
+// firm reports whether every guaranteed accelerators can get its share of cores and memory beside what protected
+// gangs take beyond theirs, once all borrowers have left.
 func (w *workerState) firm() bool {
-	return w.firmWith(bits.OnesCount32(w.home), 0, 0)
+	return w.firmWith(bits.OnesCount32(w.guaranteed), 0, 0)
 }
 
-// firmWith is firm for a number of home accelerators and more taken beyond the shares.
-func (w *workerState) firmWith(home, overCores, overMemory int) bool {
-	cores, memory := w.shareOf(home)
+// firmWith is firm for a number of guaranteed accelerators and more taken beyond the shares.
+func (w *workerState) firmWith(guaranteed, overCores, overMemory int) bool {
+	cores, memory := w.shareOf(guaranteed)
 	return w.overCores+overCores+cores <= w.Cores && w.overMemory+overMemory+memory <= w.MemoryMiB
 }
 
