policy: a claim withdrawn within a decision is decided on in the same decision; slow starts in the histories

The reclaim property confirms starts before the one round of stops, for a starting gang is stopped once it has started.

--- a/internal/policy/claims_test.go
+++ b/internal/policy/claims_test.go
@@ -8,10 +8,10 @@
 	"pgregory.net/rapid"
 )
 
-// unmetClaims returns the waiting jobs that an account's guaranteed shapes still hold when each running gang is
-// counted against the smallest shape that holds it, the largest gangs first. Jobs over their worker's share of cores
-// and memory, over quota, or barred from workers are left out, and unless inProgress those whose victims are leaving.
-func (m *machine) unmetClaims(inProgress bool) []string {
+// unmetClaims returns the waiting jobs that an account's guaranteed shapes still hold when each gang that runs, or
+// whose victims are leaving, is counted against the smallest shape that holds it, the largest gangs first. Jobs over
+// their worker's share of cores and memory, over quota, or barred from workers are left out.
+func (m *machine) unmetClaims() []string {
 	var unmet []string
 	for _, account := range testAccounts {
 		left := map[int]int{}
@@ -25,19 +25,17 @@
 			job, r := m.jobs[id], m.s.runs[id]
 			within := job.Cores <= 2*job.Shape.Accelerators && job.MemoryMiB <= 8192*job.Shape.Accelerators
 			if within && r.withinQuota() && len(r.FailedWorkers) == 0 && m.use(account, job, left) {
-				if inProgress || r.state != claiming {
-					unmet = append(unmet, fmt.Sprintf("%s %v: %s", id, job.Shape, m.s.Explain(id)))
-				}
+				unmet = append(unmet, fmt.Sprintf("%s %v: %s", id, job.Shape, m.s.Explain(id)))
 			}
 		}
 	}
 	return unmet
 }
 
-func (m *machine) bySize(account string, running bool) []string {
+func (m *machine) bySize(account string, holding bool) []string {
 	var ids []string
 	for _, id := range sortedKeys(m.jobs) {
-		if m.jobs[id].Account == account && (m.running[id] != nil) == running {
+		if m.jobs[id].Account == account && (m.s.runs[id].state != waiting) == holding {
 			ids = append(ids, id)
 		}
 	}
@@ -45,6 +43,11 @@
 	return ids
 }
 
+// claiming returns the jobs whose victims are leaving.
+func (m *machine) claiming() []string {
+	return slices.DeleteFunc(sortedKeys(m.s.runs), func(id string) bool { return m.s.runs[id].state != claiming })
+}
+
 func (m *machine) use(account string, job Job, left map[int]int) bool {
 	best := -1
 	for i, g := range m.guarantees {
@@ -76,8 +79,8 @@
 // claimRounds bounds how often gangs are stopped one after the other until all claims are met.
 const claimRounds = 8
 
-// meetClaims stops what is asked to stop, round by round. In every round a claim is met or has told its victims to
-// leave, and in the end all are met.
+// meetClaims stops what is asked to stop, round by round. In every round each claim is met or its victims are
+// leaving, and in the end all are met.
 func (m *machine) meetClaims(t *rapid.T) {
 	for range claimRounds {
 		m.finishStops()
@@ -86,14 +89,14 @@
 		if len(m.s.GuaranteesAtRisk()) > 0 {
 			return
 		}
-		if idle := m.unmetClaims(false); len(idle) > 0 {
-			t.Fatalf("claims that wait for nobody to leave: %v", idle)
+		if unmet := m.unmetClaims(); len(unmet) > 0 {
+			t.Fatalf("unmet claims: %v", unmet)
 		}
-		if len(m.unmetClaims(true)) == 0 {
+		if len(m.claiming()) == 0 {
 			return
 		}
 	}
-	t.Fatalf("unmet claims: %v", m.unmetClaims(true))
+	t.Fatalf("victims are still leaving for %v", m.claiming())
 }
 
 // TestSpareCoversAnyWorker packs guarantees with spares, loses any one worker, and finds all of them still packed.
@@ -137,7 +140,7 @@
 		}
 		old := m.s
 		m.s = New(old.config)
-		m.stopping = map[string]Stop{}
+		m.stopping, m.starting = map[string]Stop{}, map[string]bool{}
 		for _, state := range old.workers {
 			m.s.AddWorker(state.Worker)
 			m.s.MarkWorker(state.Name, state.condition)
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -3,6 +3,9 @@
 // attemptsPerPass bounds the different jobs that are tried in vain in one decision.
 const attemptsPerPass = 64
 
+// passesPerDecision bounds the passes of one decision: a claim that is withdrawn for another makes a further one.
+const passesPerDecision = 4
+
 // signature is what makes two waiting jobs fit or not fit alike.
 type signature struct {
 	account *accountState
@@ -32,12 +35,7 @@
 	if s.reservation.dueMillis(s.config.Bounds.BackfillDelayMillis, s.now) {
 		s.freed = true
 	}
-	if s.freed {
-		s.passAll()
-		s.mergeHoles()
-	} else {
-		s.passFresh()
-	}
+	s.passes()
 	clear(s.fresh)
 	s.fresh = s.fresh[:0]
 	decisions := s.decisions
@@ -45,6 +43,22 @@
 	return decisions
 }
 
+// passes tries waiting jobs: the new ones when nothing became free, else all, again while claims are withdrawn.
+func (s *Scheduler) passes() {
+	if !s.freed {
+		s.passFresh()
+	}
+	if !s.freed {
+		return
+	}
+	for range passesPerDecision {
+		if s.freed {
+			s.passAll()
+		}
+	}
+	s.mergeHoles()
+}
+
 // settle brings the indexes and the guaranteed cells up to date with workers and sheet.
 func (s *Scheduler) settle() {
 	if s.layoutStale {
--- a/internal/policy/explain.go
+++ b/internal/policy/explain.go
@@ -18,6 +18,9 @@
 	waitsForVerdict
 )
 
+// waitsForNext is the reason of a job that no decision was made on since it waits.
+const waitsForNext = "waits for the next decision"
+
 // reason is what the last decision found out about a waiting job.
 type reason struct {
 	kind  reasonKind
@@ -53,7 +56,7 @@
 	case waitsForCells:
 		return s.explainCells(r)
 	default:
-		return "waits for the next decision"
+		return waitsForNext
 	}
 }
 
--- a/internal/policy/properties_test.go
+++ b/internal/policy/properties_test.go
@@ -75,6 +75,7 @@
 	for _, w := range m.workers {
 		m.s.AddWorker(w)
 	}
+	m.slowStarts = rapid.Bool().Draw(t, "slow starts")
 	m.quotas["b/x"] = rapid.IntRange(1, 24).Draw(t, "quota")
 	m.configure()
 	return m
@@ -92,11 +93,17 @@
 		m.submitted++
 		m.submit(drawJob(t, fmt.Sprintf("j%03d", m.submitted)))
 	case 4, 5:
-		if id := m.drawRunning(t); id != "" {
+		if id := m.drawRunning(t); id != "" && m.starting[id] {
+			if rapid.IntRange(0, 2).Draw(t, "start") == 0 {
+				m.refuse(id)
+			} else {
+				m.confirm(id)
+			}
+		} else if id != "" {
 			m.end(id, rapid.SampledFrom([]EndResult{Finished, Finished, Failed, LostEnd}).Draw(t, "result"))
 		}
 	case 6:
-		if id := m.drawRunning(t); id != "" {
+		if id := m.drawRunning(t); id != "" && !m.starting[id] {
 			m.s.Checkpointed(id, m.s.progress(id)+rapid.IntRange(0, 200_000).Draw(t, "progress"), m.now)
 		}
 	case 7:
@@ -185,6 +192,7 @@
 func (m *machine) reclaim(t *rapid.T, account string) {
 	var claims []string
 	m.decide()
+	m.confirmAll()
 	if len(m.s.GuaranteesAtRisk()) > 0 {
 		t.Fatalf("guarantees at risk with all workers healthy: %+v", m.s.GuaranteesAtRisk())
 	}
@@ -196,6 +204,8 @@
 		}
 	}
 	m.decide()
+	m.confirmAll()
+	m.decide()
 	m.finishStops()
 	m.decide()
 	for _, id := range claims {
--- a/internal/policy/scheduler.go
+++ b/internal/policy/scheduler.go
@@ -306,6 +306,9 @@
 // WakeMillis is when time alone can change the decisions; 0 means never.
 func (s *Scheduler) WakeMillis() int64 {
 	wake := int64(0)
+	if s.freed {
+		wake = s.now
+	}
 	for _, at := range [...]int64{s.reservation.wakeMillis(s.config.Bounds.BackfillDelayMillis), s.nextProbe()} {
 		if at > 0 && (wake == 0 || at < wake) {
 			wake = at
--- a/internal/policy/world_test.go
+++ b/internal/policy/world_test.go
@@ -12,6 +12,9 @@
 	now     int64
 	jobs    map[string]Job
 	running map[string][]Member
+	// starting runs hold their accelerators and are not confirmed yet; only with slowStarts.
+	starting   map[string]bool
+	slowStarts bool
 	// stopping runs were asked to stop.
 	stopping map[string]Stop
 	used     map[string]uint32
@@ -23,7 +26,7 @@
 
 func newWorld(config Config) *world {
 	return &world{
-		s: New(config), now: 1_000_000, jobs: map[string]Job{}, running: map[string][]Member{},
+		s: New(config), now: 1_000_000, jobs: map[string]Job{}, running: map[string][]Member{}, starting: map[string]bool{},
 		stopping: map[string]Stop{}, used: map[string]uint32{}, quotas: map[string]int{},
 	}
 }
@@ -85,13 +88,33 @@
 		w.fault("gang %s is not adjacent: %v", job.ID, start.Members)
 	}
 	w.running[job.ID] = start.Members
-	w.s.Started(job.ID, w.now)
+	w.starting[job.ID] = true
+	if !w.slowStarts {
+		w.confirm(job.ID)
+	}
+}
+
+func (w *world) confirm(id string) {
+	delete(w.starting, id)
+	w.s.Started(id, w.now)
+}
+
+func (w *world) confirmAll() {
+	for _, id := range sortedKeys(w.starting) {
+		w.confirm(id)
+	}
+}
+
+// refuse takes a start back.
+func (w *world) refuse(id string) {
+	w.free(id)
+	w.s.StartRefused(id)
 }
 
 func (w *world) stop(stop *Stop) {
 	w.stops++
 	r := w.s.runs[stop.JobID]
-	if w.running[stop.JobID] == nil {
+	if w.running[stop.JobID] == nil || w.starting[stop.JobID] {
 		w.fault("stop of %s, which does not run", stop.JobID)
 		return
 	}
@@ -106,15 +129,20 @@
 
 // end ends a run or a waiting job.
 func (w *world) end(id string, result EndResult) {
+	w.free(id)
+	if result == Finished || result == Cancelled {
+		delete(w.jobs, id)
+	}
+	w.s.Ended(id, result, w.s.progress(id), w.now)
+}
+
+func (w *world) free(id string) {
 	for _, m := range w.running[id] {
 		w.used[m.Worker] &^= m.Mask
 	}
 	delete(w.running, id)
+	delete(w.starting, id)
 	delete(w.stopping, id)
-	if result == Finished || result == Cancelled {
-		delete(w.jobs, id)
-	}
-	w.s.Ended(id, result, w.s.progress(id), w.now)
 }
 
 func (s *Scheduler) progress(id string) int {
@@ -124,8 +152,9 @@
 	return 0
 }
 
-// finishStops ends all runs that were asked to stop.
+// finishStops confirms all starts and ends all runs that were asked to stop.
 func (w *world) finishStops() {
+	w.confirmAll()
 	for _, id := range sortedKeys(w.stopping) {
 		result := PreemptedEnd
 		if w.stopping[id].Reason == Moved {
@@ -141,9 +170,14 @@
 		return
 	}
 	for _, id := range sortedKeys(w.running) {
-		if slices.ContainsFunc(w.running[id], func(m Member) bool { return m.Worker == worker }) {
-			w.end(id, LostEnd)
+		if !slices.ContainsFunc(w.running[id], func(m Member) bool { return m.Worker == worker }) {
+			continue
+		}
+		if w.starting[id] {
+			w.refuse(id)
+			continue
 		}
+		w.end(id, LostEnd)
 	}
 }
 
@@ -162,8 +196,8 @@
 		}
 	}
 	for _, id := range sortedKeys(w.jobs) {
-		if w.running[id] == nil && w.s.Explain(id) == "" {
-			w.fault("job %s waits without a reason", id)
+		if why := w.s.Explain(id); w.running[id] == nil && (why == "" || why == waitsForNext) {
+			w.fault("job %s waits without a reason after a decision: %q", id, why)
 		}
 	}
 }
