--- a/internal/policy/world_test.go
+++ b/internal/policy/world_test.go
@@ -12,6 +12,9 @@
 	now     int64
 	jobs    map[string]Job
 	running map[string][]Member
+	// starting runs hold their accelerators and are not confirmed yet; only with slowStarts.
+	starting   map[string]bool
+	slowStarts bool
 	// stopping runs were asked to stop.
 	stopping map[string]Stop
 	used     map[string]uint32
@@ -23,7 +26,7 @@
 
 func newWorld(config Config) *world {
 	return &world{
-		s: New(config), now: 1_000_000, jobs: map[string]Job{}, running: map[string][]Member{},
+		s: New(config), now: 1_000_000, jobs: map[string]Job{}, running: map[string][]Member{}, starting: map[string]bool{},
 		stopping: map[string]Stop{}, used: map[string]uint32{}, quotas: map[string]int{},
 	}
 }
@@ -85,13 +88,33 @@
 		w.fault("gang %s is not adjacent: %v", job.ID, start.Members)
 	}
 	w.running[job.ID] = start.Members
-	w.s.Started(job.ID, w.now)
+	w.starting[job.ID] = true
+	if !w.slowStarts {
+		w.confirm(job.ID)
+	}
+}
+
+func (w *world) confirm(id string) {
+	delete(w.starting, id)
+	w.s.Started(id, w.now)
+}
+
+func (w *world) confirmAll() {
+	for _, id := range sortedKeys(w.starting) {
+		w.confirm(id)
+	}
+}
+
+// refuse takes a start back.
+func (w *world) refuse(id string) {
+	w.free(id)
+	w.s.StartRefused(id)
 }
 
 func (w *world) stop(stop *Stop) {
 	w.stops++
 	r := w.s.runs[stop.JobID]
-	if w.running[stop.JobID] == nil {
+	if w.running[stop.JobID] == nil || w.starting[stop.JobID] {
 		w.fault("stop of %s, which does not run", stop.JobID)
 		return
 	}
@@ -106,15 +129,20 @@
 
 // end ends a run or a waiting job.
 func (w *world) end(id string, result EndResult) {
+	w.free(id)
+	if result == Finished || result == Cancelled {
+		delete(w.jobs, id)
+	}
+	w.s.Ended(id, result, w.s.progress(id), w.now)
+}
+
+func (w *world) free(id string) {
 	for _, m := range w.running[id] {
 		w.used[m.Worker] &^= m.Mask
 	}
 	delete(w.running, id)
+	delete(w.starting, id)
 	delete(w.stopping, id)
-	if result == Finished || result == Cancelled {
-		delete(w.jobs, id)
-	}
-	w.s.Ended(id, result, w.s.progress(id), w.now)
 }
 
 func (s *Scheduler) progress(id string) int {
@@ -124,8 +152,9 @@
 	return 0
 }
 
-// finishStops ends all runs that were asked to stop.
+// finishStops confirms all starts and ends all runs that were asked to stop.
 func (w *world) finishStops() {
+	w.confirmAll()
 	for _, id := range sortedKeys(w.stopping) {
 		result := PreemptedEnd
 		if w.stopping[id].Reason == Moved {
@@ -141,9 +170,14 @@
 		return
 	}
 	for _, id := range sortedKeys(w.running) {
-		if slices.ContainsFunc(w.running[id], func(m Member) bool { return m.Worker == worker }) {
-			w.end(id, LostEnd)
+		if !slices.ContainsFunc(w.running[id], func(m Member) bool { return m.Worker == worker }) {
+			continue
+		}
+		if w.starting[id] {
+			w.refuse(id)
+			continue
 		}
+		w.end(id, LostEnd)
 	}
 }
 
@@ -162,26 +196,26 @@
 		}
 	}
 	for _, id := range sortedKeys(w.jobs) {
-		if w.running[id] == nil && w.s.Explain(id) == "" {
-			w.fault("job %s waits without a reason", id)
+		if why := w.s.Explain(id); w.running[id] == nil && (why == "" || why == waitsForNext) {
+			w.fault("job %s waits without a reason after a decision: %q", id, why)
 		}
 	}
 }
 
 func (w *world) checkWorkers() {
 	for _, state := range w.s.workers {
-		var home uint32
+		var guaranteed uint32
 		for _, u := range state.units {
-			if u.mask&home != 0 {
-				w.fault("homes overlap on %s", state.Name)
+			if u.mask&guaranteed != 0 {
+				w.fault("guaranteed cells overlap on %s", state.Name)
 			}
-			home |= u.mask
+			guaranteed |= u.mask
 		}
-		if home != state.home || home&^state.all != 0 {
-			w.fault("homes of %s are %x, noted %x", state.Name, home, state.home)
+		if guaranteed != state.guaranteed || guaranteed&^state.all != 0 {
+			w.fault("guaranteed cells of %s are %x, noted %x", state.Name, guaranteed, state.guaranteed)
 		}
-		if state.protected&^home != 0 && state.condition == Healthy {
-			w.fault("protected accelerators %x of %s outside homes %x", state.protected, state.Name, home)
+		if state.protected&^guaranteed != 0 && state.condition == Healthy {
+			w.fault("protected accelerators %x of %s outside guaranteed cells %x", state.protected, state.Name, guaranteed)
 		}
 		w.checkShares(state)
 		cores, memory := state.Cores, state.MemoryMiB
@@ -200,17 +234,17 @@
 			w.fault("worker %s: used %x, noted %x", state.Name, w.used[state.Name], state.used)
 		}
 	}
-	for _, sl := range w.s.slots {
-		if !sl.keepsRack() {
-			w.fault("guarantee %v is spread over racks", sl.guarantee.Guarantee)
+	for _, ent := range w.s.entitlements {
+		if !ent.keepsRack() {
+			w.fault("guarantee %v is spread over racks", ent.guarantee.Guarantee)
 		}
 	}
 }
 
-// checkShares finds homes that would not get their share of cores and memory, whatever borrowers leave.
+// checkShares finds guaranteed cells that would not get their share of cores and memory, whatever borrowers leave.
 func (w *world) checkShares(state *workerState) {
-	cores := state.Cores / state.Accelerators * bits.OnesCount32(state.home)
-	memory := state.MemoryMiB / state.Accelerators * bits.OnesCount32(state.home)
+	cores := state.Cores / state.Accelerators * bits.OnesCount32(state.guaranteed)
+	memory := state.MemoryMiB / state.Accelerators * bits.OnesCount32(state.guaranteed)
 	for _, r := range w.s.runs {
 		for _, sp := range r.spots {
 			if r.protected && sp.worker == state {
@@ -220,7 +254,7 @@
 		}
 	}
 	if cores > state.Cores || memory > state.MemoryMiB {
-		w.fault("the homes of %s need %d cores and %d MiB", state.Name, cores, memory)
+		w.fault("the guaranteed cells of %s need %d cores and %d MiB", state.Name, cores, memory)
 	}
 }
 
@@ -231,8 +265,8 @@
 			continue
 		}
 		for _, sp := range r.spots {
-			inside := slices.ContainsFunc(sp.worker.units, func(u *homeUnit) bool {
-				return u.slot.account == r.account && sp.mask&^u.mask == 0
+			inside := slices.ContainsFunc(sp.worker.units, func(u *entitledUnit) bool {
+				return u.entitlement.account == r.account && sp.mask&^u.mask == 0
 			})
 			if !inside {
 				w.fault("protected gang %s is outside its account's cells", id)
