--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -171,7 +171,7 @@
 
 func TestLazyRecordsShareAppends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const records, gap = 40, 100 * time.Millisecond
+		const records, gap = 42, 100 * time.Millisecond
 		log := newLog()
 		log.SetFaults(logservice.Faults{AppendDelayMillis: 5})
 		a := start(t, log, "a", 1)
