--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -155,6 +155,17 @@
 	}
 }
 
+func TestSnapshotAllocations(t *testing.T) {
+	const keys, most = 1000, 100
+	table := claims.New()
+	for i := range uint32(keys) {
+		apply(t, table, "a", noon, claimed(keyAt(noon, i), "lounge", 1))
+	}
+	if got := testing.AllocsPerRun(10, func() { _, _ = table.Snapshot() }); got > most {
+		t.Errorf("%.0f allocations for a snapshot of %d keys, want at most %d", got, keys, most)
+	}
+}
+
 // TestOneHolder checks the table against a model that forgets nothing: a key has one holder until its
 // release, and no holder after that unless it is claimed again.
 func TestOneHolder(t *testing.T) {
--- a/internal/claims/snapshot.go
+++ b/internal/claims/snapshot.go
@@ -7,23 +7,43 @@
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 )
 
-// Snapshot returns the table as a ClaimsSnapshot; equal tables give equal bytes.
+// typicalKeyBytes is about what a key takes in a snapshot, bytes.
+const typicalKeyBytes = 96
+
+// Snapshot returns the table as a ClaimsSnapshot; equal tables give equal bytes. The keys are encoded one by
+// one, since encoded messages in a row are the message of all their keys: a full table would else be in
+// memory three times.
 func (t *Table) Snapshot() ([]byte, error) {
-	snapshot := &apiv1.ClaimsSnapshot{FloorUnixMs: t.floorMillis, Keys: make([]*apiv1.KeyState, 0, len(t.claims))}
+	options := proto.MarshalOptions{Deterministic: true}
+	data := make([]byte, 0, typicalKeyBytes*len(t.claims))
+	data, err := options.MarshalAppend(data, &apiv1.ClaimsSnapshot{FloorUnixMs: t.floorMillis})
+	if err != nil {
+		return nil, errors.Wrap(err, "claims snapshot")
+	}
+	state := &apiv1.KeyState{Holder: &apiv1.Author{}}
+	one := &apiv1.ClaimsSnapshot{Keys: []*apiv1.KeyState{state}}
 	t.order.Ascend(func(id entryKey) bool {
-		claim := t.claims[id]
-		snapshot.Keys = append(snapshot.Keys, &apiv1.KeyState{
-			Key:             id.key[:],
-			Account:         id.account,
-			Holder:          &apiv1.Author{Instance: claim.HolderInstance, Incarnation: claim.HolderIncarnation},
-			RequestChecksum: claim.RequestChecksum,
-			Done:            claim.Done,
-			Answer:          claim.Answer,
-			AnswerKept:      claim.AnswerKept,
-		})
-		return true
+		t.fill(state, id)
+		data, err = options.MarshalAppend(data, one)
+		return err == nil
 	})
-	return proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	if err != nil {
+		return nil, errors.Wrap(err, "claims snapshot")
+	}
+	return data, nil
+}
+
+// fill sets the state of one key.
+func (t *Table) fill(state *apiv1.KeyState, id entryKey) {
+	claim := t.claims[id]
+	state.Key = append(state.Key[:0], id.key[:]...)
+	state.Account = id.account
+	state.Holder.Instance = claim.HolderInstance
+	state.Holder.Incarnation = claim.HolderIncarnation
+	state.RequestChecksum = claim.RequestChecksum
+	state.Done = claim.Done
+	state.Answer = claim.Answer
+	state.AnswerKept = claim.AnswerKept
 }
 
 // Restore replaces the table by a snapshot.
