instance: owners are read each round, states are taken again when a replica falls behind

Also states were asked of peers only until both replicas had been ready once. Ruled out: the fold (it refused epoch 1 after 3 rightly) and the preference among candidates (i3 was preferred). Before: TestFreshInstanceOwnsWhatWasReleasedBefore fails (no owner after 8 s). New in the fault run: a graceful shutdown cuts off no request.

--- a/internal/instance/domains.go
+++ b/internal/instance/domains.go
@@ -148,6 +148,8 @@
 	if !i.ledger.Ready() {
 		return
 	}
+	// The owners may have come with a snapshot, or before the ledger was ready: then no change told of them.
+	d.changed()
 	self := ownership.Self{
 		Author:     i.author,
 		DataCentre: i.settings.DataCentre,
@@ -156,11 +158,6 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, known := range d.domains {
-		if known.loop != nil {
-			known.loop.Wake()
-		}
-	}
 	for _, name := range view.DataCentres() {
 		known := d.domain(name)
 		holding := ownership.Holding{DataCentre: name, Owner: ownerMessage(known.owner), HeldFor: time.Since(known.seen)}
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -83,16 +83,19 @@
 	return failed
 }
 
-// takeStates asks peers for the states until both are complete; the log may bring them first.
+// takeStates asks peers for a state whenever one is not complete; the log may bring it first. A replica that falls
+// behind the retention of the log is incomplete again.
 func (i *Instance) takeStates(ctx context.Context) {
+	wasReady := false
 	for {
 		for _, stream := range []string{platform.StreamLedger, platform.StreamClaims} {
 			i.takeState(ctx, stream)
 		}
-		if i.ledger.Ready() && i.claims.Ready() {
+		ready := i.ledger.Ready() && i.claims.Ready()
+		if ready && !wasReady {
 			i.events.Log(events.InstanceReady, "revision", i.revision(), "offset", i.ledger.Offset())
-			return
 		}
+		wasReady = ready
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -70,6 +70,31 @@
 	return []*Invariant{own, none}
 }
 
+// Shutdown is a graceful shutdown of an instance.
+type Shutdown struct {
+	// Address is the instance's callers' address, IP:port.
+	Address string
+	// From and To are when it was asked and when the process had ended.
+	From, To time.Time
+}
+
+// CheckShutdowns checks that no call was cut off by a graceful shutdown. Each shutdown is one check.
+func CheckShutdowns(outcomes []Outcome, shutdowns []Shutdown) *Invariant {
+	whole := &Invariant{Name: "a graceful shutdown cuts off no request"}
+	for _, shutdown := range shutdowns {
+		cut := 0
+		for _, outcome := range outcomes {
+			for _, broken := range outcome.Cuts {
+				if broken.Address == shutdown.Address && broken.To.After(shutdown.From) && broken.From.Before(shutdown.To) {
+					cut++
+				}
+			}
+		}
+		whole.Check(cut == 0, "%s cut off %d calls", shutdown.Address, cut)
+	}
+	return whole
+}
+
 // runKey names one run of a gang.
 type runKey struct {
 	job string
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -54,6 +55,16 @@
 	// Calls counts the calls to instances.
 	Calls int
 	Took  time.Duration
+	// Cuts are the calls whose connection broke after it was made.
+	Cuts []Cut
+}
+
+// Cut is a call whose connection broke.
+type Cut struct {
+	// Address of the instance, IP:port.
+	Address string
+	// From and To are when the call began and when it broke.
+	From, To time.Time
 }
 
 // Config is what a trial needs.
@@ -99,11 +110,26 @@
 	next   int
 }
 
-// instance returns the client of the next instance.
-func (c *caller) instance() *client.Client {
+// address returns the callers' address of the next instance.
+func (c *caller) address() string {
 	address := c.config.Callers[c.next%len(c.config.Callers)]
 	c.next++
-	return client.New(address, c.config.Token)
+	return address
+}
+
+// instance returns the client of the next instance.
+func (c *caller) instance() *client.Client {
+	return client.New(c.address(), c.config.Token)
+}
+
+// wasCut reports whether a call failed after its connection was made: not an answer, and not a refused connection.
+func wasCut(err error) bool {
+	var problem *client.ProblemError
+	var operation *net.OpError
+	if err == nil || errors.As(err, &problem) {
+		return false
+	}
+	return !errors.As(err, &operation) || operation.Op != "dial"
 }
 
 // ask calls one instance after another until the outcome is known.
@@ -125,8 +151,13 @@
 	for time.Since(started) < patience && ctx.Err() == nil {
 		outcome.Calls++
 		callContext, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
-		answer, err := c.instance().Request(callContext, request)
+		address := c.address()
+		began := time.Now()
+		answer, err := client.New(address, c.config.Token).Request(callContext, request)
 		cancel()
+		if wasCut(err) {
+			outcome.Cuts = append(outcome.Cuts, Cut{Address: address, From: began, To: time.Now()})
+		}
 		if c.settle(outcome, answer, err) {
 			return
 		}
--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -121,8 +121,10 @@
 	defer instanceFault.Unlock()
 	i := s.pickInstance(random)
 	defer s.beginFault(i.Operators)()
+	asked := time.Now()
 	i.Signal(syscall.SIGTERM)
 	err := i.Process.Wait()
+	s.noteShutdown(trial.Shutdown{Address: i.Callers, From: asked, To: time.Now()})
 	s.drains.Check(err == nil, "%s ended with %v", i.Name(), err)
 	s.restart(i)
 }
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -90,7 +90,7 @@
 	invariants = append(invariants, trial.CheckGangs(members, histories, partialWindow, time.Now())...)
 	invariants = append(invariants, trial.CheckJobs(jobs))
 	invariants = append(invariants, r.config.Check()...)
-	invariants = append(invariants, r.drains)
+	invariants = append(invariants, r.drains, trial.CheckShutdowns(outcomes, r.shutdowns))
 	timed := []*trial.Invariant{r.config.CheckInForce(r.wasFaulty), r.leaving}
 	if !safety {
 		return trial.PrintInvariants(os.Stdout, append(invariants, timed...))
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -24,8 +24,9 @@
 	drains  *trial.Invariant
 	leaving *trial.Invariant
 
-	mu     sync.Mutex
-	faulty []span
+	mu        sync.Mutex
+	faulty    []span
+	shutdowns []trial.Shutdown
 }
 
 func newRun(ctx context.Context, under *site.Site) *faultRun {
@@ -78,3 +79,10 @@
 	}
 	return false
 }
+
+// noteShutdown notes a graceful shutdown.
+func (r *faultRun) noteShutdown(shutdown trial.Shutdown) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shutdowns = append(r.shutdowns, shutdown)
+}
