--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -80,8 +80,6 @@
 	proposals *proposals
 	// snapshotWake has a token when a snapshot may be due.
 	snapshotWake chan struct{}
-	// imported has a token when Import brought a state.
-	imported chan struct{}
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -129,7 +127,6 @@
 		config:       config,
 		proposals:    newProposals(),
 		snapshotWake: make(chan struct{}, 1),
-		imported:     make(chan struct{}, 1),
 		random:       rand.New(rand.NewPCG(config.Author.Incarnation, 0)),
 		offset:       noOffset,
 		marks:        newMarks(),
@@ -164,6 +161,7 @@
 
 // Subscribe calls observe in log order after each step of the fold, without a lock of the replica
 // that View needs. An entry is applied whole before its events are told. Snapshot chunks are not told.
+// The fold waits for observe, which must not call Propose or Import itself but may start a goroutine.
 func (r *Replica) Subscribe(observe func(Event)) {
 	r.stepMu.Lock()
 	defer r.stepMu.Unlock()
@@ -177,7 +175,8 @@
 	return r.ready
 }
 
-// LastContact is when the log last answered a read; zero before the first answer.
+// LastContact is when the log last answered a read; zero before the first answer. While the log answers,
+// it is at most about two seconds old.
 func (r *Replica) LastContact() time.Time {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
