gang: tasks are named by the owner's attempt too, so that late calls of a failed start stay without effect

Ruled out: sequence numbers in the calls, which need a worker to remember tasks that it no longer holds. Placement and TaskId carry the attempt now (two fields in the schema).

--- a/internal/gang/call.go
+++ b/internal/gang/call.go
@@ -15,7 +15,9 @@
 
 // newMember describes member i of a job's placed run.
 func newMember(g *gang, job *apiv1.Job, i int, placed *apiv1.Member) *member {
-	task := &apiv1.TaskId{Job: job.GetId(), Run: job.GetRun(), Member: uint32(i)}
+	task := &apiv1.TaskId{
+		Job: job.GetId(), Run: job.GetRun(), Member: uint32(i), Attempt: job.GetPlacement().GetAttempt(),
+	}
 	spec := job.GetSpec()
 	return &member{
 		gang:   g,
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -123,6 +123,12 @@
 	}}
 }
 
+// withAttempt counts the start.
+func (j testJob) withAttempt(attempt uint64) testJob {
+	j.job.Placement.Attempt = attempt
+	return j
+}
+
 // withAccelerators gives every member other accelerators.
 func (j testJob) withAccelerators(mask uint32) testJob {
 	for _, each := range j.job.GetPlacement().GetMembers() {
--- a/internal/gang/loss_test.go
+++ b/internal/gang/loss_test.go
@@ -103,6 +103,22 @@
 	})
 }
 
+// TestLateCallsOfAFailedStart lets a worker take the reservation and the release of a first attempt after a
+// second attempt of the same run has started there.
+func TestLateCallsOfAFailedStart(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		o := f.newOwner(t, 1).run(t)
+		f.workers[1].SetFaults(worker.Faults{SlowMillis: 2000})
+		if err := o.Start(o.ctx, job("a", 1, 0, 1).withAttempt(1).job); err == nil {
+			t.Fatal("the slow worker took the reservation in time")
+		}
+		f.workers[1].SetFaults(worker.Faults{})
+		o.mustStart(t, job("a", 1, 0, 1).withAttempt(2))
+		time.Sleep(work + term)
+		f.wantIntervals(t, "a", 2, worker.CauseFinished)
+	})
+}
+
 func TestStopWaitsForASilentWorkerToLapse(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, f *fleet) {
 		o := f.newOwner(t, 1).run(t)
--- a/internal/gang/manager.go
+++ b/internal/gang/manager.go
@@ -129,6 +129,7 @@
 type gang struct {
 	jobID   string
 	run     uint32
+	attempt uint64
 	members []*member
 
 	phase phase
@@ -216,13 +217,20 @@
 
 // newGang describes the placed run of a job.
 func newGang(job *apiv1.Job) *gang {
-	g := &gang{jobID: job.GetId(), run: job.GetRun(), checkpoint: job.GetCheckpointPpm()}
+	g := &gang{
+		jobID: job.GetId(), run: job.GetRun(), attempt: job.GetPlacement().GetAttempt(), checkpoint: job.GetCheckpointPpm(),
+	}
 	for i, placed := range job.GetPlacement().GetMembers() {
 		g.members = append(g.members, newMember(g, job, i, placed))
 	}
 	return g
 }
 
+// is tells whether the task is one of this start of the gang.
+func (g *gang) is(task *apiv1.TaskId) bool {
+	return g.run == task.GetRun() && g.attempt == task.GetAttempt()
+}
+
 // register adds a gang in its first phase.
 func (m *Manager) register(g *gang, first phase) error {
 	m.mu.Lock()
--- a/internal/gang/round.go
+++ b/internal/gang/round.go
@@ -185,7 +185,7 @@
 	request := &apiv1.LeaseRequest{Operation: apiv1.LeaseOperation_LEASE_OPERATION_STOP}
 	m.mu.Lock()
 	for _, task := range held {
-		if g := m.gangs[task.GetJob()]; g == nil || g.run != task.GetRun() {
+		if g := m.gangs[task.GetJob()]; g == nil || !g.is(task) {
 			request.Leases = append(request.Leases, &apiv1.Lease{Task: task})
 		}
 	}
--- a/internal/gang/usage.go
+++ b/internal/gang/usage.go
@@ -41,7 +41,7 @@
 func (m *Manager) noteTask(ctx context.Context, worker string, report *apiv1.TaskReport) {
 	task := report.GetTask()
 	g := m.gangs[task.GetJob()]
-	if g == nil || g.run != task.GetRun() || int(task.GetMember()) >= len(g.members) {
+	if g == nil || !g.is(task) || int(task.GetMember()) >= len(g.members) {
 		return
 	}
 	each := g.members[task.GetMember()]
--- a/internal/platform/standin/worker/task.go
+++ b/internal/platform/standin/worker/task.go
@@ -18,10 +18,12 @@
 	job    string
 	run    uint32
 	member uint32
+	// attempt tells starts of one run apart.
+	attempt uint64
 }
 
 func keyOf(id *apiv1.TaskId) taskKey {
-	return taskKey{job: id.GetJob(), run: id.GetRun(), member: id.GetMember()}
+	return taskKey{job: id.GetJob(), run: id.GetRun(), member: id.GetMember(), attempt: id.GetAttempt()}
 }
 
 // task is one lease. Its progress is a straight line from (since, ppm) on.
@@ -92,7 +94,7 @@
 		tasks = append(tasks, t)
 	}
 	slices.SortFunc(tasks, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.run, b.key.run), cmp.Compare(a.key.member, b.key.member))
+		return cmp.Or(cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.run, b.key.run), cmp.Compare(a.key.member, b.key.member), cmp.Compare(a.key.attempt, b.key.attempt))
 	})
 	return tasks
 }
--- a/internal/platform/taskset/taskset.go
+++ b/internal/platform/taskset/taskset.go
@@ -10,14 +10,15 @@
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 )
 
-// numbersBytes is the size of the run and member numbers in the hashed form of a task.
-const numbersBytes = 8
+// numbersBytes is the size of the run, member and attempt numbers in the hashed form of a task.
+const numbersBytes = 16
 
 // Hash returns the XXH64 of one task.
 func Hash(task *apiv1.TaskId) uint64 {
 	var numbers [numbersBytes]byte
 	binary.LittleEndian.PutUint32(numbers[:4], task.GetRun())
 	binary.LittleEndian.PutUint32(numbers[4:], task.GetMember())
+	binary.LittleEndian.PutUint64(numbers[8:], task.GetAttempt())
 
 	var digest xxhash.Digest
 	digest.Reset()
