--- a/internal/placing/convert.go
+++ b/internal/placing/convert.go
@@ -77,7 +77,8 @@
 
 // placement converts the members of a Start decision.
 func (l *Loop) placement(members []policy.Member) *apiv1.Placement {
-	placed := &apiv1.Placement{DataCentre: l.config.DataCentre, Epoch: l.config.Epoch}
+	l.attempts++
+	placed := &apiv1.Placement{DataCentre: l.config.DataCentre, Epoch: l.config.Epoch, Attempt: l.attempts}
 	for _, each := range members {
 		placed.Members = append(placed.Members, &apiv1.Member{Worker: each.Worker, Accelerators: each.Mask})
 	}
--- a/internal/placing/fleet.go
+++ b/internal/placing/fleet.go
@@ -14,6 +14,7 @@
 	present   bool
 	used      bool // a gang is held there; kept up to date only while a worker is missing
 	verdict   apiv1.WorkerCondition
+	judged    bool      // a verdict is on the way to the ledger
 	suspect   time.Time // gets nothing new until then
 	condition policy.Condition
 	probe     time.Time // next probe while quarantined
--- a/internal/placing/loop.go
+++ b/internal/placing/loop.go
@@ -39,6 +39,8 @@
 	suspectPause = 5 * time.Second
 	// checkpointTimeout bounds a checkpoint that nothing waits for.
 	checkpointTimeout = time.Minute
+	// readPause is the least time between two reads of the views, so that a burst of records costs few.
+	readPause = 50 * time.Millisecond
 	// idleWait is the longest time between two looks at the view.
 	idleWait = 5 * time.Second
 )
@@ -141,13 +143,15 @@
 	// silent is until when no decisions are made, because the log takes no records; logPause is the next pause.
 	silent   time.Time
 	logPause time.Duration
-	// readAt is when the views are read again at the latest.
+	// readAt is when the views were read last.
 	readAt time.Time
 	// stale is set when the views may have changed.
 	stale   atomic.Bool
 	pending int // operations under way
-	fenced  bool
-	ctx     context.Context
+	// attempts counts the gangs that the loop tried to start.
+	attempts uint64
+	fenced   bool
+	ctx      context.Context
 }
 
 // New returns a loop that has not started.
@@ -257,15 +261,15 @@
 // readViews reads the ledger and the instance list when they may have changed.
 func (l *Loop) readViews() {
 	now := time.Now()
-	woken := l.stale.Swap(false)
-	if woken {
+	since := now.Sub(l.readAt)
+	if since < readPause || since < idleWait && !l.stale.Load() {
+		return
+	}
+	if l.stale.Swap(false) {
 		l.silent = time.Time{}
 		l.logPause = firstLogPause
 	}
-	if !woken && now.Before(l.readAt) {
-		return
-	}
-	l.readAt = now.Add(idleWait)
+	l.readAt = now
 	if l.config.View.Epoch(l.config.DataCentre) > l.config.Epoch {
 		l.fence()
 		return
@@ -280,6 +284,9 @@
 func (l *Loop) wait() time.Duration {
 	wait := idleWait
 	now := time.Now()
+	if l.stale.Load() {
+		wait = max(readPause-now.Sub(l.readAt), time.Millisecond)
+	}
 	if at := l.config.Policy.WakeMillis(); at > 0 {
 		wait = min(wait, max(time.UnixMilli(at).Sub(now), time.Millisecond))
 	}
--- a/internal/placing/verdict.go
+++ b/internal/placing/verdict.go
@@ -68,7 +68,8 @@
 	if known == nil || !l.evidence.failure(worker, job) {
 		return
 	}
-	if known.verdict == apiv1.WorkerCondition_WORKER_CONDITION_UNSPECIFIED {
+	if known.verdict == apiv1.WorkerCondition_WORKER_CONDITION_UNSPECIFIED && !known.judged {
+		known.judged = true
 		l.proposeVerdict(worker, apiv1.WorkerCondition_WORKER_CONDITION_QUARANTINED, "different jobs failed on the worker one after another")
 	}
 }
@@ -89,7 +90,7 @@
 				Body: &apiv1.Record_WorkerMarked{WorkerMarked: &apiv1.WorkerMarked{Worker: worker, Condition: condition}},
 			}
 		})
-		return func() {}
+		return func() { l.fleet.workers[worker].judged = false }
 	})
 }
 
