--- a/internal/platform/standin/run.go
+++ b/internal/platform/standin/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
@@ -22,6 +23,8 @@
 	host = "127.0.0.1"
 	// headerTimeout bounds how long a client may take to send its headers.
 	headerTimeout = 5 * time.Second
+	// maxConnections bounds the connections of the log service and of the instance list, each.
+	maxConnections = 1024
 	// shutdownTimeout bounds how long calls under way may take at the end.
 	shutdownTimeout = 2 * time.Second
 )
@@ -73,8 +76,8 @@
 	registry := list.New(options.ListLag)
 	addresses := Addresses{}
 	var err error
-	if addresses.Log, err = serve(ctx, group, ports(), options.Log); err == nil {
-		addresses.InstanceList, err = serve(ctx, group, ports(), registry.Handler())
+	if addresses.Log, err = serve(ctx, group, ports(), maxConnections, options.Log); err == nil {
+		addresses.InstanceList, err = serve(ctx, group, ports(), maxConnections, registry.Handler())
 	}
 	for _, description := range workers {
 		if err != nil {
@@ -100,7 +103,7 @@
 // startWorker serves a worker; the listener it gets becomes the address of its description.
 func startWorker(ctx context.Context, group *errgroup.Group, port int, description *apiv1.Worker, lag time.Duration) error {
 	back := worker.New(worker.Options{Description: description, UsageLag: lag})
-	address, err := serve(ctx, group, port, back.Handler())
+	address, err := serve(ctx, group, port, int(description.GetConnections()), back.Handler())
 	description.Address = address
 	return err
 }
@@ -135,13 +138,15 @@
 	}
 }
 
-// serve listens on a loopback port and serves until the context ends. It returns the address.
-func serve(ctx context.Context, group *errgroup.Group, port int, handler http.Handler) (string, error) {
+// serve listens on a loopback port and serves until the context ends; connections above the bound wait
+// until others close. It returns the address.
+func serve(ctx context.Context, group *errgroup.Group, port, connections int, handler http.Handler) (string, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", net.JoinHostPort(host, strconv.Itoa(port)))
 	if err != nil {
 		return "", errors.Wrapf(err, "listen on port %d: choose another base port", port)
 	}
+	listener = netutil.LimitListener(listener, connections)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
