gang: a takeover claims again where the answer of a start was lost; one measure of whole gangs

A lost answer of the second phase of a takeover ended a running gang. worker.Measure computes from the recorded intervals how long a gang had some of its members, for these tests and for runs over processes. A stop that came while a gang started no longer outlives a start that failed.

--- a/internal/gang/loss_test.go
+++ b/internal/gang/loss_test.go
@@ -49,8 +49,8 @@
 				test.cut(f, o)
 				time.Sleep(4 * term)
 				f.workers[1].SetFaults(worker.Faults{})
-				if got := f.measure("a", 1, 3); got.stop > test.bound {
-					t.Errorf("the gang stopped over %v, want at most %v", got.stop, test.bound)
+				if got := f.measure("a", 1, 3); got.Stop > test.bound {
+					t.Errorf("the gang stopped over %v, want at most %v", got.Stop, test.bound)
 				}
 				if all, done := f.intervals("a", worker.CauseFinished); all != 3 || done != 0 {
 					t.Errorf("%d of %d members ran to their end without the others", done, all)
--- a/internal/gang/restore.go
+++ b/internal/gang/restore.go
@@ -42,9 +42,8 @@
 		sent := time.Now()
 		outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_CLAIM, allMembers(gangs), m.callTimeout())
 		whole, silent := m.sortAdopted(ctx, outcomes)
-		m.startAdopted(ctx, whole, sent)
+		gangs = append(silent, m.startAdopted(ctx, whole, sent)...)
 		m.renewSoon()
-		gangs = silent
 		if len(gangs) > 0 {
 			sleep(ctx, m.retryPause())
 		}
@@ -91,22 +90,29 @@
 	return firstFailure(outcomes)
 }
 
-// startAdopted starts the members of gangs that are held whole; a member that runs already goes on.
-func (m *Manager) startAdopted(ctx context.Context, gangs []*gang, sent time.Time) {
+// startAdopted starts the members of gangs that are held whole; a member that runs already goes on. It
+// returns the gangs with a member that gave no answer.
+func (m *Manager) startAdopted(ctx context.Context, gangs []*gang, sent time.Time) []*gang {
 	outcomes := m.broadcast(ctx, apiv1.LeaseOperation_LEASE_OPERATION_START, allMembers(gangs), m.config.StartWindow)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var silent []*gang
 	for start := 0; start < len(outcomes); {
 		g := outcomes[start].member.gang
 		next := start + len(g.members)
-		if failed, is := worst(outcomes[start:next]); is {
-			m.end(ctx, g, adoptedResult(failed), failed.member.worker)
-		} else {
+		failed, is := worst(outcomes[start:next])
+		switch {
+		case !is:
 			g.enterRounds(running, sent, m.config.Term)
 			m.finishDone(ctx, g)
+		case failed.err != nil:
+			silent = append(silent, g)
+		default:
+			m.end(ctx, g, adoptedResult(failed), failed.member.worker)
 		}
 		start = next
 	}
+	return silent
 }
 
 // adoptedResult is the end of a run whose start the takeover could not complete.
--- a/internal/placing/decide.go
+++ b/internal/placing/decide.go
@@ -66,10 +66,12 @@
 // startDone takes the outcome of a start.
 func (l *Loop) startDone(known *localJob, err error) {
 	id := known.job.GetId()
+	stop := known.stop
+	known.stop = nil
 	var refused *gang.StartError
 	switch {
 	case err == nil:
-		l.startSucceeded(known)
+		l.startSucceeded(known, stop)
 	case errors.As(err, &refused) && refused.Logged:
 		l.config.Policy.Started(id, nowMillis())
 		known.phase = ending
@@ -95,14 +97,13 @@
 	}
 }
 
-func (l *Loop) startSucceeded(known *localJob) {
+// startSucceeded notes that all members run. The stop is a decision that came meanwhile, or nil.
+func (l *Loop) startSucceeded(known *localJob, stop *policy.Stop) {
 	id := known.job.GetId()
 	known.phase = running
 	known.checkpointAt = time.Now().Add(l.config.CheckpointEvery)
 	l.config.Policy.Started(id, nowMillis())
 	l.config.Observe(Event{Kind: EventStarted, JobID: id, Run: known.run})
-	stop := known.stop
-	known.stop = nil
 	switch {
 	case known.cancelled:
 		l.jobGone(known)
--- a/internal/placing/random_test.go
+++ b/internal/placing/random_test.go
@@ -1,7 +1,6 @@
 package placing_test
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -172,40 +171,8 @@
 // wantWhole fails the test if a run had some of its members running for longer than stated.
 func wantWhole(t *testing.T, runs []worker.TaskRun, members int) {
 	t.Helper()
-	var instants []time.Time
-	for _, run := range runs {
-		instants = append(instants, run.Start, run.End)
-	}
-	slices.SortFunc(instants, time.Time.Compare)
-	var before, after time.Duration
-	for i := 1; i < len(instants); i++ {
-		from, to := instants[i-1], instants[i]
-		started, present, running := 0, 0, 0
-		for _, run := range runs {
-			if run.Start.After(from) {
-				continue
-			}
-			started++
-			if run.End.After(from) {
-				running++
-				present++
-			} else if run.Cause == worker.CauseFinished {
-				present++
-			}
-		}
-		switch {
-		case running == 0 || present == members:
-		case started < members:
-			before += to.Sub(from)
-		default:
-			after += to.Sub(from)
-		}
-	}
-	first := cmp.Or(len(runs), 0)
-	if before > startWindow+longestDelay {
-		t.Errorf("%s run %d started over %v (%d of %d members)", runs[0].Job, runs[0].Run, before, first, members)
-	}
-	if after > term+longestDelay {
-		t.Errorf("%s run %d stopped over %v: %+v", runs[0].Job, runs[0].Run, after, runs)
+	got := worker.Measure(runs, members, time.Now())
+	if got.Start > startWindow+longestDelay || got.Stop > term+longestDelay {
+		t.Errorf("started over %v, stopped over %v: %+v", got.Start, got.Stop, runs)
 	}
 }
