--- a/internal/ledger/proposals.go
+++ b/internal/ledger/proposals.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
@@ -23,6 +24,8 @@
 	maxQueuedRecords = 8192
 	// maxQueuedBytes bounds their size, bytes.
 	maxQueuedBytes = 4 << 20
+	// DeferDelay is how long a deferred record waits for others to share its append.
+	DeferDelay = 250 * time.Millisecond
 )
 
 // proposal is one record on its way into the log and back.
@@ -33,12 +36,16 @@
 	done chan error
 	// abandoned: the proposer has gone and was told that the outcome is not known.
 	abandoned bool
+	// due is when the record asks for an append of its own; zero means at once.
+	due time.Time
 }
 
 // proposals hold the records of this replica that wait to be sent or to be read back.
 type proposals struct {
 	// wake has a token when a record waits.
 	wake chan struct{}
+	// sending has a token when records were sent since expected was asked.
+	sending chan struct{}
 
 	mu sync.Mutex
 	// progress is closed and replaced when records were read back.
@@ -57,6 +64,7 @@
 func newProposals() *proposals {
 	return &proposals{
 		wake:     make(chan struct{}, 1),
+		sending:  make(chan struct{}, 1),
 		progress: make(chan struct{}),
 		sent:     make(map[uint64]*proposal),
 	}
@@ -74,10 +82,21 @@
 	if size := len(encoded) + recordOverheadBytes; size > MaxRecordBytes {
 		return &RecordTooLargeError{Bytes: size}
 	}
-	return r.propose(ctx, record)
+	return r.propose(ctx, record, time.Time{})
 }
 
-func (r *Replica) propose(ctx context.Context, record *apiv1.Record) error {
+// ProposeDeferred is Propose for a record that nobody waits for: it goes with the next append of other records,
+// or after DeferDelay with one of its own. The budget of appends so serves those who wait.
+func (r *Replica) ProposeDeferred(ctx context.Context, record *apiv1.Record) error {
+	if size := proto.Size(record) + recordOverheadBytes; size > MaxRecordBytes {
+		return &RecordTooLargeError{Bytes: size}
+	}
+	timer := time.AfterFunc(DeferDelay, func() { signal(r.proposals.wake) })
+	defer timer.Stop()
+	return r.propose(ctx, record, time.Now().Add(DeferDelay))
+}
+
+func (r *Replica) propose(ctx context.Context, record *apiv1.Record, due time.Time) error {
 	if record.TimeUnixMs == 0 {
 		record.TimeUnixMs = r.config.Now().UnixMilli()
 	}
@@ -85,6 +104,7 @@
 		record: record,
 		bytes:  proto.Size(record) + recordOverheadBytes,
 		done:   make(chan error, 1),
+		due:    due,
 	}
 	if err := r.proposals.enqueue(p); err != nil {
 		return err
@@ -108,13 +128,14 @@
 	}
 	q.queue = append(q.queue, p)
 	q.queuedBytes += p.bytes
-	q.signal()
+	signal(q.wake)
 	return nil
 }
 
-func (q *proposals) signal() {
+// signal puts a token into a channel that holds one.
+func signal(channel chan struct{}) {
 	select {
-	case q.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -156,13 +177,27 @@
 		p.record.Sequence = q.sequence
 		q.sent[q.sequence] = p
 	}
+	signal(q.sending)
 	return batch
 }
 
+// expected says whether a record of this replica is to be read back.
+func (q *proposals) expected() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case <-q.sending:
+	default:
+	}
+	return len(q.sent) > 0
+}
+
+// waiting reports whether a record asks for an append now. Deferred ones that are not due go along.
 func (q *proposals) waiting() bool {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.queue) > 0
+	return slices.ContainsFunc(q.queue, func(p *proposal) bool { return !p.due.After(now) })
 }
 
 // giveBack returns a batch that certainly never reached the log to the head of the queue. Its
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -38,10 +38,7 @@
 	if due, _ := r.snapshotDue(); !due {
 		return
 	}
-	select {
-	case r.snapshotWake <- struct{}{}:
-	default:
-	}
+	signal(r.snapshotWake)
 }
 
 // snapshotDue says whether this replica is to write a snapshot now, or else when; zero for never.
@@ -94,7 +91,7 @@
 	defer cancel()
 	for _, record := range records {
 		record.Actor = r.config.Author.Instance
-		if err := r.propose(ctx, record); err != nil {
+		if err := r.propose(ctx, record, time.Time{}); err != nil {
 			return errors.Wrap(err, "write snapshot")
 		}
 	}
--- a/internal/placing/loop_test.go
+++ b/internal/placing/loop_test.go
@@ -300,9 +300,13 @@
 func TestPlacementAcceptedLate(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, c *cluster) {
 		a := c.newInstance("a", 1).own(1)
+		// A worker refuses until the log is slow, so that no start comes before.
+		c.workers[0].SetFaults(worker.Faults{Refuse: true})
 		a.submit("j", ordinary, 2, 8)
+		time.Sleep(settled)
 		c.log.SetFaults(logservice.Faults{AppendDelayMillis: (15 * time.Second).Milliseconds()})
-		time.Sleep(12 * time.Second)
+		c.workers[0].SetFaults(worker.Faults{})
+		time.Sleep(18 * time.Second)
 		c.log.SetFaults(logservice.Faults{})
 		time.Sleep(time.Minute)
 		a.wantState("j", placed, 2)
@@ -332,3 +336,23 @@
 		a.kill()
 	})
 }
+
+// TestStopMeantForALostRunSparesTheNext has a new owner stop a gang that lapsed before the takeover: by the time
+// that the stop is carried out, the job may run again.
+func TestStopMeantForALostRunSparesTheNext(t *testing.T) {
+	inBubble(t, 6, func(_ *testing.T, c *cluster) {
+		a, b := c.newInstance("a", 1).own(1), c.newInstance("b", 2)
+		a.submit("j", ordinary, 3, 8)
+		a.submit("k", ordinary, 2, 8)
+		time.Sleep(time.Minute)
+		a.kill()
+		time.Sleep(2 * term)
+		b.submit("claimant", urgent, 3, 8)
+		b.own(2)
+		time.Sleep(2 * work)
+		b.wantState("claimant", finished, 1)
+		time.Sleep(2 * work)
+		b.wantState("j", finished, 2)
+		b.kill()
+	})
+}
--- /dev/null
+++ b/test/faults/inject.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/logservice"
+	"github.com/dotterelgauge/dotterelgauge/internal/trial"
+	"github.com/dotterelgauge/dotterelgauge/test/site"
+)
+
+const (
+	// faultGap is the mean time between two faults.
+	faultGap = 2500 * time.Millisecond
+	// leaveBound is how soon a leaving worker gets nothing new.
+	leaveBound = 3 * time.Second
+	// leaveWatch is how long a leaving worker is watched after the bound.
+	leaveWatch = 3 * time.Second
+)
+
+// fault is one kind of fault; inject blocks until it is over.
+type fault struct {
+	name   string
+	inject func(s *faultRun, random *rand.Rand)
+}
+
+// faults are all kinds.
+var faults = []fault{
+	{"kill", kill},
+	{"pause", pause},
+	{"drain", drain},
+	{"log-outage", logFault(logservice.Faults{Outage: true}, 4*time.Second)},
+	{"log-slow", logFault(logservice.Faults{AppendDelayMillis: 2000}, 6*time.Second)},
+	{"log-lost", logFault(logservice.Faults{LostAfterPermille: 400, LostBeforePermille: 200}, 5*time.Second)},
+	{"log-flapping", flapping},
+	{"racing-sheets", racingSheets},
+	{"worker-leaves", workerLeaves},
+	{"worker-fails-starts", workerFault(`{"fail_starts":true}`, 5*time.Second)},
+	{"worker-frozen", workerFault(`{"freeze":true}`, 5*time.Second)},
+	{"worker-dead", workerFault(`{"dead":true}`, 5*time.Second)},
+	{"worker-loses-answers", workerFault(`{"lose_answers":true}`, 3*time.Second)},
+	{"worker-damages-answers", workerFault(`{"damage_answers":true}`, 3*time.Second)},
+	{"worker-foreign-answers", workerFault(`{"foreign_answers":true}`, 3*time.Second)},
+	{"list-down", listDown},
+}
+
+// injectAll injects faults, two at a time, until the time is over.
+func injectAll(ctx context.Context, s *faultRun, given options) {
+	random := rand.New(rand.NewPCG(given.Seed, 1)) //nolint:gosec // Not a secret.
+	chosen := slices.Clone(faults)
+	if len(given.Only) > 0 {
+		chosen = slices.DeleteFunc(chosen, func(f fault) bool { return !slices.Contains(given.Only, f.name) })
+	}
+	random.Shuffle(len(chosen), func(a, b int) { chosen[a], chosen[b] = chosen[b], chosen[a] })
+	started := time.Now()
+	slots := make(chan struct{}, 2)
+	var running sync.WaitGroup
+	for n := 0; time.Since(started) < given.Time && ctx.Err() == nil; n++ {
+		next := chosen[n%len(chosen)]
+		own := rand.New(rand.NewPCG(given.Seed, uint64(n)+2)) //nolint:gosec // Not a secret.
+		slots <- struct{}{}
+		fmt.Printf("%5.1f s  %s\n", time.Since(started).Seconds(), next.name)
+		running.Go(func() {
+			defer func() { <-slots }()
+			next.inject(s, own)
+		})
+		time.Sleep(faultGap/2 + time.Duration(random.Int64N(int64(faultGap))))
+	}
+	running.Wait()
+}
+
+// pickInstance locks one instance, so that two faults never end the same process.
+func (s *faultRun) pickInstance(random *rand.Rand) *site.Instance {
+	return s.Instances[random.IntN(len(s.Instances))]
+}
+
+var instanceFault sync.Mutex
+
+func kill(s *faultRun, random *rand.Rand) {
+	instanceFault.Lock()
+	defer instanceFault.Unlock()
+	i := s.pickInstance(random)
+	defer s.beginFault(i.Operators)()
+	i.Signal(syscall.SIGKILL)
+	_ = i.Process.Wait()
+	time.Sleep(time.Duration(random.Int64N(int64(5 * time.Second))))
+	s.restart(i)
+}
+
+// restart starts the process of an instance again and waits until it is ready.
+func (s *faultRun) restart(i *site.Instance) {
+	if err := s.StartInstance(i); err != nil {
+		fmt.Println("restart:", err)
+		return
+	}
+	if err := s.AwaitReady(i); err != nil {
+		fmt.Printf("restart of %s: %v\n", i.Name(), err)
+	}
+}
+
+// pause stops a process for longer than a lease.
+func pause(s *faultRun, random *rand.Rand) {
+	instanceFault.Lock()
+	defer instanceFault.Unlock()
+	i := s.pickInstance(random)
+	defer s.beginFault(i.Operators)()
+	i.Signal(syscall.SIGSTOP)
+	time.Sleep(leaseTerm + time.Duration(random.Int64N(int64(leaseTerm))))
+	i.Signal(syscall.SIGCONT)
+}
+
+// drain ends a process in order and checks that it does.
+func drain(s *faultRun, random *rand.Rand) {
+	instanceFault.Lock()
+	defer instanceFault.Unlock()
+	i := s.pickInstance(random)
+	defer s.beginFault(i.Operators)()
+	i.Signal(syscall.SIGTERM)
+	err := i.Process.Wait()
+	s.drains.Check(err == nil, "%s ended with %v", i.Name(), err)
+	s.restart(i)
+}
+
+// logFault switches faults of the log on for a time.
+func logFault(faults logservice.Faults, duration time.Duration) func(*faultRun, *rand.Rand) {
+	return func(s *faultRun, _ *rand.Rand) {
+		defer s.beginFault("")()
+		s.Log.SetFaults(faults)
+		time.Sleep(duration)
+		s.Log.SetFaults(logservice.Faults{})
+	}
+}
+
+// flapping switches an outage on and off.
+func flapping(s *faultRun, random *rand.Rand) {
+	defer s.beginFault("")()
+	for range 6 {
+		s.Log.SetFaults(logservice.Faults{Outage: true})
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+		s.Log.SetFaults(logservice.Faults{})
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+	}
+}
+
+// racingSheets has two operators apply a sheet against the same revision through two instances.
+func racingSheets(s *faultRun, random *rand.Rand) {
+	first := s.pickInstance(random)
+	second := s.Instances[(first.Number+1)%len(s.Instances)]
+	base, err := s.revision(first)
+	if err != nil {
+		return
+	}
+	var operators sync.WaitGroup
+	for n, i := range []*site.Instance{first, second} {
+		operators.Go(func() {
+			revision, err := s.ApplySheet(i, base, 1+random.IntN(2)+n)
+			if err == nil {
+				s.config.Accepted(revision, i.Operators)
+			}
+		})
+	}
+	operators.Wait()
+}
+
+// workerFault switches faults of one worker on for a time.
+func workerFault(faults string, duration time.Duration) func(*faultRun, *rand.Rand) {
+	return func(s *faultRun, random *rand.Rand) {
+		worker := s.Workers[random.IntN(len(s.Workers))]
+		s.SetWorkerFaults(worker, faults)
+		time.Sleep(duration)
+		s.SetWorkerFaults(worker, "{}")
+	}
+}
+
+// workerLeaves has a worker leave and checks that it gets nothing new after the bound, although the list lags.
+func workerLeaves(s *faultRun, random *rand.Rand) {
+	worker := s.Workers[random.IntN(len(s.Workers))]
+	s.SetWorkerFaults(worker, `{"leave":true}`)
+	time.Sleep(leaveBound)
+	from := time.Now()
+	time.Sleep(leaveWatch)
+	histories, err := trial.Histories(s.ctx, []*apiv1.Worker{worker})
+	if err == nil {
+		late := 0
+		for _, request := range histories[0].Requests {
+			if request.Start.After(from) {
+				late++
+			}
+		}
+		s.leaving.Check(late == 0, "%s started %d requests after the bound", worker.Name, late)
+	}
+	s.SetWorkerFaults(worker, "{}")
+}
+
+// listDown takes the instance list away and makes it lag more.
+func listDown(s *faultRun, _ *rand.Rand) {
+	s.SetList("/down?on=true")
+	time.Sleep(4 * time.Second)
+	s.SetList("/down?on=false")
+}
+
+// revision returns the revision in force at an instance.
+func (s *faultRun) revision(i *site.Instance) (uint64, error) {
+	status, err := i.Operator().Status(s.ctx)
+	if err != nil {
+		return 0, err
+	}
+	return status.Revision, nil
+}
