placing: only the ledger's progress ends the pause after the log took no record

Every wake by the instance list ended it, so that in an outage starts and preemptions were tried each second.

--- a/internal/placing/loop.go
+++ b/internal/placing/loop.go
@@ -51,6 +51,8 @@
 	Jobs(dataCentre string) []*apiv1.Job
 	// Job returns a job if it waits or is placed, else nil.
 	Job(id string) *apiv1.Job
+	// Offset is that of the last entry folded.
+	Offset() int64
 	// Epoch returns the epoch of the newest ownership of a data centre, whether it is held or was released.
 	Epoch(dataCentre string) uint64
 	// Sheet returns the configuration in force; nil before the first sheet.
@@ -143,6 +145,8 @@
 	// silent is until when no decisions are made, because the log takes no records; logPause is the next pause.
 	silent   time.Time
 	logPause time.Duration
+	// offset is that of the ledger when the views were read last.
+	offset int64
 	// readAt is when the views were read last.
 	readAt time.Time
 	// stale is set when the views may have changed.
@@ -171,6 +175,7 @@
 		fleet:    newFleetView(),
 		jobs:     map[string]*localJob{},
 		evidence: newEvidence(),
+		logPause: firstLogPause,
 	}
 	l.manager = gang.New(gang.Config{
 		DataCentre:  config.DataCentre,
@@ -265,11 +270,13 @@
 	if since < readPause || since < idleWait && !l.stale.Load() {
 		return
 	}
-	if l.stale.Swap(false) {
+	l.stale.Store(false)
+	l.readAt = now
+	if offset := l.config.View.Offset(); offset != l.offset {
+		l.offset = offset
 		l.silent = time.Time{}
 		l.logPause = firstLogPause
 	}
-	l.readAt = now
 	if l.config.View.Epoch(l.config.DataCentre) > l.config.Epoch {
 		l.fence()
 		return
--- a/internal/placing/loop_test.go
+++ b/internal/placing/loop_test.go
@@ -265,8 +265,9 @@
 
 // TestLogOutage lets the log be away while gangs run, finish and lose members.
 func TestLogOutage(t *testing.T) {
-	inBubble(t, 6, func(t *testing.T, c *cluster) {
+	inBubble(t, 8, func(t *testing.T, c *cluster) {
 		a := c.newInstance("a", 1).own(1)
+		c.workers[7].SetFaults(worker.Faults{Refuse: true})
 		a.submit("ends", ordinary, 2, 8)
 		a.submit("runs", ordinary, 2, 8)
 		a.propose(jobRecord("long", ordinary, 2, 8, 10*work))
@@ -274,7 +275,16 @@
 		time.Sleep(work - time.Minute)
 		a.wantState("waits", waits, 0)
 		c.log.SetFaults(logservice.Faults{Outage: true})
-		time.Sleep(work)
+		c.workers[7].SetFaults(worker.Faults{})
+		refused := a.count(placing.EventStartRefused)
+		for range int(work / time.Second) {
+			// The instance list goes on waking the loop.
+			a.theLoop().Wake()
+			time.Sleep(time.Second)
+		}
+		if tries := a.count(placing.EventStartRefused) - refused; tries == 0 || tries > int(work/(16*time.Second)) {
+			t.Errorf("%d starts were tried in %v without the log, want some and at most one each 16 s", tries, work)
+		}
 		if all := len(c.runs("waits")); all != 0 {
 			t.Errorf("%d members started during the outage", all)
 		}
--- a/internal/placing/stateview.go
+++ b/internal/placing/stateview.go
@@ -41,6 +41,11 @@
 	return found
 }
 
+// Offset implements View.
+func (v *StateView) Offset() int64 {
+	return v.replica.Offset()
+}
+
 // Epoch implements View.
 func (v *StateView) Epoch(dataCentre string) uint64 {
 	var epoch uint64
