--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -1,4 +1,4 @@
-// Command bench measures a site of 8 instances and 50 workers on loopback and prints the figures. It judges nothing.
+// Command bench measures a site, of 8 instances and 50 workers unless told otherwise, on loopback and prints the figures. It judges nothing.
 package main
 
 import (
@@ -14,18 +14,18 @@
 
 // options are the arguments.
 type options struct {
-	Program string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
-	Time    time.Duration `help:"How long each measurement lasts." default:"10s"`
-	Seed    uint64        `help:"Seed of the load." default:"1"`
-	Keep    bool          `help:"Keep the working directory with the logs."`
+	Program        string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
+	Time           time.Duration `help:"How long each measurement lasts." default:"10s"`
+	Seed           uint64        `help:"Seed of the load." default:"1"`
+	Instances      int           `help:"Instances." default:"8"`
+	Racks          int           `help:"Racks of each of two data centres." default:"5"`
+	WorkersPerRack int           `help:"Workers of a rack." default:"5"`
+	Keep           bool          `help:"Keep the working directory with the logs."`
 }
 
 // Size of the measured site.
 const (
-	instances      = 8
-	racks          = 5
-	workersPerRack = 5
-	leaseTerm      = 15 * time.Second
+	leaseTerm = 15 * time.Second
 	// warmUp is how long the site runs before the first measurement.
 	warmUp = 5 * time.Second
 	// limit bounds the whole run.
@@ -34,7 +34,7 @@
 
 func main() {
 	var given options
-	kong.Parse(&given, kong.Description("Measures a site of 8 instances and 50 workers on loopback."))
+	kong.Parse(&given, kong.Description("Measures a site on loopback."))
 	if err := run(given); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
@@ -46,10 +46,10 @@
 	defer cancel()
 	under, err := site.New(ctx, site.Config{
 		Program:        given.Program,
-		Instances:      instances,
+		Instances:      given.Instances,
 		DataCentres:    []string{"perth-1", "perth-2"},
-		Racks:          racks,
-		WorkersPerRack: workersPerRack,
+		Racks:          given.Racks,
+		WorkersPerRack: given.WorkersPerRack,
 		LeaseTerm:      leaseTerm,
 		Retention:      time.Hour,
 		Seed:           given.Seed,
@@ -63,7 +63,7 @@
 	}
 	time.Sleep(warmUp)
 	b := &bench{ctx: ctx, site: under, given: given}
-	fmt.Printf("seed %d; %d instances, %d workers, %s each\n", given.Seed, instances, len(under.Workers), given.Time)
+	fmt.Printf("seed %d; %d instances, %d workers, %s each\n", given.Seed, given.Instances, len(under.Workers), given.Time)
 	b.measureIdle()
 	b.measureLoad()
 	b.measureClaim()
--- a/test/site/site.go
+++ b/test/site/site.go
@@ -29,12 +29,14 @@
 )
 
 const (
-	basePort      = 29000
-	callersPort   = 29800
-	operatorsPort = 29850
-	peersPort     = 29900
-	readyTimeout  = 20 * time.Second
-	readyPoll     = 100 * time.Millisecond
+	// DefaultBasePort is the port of the log service; the list and the workers get the ports after it.
+	DefaultBasePort = 29000
+	// Offsets of the instances' ports from the base port.
+	callersOffset   = 800
+	operatorsOffset = 850
+	peersOffset     = 900
+	readyTimeout    = 20 * time.Second
+	readyPoll       = 100 * time.Millisecond
 	// baseWeight and weightStep make instances of unlike size.
 	baseWeight = 50
 	weightStep = 25
@@ -59,6 +61,8 @@
 	LeaseTerm      time.Duration
 	Retention      time.Duration
 	Seed           uint64
+	// BasePort is the first of about 1,000 ports; DefaultBasePort when 0. Runs at the same time need their own.
+	BasePort int
 }
 
 // Instance is one process.
@@ -103,6 +107,9 @@
 
 // New returns a site that has not started. Stop must be called.
 func New(ctx context.Context, config Config) (*Site, error) {
+	if config.BasePort == 0 {
+		config.BasePort = DefaultBasePort
+	}
 	directory, err := os.MkdirTemp("", "dotterelgauge-site")
 	if err != nil {
 		return nil, errors.Wrap(err, "make a working directory")
@@ -123,8 +130,8 @@
 	for number := range s.Config.Instances {
 		i := &Instance{
 			Number:    number,
-			Callers:   fmt.Sprintf("127.0.0.1:%d", callersPort+number),
-			Operators: fmt.Sprintf("127.0.0.1:%d", operatorsPort+number),
+			Callers:   fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort+callersOffset+number),
+			Operators: fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort+operatorsOffset+number),
 		}
 		if err := s.StartInstance(i); err != nil {
 			return 0, err
@@ -145,7 +152,7 @@
 	failed := make(chan error, 1)
 	options := standin.Options{
 		Log:       s.Log.Handler(),
-		BasePort:  basePort,
+		BasePort:  s.Config.BasePort,
 		UsageLag:  time.Second,
 		ListLag:   2 * time.Second,
 		Instances: s.listed(),
@@ -177,7 +184,7 @@
 		listed = append(listed, &apiv1.Instance{
 			Name:        name(number),
 			DataCentre:  s.dataCentre(number),
-			PeerAddress: fmt.Sprintf("127.0.0.1:%d", peersPort+number),
+			PeerAddress: fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort+peersOffset+number),
 			Presence:    apiv1.Presence_PRESENCE_LIVE,
 			Weight:      uint32(baseWeight + weightStep*number), //nolint:gosec // Small.
 		})
@@ -231,7 +238,7 @@
 account = %q
 token = %q
 `, i.Name(), s.dataCentre(i.Number), baseWeight+weightStep*i.Number, i.Callers, i.Operators,
-		peersPort+i.Number, basePort, s.listAddr, OperatorToken, s.Config.LeaseTerm.Milliseconds(), Account, CallerToken)
+		s.Config.BasePort+peersOffset+i.Number, s.Config.BasePort, s.listAddr, OperatorToken, s.Config.LeaseTerm.Milliseconds(), Account, CallerToken)
 }
 
 // AwaitReady waits until the instance is ready.
