--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -20,6 +20,7 @@
 	Instances      int           `help:"Instances." default:"8"`
 	Racks          int           `help:"Racks of each of two data centres." default:"5"`
 	WorkersPerRack int           `help:"Workers of a rack." default:"5"`
+	BasePort       int           `help:"First of about 1,000 ports; runs at the same time need their own." default:"29000"`
 	Keep           bool          `help:"Keep the working directory with the logs."`
 }
 
@@ -53,6 +54,7 @@
 		LeaseTerm:      leaseTerm,
 		Retention:      time.Hour,
 		Seed:           given.Seed,
+		BasePort:       given.BasePort,
 	})
 	if err != nil {
 		return err
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -21,6 +21,7 @@
 	Program   string        `help:"The dotterelgauge program." default:"bin/dotterelgauge"`
 	Retention time.Duration `help:"How long the log keeps entries." default:"20s"`
 	Only      []string      `help:"Inject only these faults; all when left out."`
+	BasePort  int           `help:"First of about 1,000 ports; runs at the same time need their own." default:"29000"`
 	Keep      bool          `help:"Keep the working directory with the logs."`
 	Safety    bool          `help:"Print the invariants with a bound in time, but leave them out of the verdict."`
 }
@@ -61,6 +62,7 @@
 		LeaseTerm:      leaseTerm,
 		Retention:      given.Retention,
 		Seed:           given.Seed,
+		BasePort:       given.BasePort,
 	})
 	if err != nil {
 		return err
