--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -198,6 +198,8 @@
 		log := newLog()
 		a, b := startRanked(t, log, "a", 1, 0, 2), startRanked(t, log, "b", 2, 1, 2)
 		submitAll(t.Context(), []*testReplica{a, b}, 20)
+		// What only the instance that dies has read would be lost with the log's entries.
+		checkSame(t, a, b)
 		log.SetFaults(logservice.Faults{Outage: true})
 		time.Sleep(3 * retention)
 		if !a.Ready() {
@@ -297,6 +299,8 @@
 		a, behind := start(t, log, "a", 1), start(t, cut, "c", 3)
 		synctest.Wait()
 		cut.cut.Store(true)
+		// The read on its way ends.
+		time.Sleep(2 * time.Second)
 		submitAll(t.Context(), []*testReplica{a}, 5)
 		offset, snapshot, err := a.Export()
 		if err != nil {
@@ -343,12 +347,14 @@
 			if err := fleet[i].apply(within(t, time.Minute), uint64(life)); err != nil {
 				t.Fatalf("life %d: %v", life, err)
 			}
+			if life == 3*size {
+				log.mu.Lock()
+				if len(log.snapshots) == 0 {
+					t.Errorf("no snapshot after more than a quarter of the retention")
+				}
+				log.mu.Unlock()
+			}
 		}
-		log.mu.Lock()
-		if len(log.snapshots) == 0 {
-			t.Errorf("no snapshot in %v, want one within a quarter of the retention", retention)
-		}
-		log.mu.Unlock()
 		checkSame(t, fleet...)
 		var jobs int
 		fleet[0].View(func() { jobs = len(fleet[0].state.Jobs(nil)) })
--- a/internal/ledger/proposals.go
+++ b/internal/ledger/proposals.go
@@ -20,24 +20,24 @@
 	recordOverheadBytes = 64
 	// maxBatchBytes bounds the records of one append, bytes.
 	maxBatchBytes = platform.MaxEntryBytes - 4<<10
+	// lazyDelay is how long a record of ProposeLazily waits for an append that is made for another.
+	lazyDelay = 250 * time.Millisecond
 	// maxQueuedRecords bounds the proposals that wait to be sent.
 	maxQueuedRecords = 8192
 	// maxQueuedBytes bounds their size, bytes.
 	maxQueuedBytes = 4 << 20
-	// DeferDelay is how long a deferred record waits for others to share its append.
-	DeferDelay = 250 * time.Millisecond
 )
 
 // proposal is one record on its way into the log and back.
 type proposal struct {
 	record *apiv1.Record
 	bytes  int
+	// due is when an append is made for this record; it rides with an earlier one.
+	due time.Time
 	// done gets the outcome once.
 	done chan error
 	// abandoned: the proposer has gone and was told that the outcome is not known.
 	abandoned bool
-	// due is when the record asks for an append of its own; zero means at once.
-	due time.Time
 }
 
 // proposals hold the records of this replica that wait to be sent or to be read back.
@@ -75,6 +75,17 @@
 // certainly never reached the log, else ErrOutcomeUnknown. The record belongs to the replica from here
 // on, which sets its sequence, and its time unless it has one.
 func (r *Replica) Propose(ctx context.Context, record *apiv1.Record) error {
+	return r.proposeChecked(ctx, record, 0)
+}
+
+// ProposeLazily is Propose for a record that nobody waits for, such as the end of a request whose answer
+// is out: it shares the next append, and has one of its own only after lazyDelay. It saves the budget
+// for records that somebody waits for.
+func (r *Replica) ProposeLazily(ctx context.Context, record *apiv1.Record) error {
+	return r.proposeChecked(ctx, record, lazyDelay)
+}
+
+func (r *Replica) proposeChecked(ctx context.Context, record *apiv1.Record, delay time.Duration) error {
 	encoded, err := proto.Marshal(record)
 	if err != nil {
 		return errors.Wrapf(ErrNotProposed, "the record cannot be encoded, correct it (%v)", err)
@@ -82,33 +93,25 @@
 	if size := len(encoded) + recordOverheadBytes; size > MaxRecordBytes {
 		return &RecordTooLargeError{Bytes: size}
 	}
-	return r.propose(ctx, record, time.Time{})
+	return r.propose(ctx, record, delay)
 }
 
-// ProposeDeferred is Propose for a record that nobody waits for: it goes with the next append of other records,
-// or after DeferDelay with one of its own. The budget of appends so serves those who wait.
-func (r *Replica) ProposeDeferred(ctx context.Context, record *apiv1.Record) error {
-	if size := proto.Size(record) + recordOverheadBytes; size > MaxRecordBytes {
-		return &RecordTooLargeError{Bytes: size}
-	}
-	timer := time.AfterFunc(DeferDelay, func() { signal(r.proposals.wake) })
-	defer timer.Stop()
-	return r.propose(ctx, record, time.Now().Add(DeferDelay))
-}
-
-func (r *Replica) propose(ctx context.Context, record *apiv1.Record, due time.Time) error {
+func (r *Replica) propose(ctx context.Context, record *apiv1.Record, delay time.Duration) error {
 	if record.TimeUnixMs == 0 {
 		record.TimeUnixMs = r.config.Now().UnixMilli()
 	}
 	p := &proposal{
 		record: record,
 		bytes:  proto.Size(record) + recordOverheadBytes,
+		due:    time.Now().Add(delay),
 		done:   make(chan error, 1),
-		due:    due,
 	}
 	if err := r.proposals.enqueue(p); err != nil {
 		return err
 	}
+	if delay > 0 {
+		defer time.AfterFunc(delay, func() { signal(r.proposals.wake) }).Stop()
+	}
 	select {
 	case err := <-p.done:
 		return err
@@ -192,11 +195,11 @@
 	return len(q.sent) > 0
 }
 
-// waiting reports whether a record asks for an append now. Deferred ones that are not due go along.
-func (q *proposals) waiting() bool {
-	now := time.Now()
+// due says whether a waiting record is to be sent now.
+func (q *proposals) due() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := time.Now()
 	return slices.ContainsFunc(q.queue, func(p *proposal) bool { return !p.due.After(now) })
 }
 
