entry: a refused repeat is unknown, an answer no longer kept is told as done

An instance that takes no new work told *not run* to every request, also to a repeat whose first sending may have run elsewhere; and a request that ran but whose answer is gone went out as 200 with an empty body. TestRefusalOfARepeatIsUnknown and the new row of TestOutcomesAreNeverBlurred fail before.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -108,13 +108,13 @@
 	if err != nil {
 		return notRun(err)
 	}
-	if refusal := h.config.Refuse(); refusal != nil {
-		return notRun(refusal)
-	}
 	request, err := parseRequest(c, account)
 	if err != nil {
 		return notRun(err)
 	}
+	if refusal := h.config.Refuse(); refusal != nil {
+		return refused(request, refusal)
+	}
 	if uint32(len(request.Payload)) > h.config.PayloadBytes { //nolint:gosec // The body limit is smaller.
 		return notRun(problem.New(problem.TooLarge, "send at most "+strconv.Itoa(int(h.config.PayloadBytes))+" bytes"))
 	}
@@ -122,7 +122,7 @@
 	if err != nil {
 		return notRun(problem.New(problem.Invalid, err.Error()))
 	}
-	if answer.Outcome != routing.Done {
+	if answer.Outcome != routing.Done || answer.Kind == routing.KindAnswerNotKept {
 		return answerProblem(answer)
 	}
 	header := c.Response().Header()
@@ -201,18 +201,33 @@
 	return &marked
 }
 
-// answerProblem turns an answer that is not done into a problem.
+// refused marks the refusal of an instance that takes no new work. A request that may have been sent before may
+// have run.
+func refused(request routing.Request, refusal *problem.Error) error {
+	marked := *refusal
+	marked.Outcome = outcomeOf(routing.Refused(request, routing.KindDraining, refusal.RetryAfter))
+	return &marked
+}
+
+func outcomeOf(answer routing.Answer) apiv1.Outcome {
+	switch answer.Outcome {
+	case routing.Done:
+		return apiv1.Outcome_OUTCOME_DONE
+	case routing.NotRun:
+		return apiv1.Outcome_OUTCOME_NOT_RUN
+	default:
+		return apiv1.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// answerProblem turns an answer without a payload into a problem.
 func answerProblem(answer routing.Answer) error {
-	result := &problem.Error{
+	return &problem.Error{
 		Kind:       problemKind(answer.Kind),
 		Detail:     answerDetail(answer),
-		Outcome:    apiv1.Outcome_OUTCOME_UNKNOWN,
+		Outcome:    outcomeOf(answer),
 		RetryAfter: answer.RetryAfter,
 	}
-	if answer.Outcome == routing.NotRun {
-		result.Outcome = apiv1.Outcome_OUTCOME_NOT_RUN
-	}
-	return result
 }
 
 func problemKind(kind routing.Kind) problem.Kind {
@@ -227,14 +242,19 @@
 		return problem.KeyConflict
 	case routing.KindKeyExpired:
 		return problem.KeyExpired
-	case routing.KindAnswerLost, routing.KindHolderGone, routing.KindAnswerNotKept:
+	case routing.KindAnswerLost, routing.KindHolderGone:
 		return problem.NotKnown
+	case routing.KindAnswerNotKept:
+		return problem.AnswerGone
 	default:
 		return problem.Unavailable
 	}
 }
 
 func answerDetail(answer routing.Answer) string {
+	if answer.Outcome == routing.Done {
+		return "the request ran and its answer is no longer kept: do not send it again"
+	}
 	if answer.Outcome == routing.NotRun {
 		return "the request did not run (" + string(answer.Kind) + "): send it again"
 	}
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -180,6 +180,7 @@
 		{routing.Answer{Outcome: routing.NotRun, Kind: routing.KindKeyConflict}, problem.KeyConflict, apiv1.Outcome_OUTCOME_NOT_RUN},
 		{routing.Answer{Outcome: routing.Unknown, Kind: routing.KindDeadline}, problem.Deadline, apiv1.Outcome_OUTCOME_UNKNOWN},
 		{routing.Answer{Outcome: routing.Unknown, Kind: routing.KindAnswerLost}, problem.NotKnown, apiv1.Outcome_OUTCOME_UNKNOWN},
+		{routing.Answer{Outcome: routing.Done, Kind: routing.KindAnswerNotKept}, problem.AnswerGone, apiv1.Outcome_OUTCOME_DONE},
 		{routing.Answer{}, problem.Unavailable, apiv1.Outcome_OUTCOME_UNKNOWN},
 	}
 	for _, test := range tests {
@@ -196,6 +197,22 @@
 	}
 }
 
+// TestRefusalOfARepeatIsUnknown refuses a request that may have been sent, and run, before.
+func TestRefusalOfARepeatIsUnknown(t *testing.T) {
+	o := newOutside()
+	o.refusal = problem.New(problem.Unavailable, "draining; ask another instance")
+	key := uuid.Must(uuid.NewV7()).String()
+	for _, test := range []struct {
+		retry   string
+		outcome apiv1.Outcome
+	}{{"false", apiv1.Outcome_OUTCOME_NOT_RUN}, {"true", apiv1.Outcome_OUTCOME_UNKNOWN}} {
+		answer := o.call(http.MethodPost, requestsPath, tokenA, "x", HeaderKey, key, HeaderRetry, test.retry)
+		if found := problemIn(t, answer); found.Outcome != test.outcome {
+			t.Errorf("retry %s: %s, want %s", test.retry, found.Outcome, test.outcome)
+		}
+	}
+}
+
 func TestNoAccountSeesAnothersJobs(t *testing.T) {
 	o := newOutside()
 	path := "/v1/jobs/" + jobOfA
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -136,9 +136,9 @@
 func (i *Instance) buildRouter() {
 	i.members.Watch(func(view membership.View) {
 		i.rounds.Add(1)
-		i.transport.SetLimits(i.connectionLimits(view))
 		i.router.SetWorkers(view.Workers)
 		i.router.SetInstances(i.liveInstances(view))
+		i.transport.SetLimits(i.router.ConnectionLimits())
 		i.domains.round(view)
 	})
 	i.ledger.Subscribe(i.onLedger)
--- a/internal/platform/standin/logservice/service.go
+++ b/internal/platform/standin/logservice/service.go
@@ -125,6 +125,10 @@
 
 // Read returns entries from the offset on. With none there it waits up to wait, at most MaxWait, for one.
 func (s *Service) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (*apiv1.ReadReply, error) {
+	if wait <= 0 {
+		reply, _, err := s.readNow(name, from, limit, true)
+		return reply, err
+	}
 	timer := time.NewTimer(min(wait, MaxWait))
 	defer timer.Stop()
 	for first := true; ; first = false {
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -32,6 +32,7 @@
 	Impossible   = Kind{"impossible", "this can never run", http.StatusUnprocessableEntity}
 	KeyConflict  = Kind{"key_conflict", "the key belongs to another request", http.StatusConflict}
 	KeyExpired   = Kind{"key_expired", "the key is too old", http.StatusGone}
+	AnswerGone   = Kind{"answer_not_kept", "the request ran and its answer is no longer kept", http.StatusGone}
 	Overload     = Kind{"overload", "too much work waits", http.StatusTooManyRequests}
 	Unavailable  = Kind{"unavailable", "this cannot be done now", http.StatusServiceUnavailable}
 	Deadline     = Kind{"deadline", "the deadline passed", http.StatusGatewayTimeout}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -191,6 +191,9 @@
 // settleProblem notes an error answer. Without a key an unknown outcome can be asked again.
 func settleProblem(outcome *Outcome, problem *apiv1.Problem) bool {
 	switch problem.Outcome {
+	case apiv1.Outcome_OUTCOME_DONE:
+		outcome.Result = Done
+		return true
 	case apiv1.Outcome_OUTCOME_NOT_RUN:
 		outcome.Result = NotRun
 		return problem.RetryAfterMs == 0 && problem.Status < 500
