operations, instance: sheets and jobs are checked by the policy's own functions

Cause: choosing data centres for guarantees and the largest shape that fits stood twice, here and in the policy. After: pack uses policy.ChooseDataCentres, which also divides a guarantee among data centres; jobs use policy.CheckFits and LargestFitting, which count cores and memory of all members on one worker.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -40,18 +40,7 @@
 
 // fits reports whether the job fits on the workers when they are empty.
 func fits(workers []policy.Worker, spec *apiv1.JobSpec) bool {
-	var able []policy.Worker
-	for _, worker := range workers {
-		if worker.Cores >= int(spec.Cores) && worker.MemoryMiB >= int(spec.MemoryMib) {
-			able = append(able, worker)
-		}
-	}
-	shape := policymsg.Shape(spec.Shape)
-	if shape.Accelerators == 0 {
-		return len(able) > 0
-	}
-	_, err := policy.PackGuarantees(able, []policy.Guarantee{{Account: spec.Account, Shape: shape, Count: 1}})
-	return err == nil
+	return policy.CheckFits(workers, policymsg.Job("", spec, 0)) == nil
 }
 
 // choice is a data centre that a job could wait in.
@@ -109,21 +98,18 @@
 	return int64(spec.Shape.Members) * int64(spec.Shape.Accelerators)
 }
 
-// impossible names the remedy for a job that fits nowhere.
+// impossible names the largest shape that would fit in a data centre.
 func impossible(view membership.View, spec *apiv1.JobSpec) error {
-	for members := spec.Shape.Members; members > 0; members-- {
-		smaller := &apiv1.JobSpec{
-			Account:   spec.Account,
-			Cores:     spec.Cores,
-			MemoryMib: spec.MemoryMib,
-			Shape:     &apiv1.Shape{Members: members, Accelerators: spec.Shape.Accelerators, Adjacency: spec.Shape.Adjacency},
-		}
-		for _, name := range candidates(view, spec.DataCentre) {
-			if fits(policymsg.Workers(view.Workers, name), smaller) {
-				shape := policymsg.Shape(smaller.Shape)
-				return problem.New(problem.Impossible, "no data centre can hold the gang: the largest that fits is "+shape.String()+" in "+name)
-			}
+	var largest policy.Shape
+	where := ""
+	for _, name := range candidates(view, spec.DataCentre) {
+		shape := policy.LargestFitting(policymsg.Workers(view.Workers, name), policymsg.Job("", spec, 0))
+		if shape.Total() > largest.Total() {
+			largest, where = shape, name
 		}
 	}
-	return problem.New(problem.Impossible, "no worker can hold a member: ask for fewer accelerators, cores or memory, or another data centre")
+	if where == "" {
+		return problem.New(problem.Impossible, "no worker has what one member asks for: ask for fewer accelerators, cores or less memory, or another data centre")
+	}
+	return problem.New(problem.Impossible, "no data centre has room for the gang: the largest that fits is "+largest.String()+" in "+where)
 }
--- a/internal/policymsg/policymsg.go
+++ b/internal/policymsg/policymsg.go
@@ -53,6 +53,34 @@
 	}
 }
 
+// GuaranteeMessage returns the message of a guarantee that has its data centre.
+func GuaranteeMessage(guarantee policy.SitedGuarantee) *apiv1.Guarantee {
+	return &apiv1.Guarantee{
+		Account:    guarantee.Account,
+		DataCentre: guarantee.DataCentre,
+		Shape:      ShapeMessage(guarantee.Shape),
+		Count:      uint32(guarantee.Count), //nolint:gosec // Checked by the sheet.
+		Spare:      guarantee.Spare,
+	}
+}
+
+// ShapeMessage returns the message of a shape.
+func ShapeMessage(shape policy.Shape) *apiv1.Shape {
+	message := &apiv1.Shape{
+		Members:      uint32(shape.Members),      //nolint:gosec // At most policy.MaxMembers.
+		Accelerators: uint32(shape.Accelerators), //nolint:gosec // At most 8.
+		Adjacency:    apiv1.Adjacency_ADJACENCY_DATA_CENTRE,
+	}
+	switch shape.Adjacency {
+	case policy.SameWorker:
+		message.Adjacency = apiv1.Adjacency_ADJACENCY_WORKER
+	case policy.SameRack:
+		message.Adjacency = apiv1.Adjacency_ADJACENCY_RACK
+	case policy.SameDataCentre:
+	}
+	return message
+}
+
 // Shape returns a shape.
 func Shape(shape *apiv1.Shape) policy.Shape {
 	return policy.Shape{
