placing: the policy's evidence is the one; verdicts, probes and jobs at fault are carried out; guarantees at risk are told

Cause: evidence on workers stood twice, in the loop and in the policy, and the loop passed over the policy's verdicts, probes and jobs at fault: a worker that the policy quarantined by itself got nothing until the owner changed, and a job at fault would have waited for ever had it not been handed to the policy as a new one at each failure, which lost the evidence. Before: TestJobThatFailsEverywhereEnds fails (failed at the ledger's bound of 5 with no reason). After: ends after the policy's 3 workers with the remedy. TestGuaranteeAtRiskIsTold: events 403 and 411.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -56,6 +56,7 @@
 	WorkerQuarantined = Event{407, log.WarnLevel, "worker quarantined", actionWorker}
 	WorkerReturned    = Event{408, log.InfoLevel, "worker returned", actionNone}
 	WorkerLost        = Event{409, log.WarnLevel, "worker lost", actionWorker}
+	GuaranteesSafe    = Event{411, log.InfoLevel, "guarantees safe again", actionNone}
 	PlacingFailed     = Event{410, log.WarnLevel, "placing failed", "read the reason in the line; it is tried again"}
 )
 
@@ -74,7 +75,7 @@
 		LogUnreachable, LogReached, LedgerRestored, SnapshotWritten, LedgerStopped, StateFromPeer, RelayUsed, RecordUnresolved, SnapshotProblem,
 		PeerSilent, PeerBack, OwnershipTaken, OwnershipLost, OwnershipReleased, ListUnreachable, TakeoverRefused,
 		SheetInForce, SheetRejected, GuaranteeAtRisk, JobPlaced, JobEnded, JobPreempted, WorkerQuarantined,
-		WorkerReturned, WorkerLost, PlacingFailed,
+		WorkerReturned, WorkerLost, PlacingFailed, GuaranteesSafe,
 		ClaimUnresolved, RequestUnknown, CallerRefused, ListenerFailed,
 	}
 }
--- a/internal/instance/domains.go
+++ b/internal/instance/domains.go
@@ -117,8 +117,9 @@
 func (d *domains) run(known *domain) {
 	i := d.instance
 	config, _ := policy.Preset(i.settings.Objective.Preset)
+	dataCentre := known.owner.DataCentre
 	loop := placing.New(placing.Config{
-		DataCentre: known.owner.DataCentre,
+		DataCentre: dataCentre,
 		Epoch:      known.owner.Epoch,
 		Actor:      i.author.Instance,
 		Term:       time.Duration(i.settings.Leases.TermMs) * time.Millisecond,
@@ -127,7 +128,7 @@
 		Ledger:     i.ledger,
 		Fleet:      fleet{members: i.members},
 		Workers:    i.workers,
-		Observe:    i.observePlacing,
+		Observe:    func(event placing.Event) { i.observePlacing(dataCentre, event) },
 	})
 	ctx, cancel := context.WithCancel(d.ctx)
 	ended := make(chan struct{})
@@ -279,10 +280,17 @@
 	return workers
 }
 
-// observePlacing logs what a placing loop tells.
-func (i *Instance) observePlacing(event placing.Event) {
+// observePlacing logs what the placing loop of a data centre tells.
+func (i *Instance) observePlacing(dataCentre string, event placing.Event) {
 	kind := events.JobPlaced
 	switch event.Kind {
+	case placing.EventGuaranteeAtRisk:
+		i.events.Log(events.GuaranteeAtRisk, "data_centre", dataCentre, "account", event.Risk.Account, "shape", event.Risk.Shape,
+			"missing", event.Risk.Missing, "spare_missing", event.Risk.SpareMissing)
+		return
+	case placing.EventGuaranteesSafe:
+		i.events.Log(events.GuaranteesSafe, "data_centre", dataCentre)
+		return
 	case placing.EventRestored, placing.EventStarted:
 	case placing.EventEnded:
 		kind = events.JobEnded
--- a/internal/placing/convert.go
+++ b/internal/placing/convert.go
@@ -3,67 +3,15 @@
 import (
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	"github.com/dotterelgauge/dotterelgauge/internal/policymsg"
 )
 
-// policyWorker converts a worker of the instance list.
-func policyWorker(listed *apiv1.Worker) policy.Worker {
-	return policy.Worker{
-		Name:          listed.GetName(),
-		Rack:          listed.GetRack(),
-		Accelerators:  int(listed.GetAccelerators()),
-		Cores:         int(listed.GetCores()),
-		MemoryMiB:     int(listed.GetMemoryMib()),
-		SpeedPermille: int(listed.GetSpeedPermille()),
-	}
-}
-
 // policyJob converts a job of the ledger.
 func policyJob(job *apiv1.Job) policy.Job {
-	spec := job.GetSpec()
-	return policy.Job{
-		ID:              job.GetId(),
-		Account:         spec.GetAccount(),
-		Team:            spec.GetTeam(),
-		Class:           policyClass(spec.GetWorkClass()),
-		Shape:           policyShape(spec.GetShape()),
-		Cores:           int(spec.GetCores()),
-		MemoryMiB:       int(spec.GetMemoryMib()),
-		ExpectedMillis:  spec.GetExpectedMs(),
-		DeadlineMillis:  spec.GetDeadlineUnixMs(),
-		SubmittedMillis: job.GetSubmittedUnixMs(),
-		CheckpointPPM:   int(job.GetCheckpointPpm()),
-		FailedWorkers:   job.GetFailedWorkers(),
-	}
-}
-
-func policyClass(class apiv1.WorkClass) policy.Class {
-	switch class {
-	case apiv1.WorkClass_WORK_CLASS_URGENT:
-		return policy.Urgent
-	case apiv1.WorkClass_WORK_CLASS_PATIENT:
-		return policy.Patient
-	default:
-		return policy.Ordinary
-	}
-}
-
-func policyShape(shape *apiv1.Shape) policy.Shape {
-	return policy.Shape{
-		Members:      int(shape.GetMembers()),
-		Accelerators: int(shape.GetAccelerators()),
-		Adjacency:    policyAdjacency(shape.GetAdjacency()),
-	}
-}
-
-func policyAdjacency(adjacency apiv1.Adjacency) policy.Adjacency {
-	switch adjacency {
-	case apiv1.Adjacency_ADJACENCY_WORKER:
-		return policy.SameWorker
-	case apiv1.Adjacency_ADJACENCY_RACK:
-		return policy.SameRack
-	default:
-		return policy.SameDataCentre
-	}
+	converted := policymsg.Job(job.GetId(), job.GetSpec(), job.GetSubmittedUnixMs())
+	converted.CheckpointPPM = int(job.GetCheckpointPpm())
+	converted.FailedWorkers = job.GetFailedWorkers()
+	return converted
 }
 
 // policyMembers converts placed members.
@@ -109,25 +57,6 @@
 		return
 	}
 	l.sheet = sheet
-	var accounts []policy.Account
-	for _, each := range sheet.GetAccounts() {
-		accounts = append(accounts, policy.Account{
-			Name: each.GetName(), Priority: int(each.GetPriority()), Weight: int(each.GetWeight()),
-		})
-	}
-	var teams []policy.Team
-	for _, each := range sheet.GetTeams() {
-		teams = append(teams, policy.Team{Account: each.GetAccount(), Name: each.GetName(), Quota: int(each.GetQuota())})
-	}
-	var guarantees []policy.Guarantee
-	for _, each := range sheet.GetGuarantees() {
-		if each.GetDataCentre() != l.config.DataCentre {
-			continue
-		}
-		guarantees = append(guarantees, policy.Guarantee{
-			Account: each.GetAccount(), Shape: policyShape(each.GetShape()),
-			Count: int(each.GetCount()), Spare: each.GetSpare(),
-		})
-	}
-	l.config.Policy.Configure(accounts, teams, guarantees)
+	guarantees := policymsg.Guarantees(sheet, l.config.DataCentre)
+	l.config.Policy.Configure(policymsg.Accounts(sheet), policymsg.Teams(sheet), guarantees)
 }
--- a/internal/placing/decide.go
+++ b/internal/placing/decide.go
@@ -41,6 +41,12 @@
 		l.startGang(decision.Start)
 	case decision.Stop != nil:
 		l.stopVictim(decision.Stop)
+	case decision.Verdict != nil:
+		l.proposeVerdict(decision.Verdict)
+	case decision.Probe != nil:
+		l.probe(decision.Probe.Worker)
+	case decision.AtFault != nil:
+		l.endAtFault(decision.AtFault)
 	}
 }
 
@@ -205,12 +211,8 @@
 	if known == nil || known.run != ended.Run {
 		return
 	}
-	switch ended.Result {
-	case apiv1.RunResult_RUN_RESULT_FAILED:
+	if ended.Result == apiv1.RunResult_RUN_RESULT_FAILED {
 		l.noteFailure(ended.Worker, ended.JobID)
-	case apiv1.RunResult_RUN_RESULT_FINISHED:
-		l.noteSuccess(known.placement)
-	default:
 	}
 	known.phase = ending
 	l.proposeEnd(known, ended)
@@ -274,13 +276,12 @@
 		if !settled {
 			l.endForGood(id, ended)
 		}
-		l.evidence.forgetJob(id)
 		delete(l.jobs, id)
 	case settled:
 		l.resubmit(known, current)
 	default:
 		l.config.Policy.Ended(id, policyEnd(ended.Result), int(ended.CheckpointPPM), nowMillis())
-		if !slices.Equal(current.GetFailedWorkers(), known.avoids) {
+		if !l.keepsEvidence() && !slices.Equal(current.GetFailedWorkers(), known.avoids) {
 			l.config.Policy.Ended(id, policy.Cancelled, 0, nowMillis())
 			l.resubmit(known, current)
 		}
--- a/internal/placing/fleet.go
+++ b/internal/placing/fleet.go
@@ -6,6 +6,7 @@
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	"github.com/dotterelgauge/dotterelgauge/internal/policymsg"
 )
 
 // localWorker is what the loop knows of a worker.
@@ -14,12 +15,8 @@
 	present   bool
 	used      bool // a gang is held there; kept up to date only while a worker is missing
 	verdict   apiv1.WorkerCondition
-	judged    bool      // a verdict is on the way to the ledger
 	suspect   time.Time // gets nothing new until then
 	condition policy.Condition
-	probe     time.Time // next probe while quarantined
-	probing   bool
-	passed    int // probes passed in a row
 }
 
 // wanted is the condition that the policy is to know.
@@ -102,7 +99,7 @@
 		known = &localWorker{}
 		l.fleet.workers[name] = known
 		l.fleet.order = append(l.fleet.order, name)
-		l.config.Policy.AddWorker(policyWorker(listed))
+		l.config.Policy.AddWorker(policymsg.Worker(listed))
 	}
 	known.listed = listed
 	known.present = true
--- a/internal/placing/jobs.go
+++ b/internal/placing/jobs.go
@@ -115,7 +115,6 @@
 	switch known.phase {
 	case waiting:
 		l.config.Policy.Ended(known.job.GetId(), policy.Cancelled, 0, nowMillis())
-		l.evidence.forgetJob(known.job.GetId())
 		delete(l.jobs, known.job.GetId())
 	case running:
 		l.stopGang(known, apiv1.RunResult_RUN_RESULT_UNSPECIFIED, 0)
--- a/internal/placing/loop.go
+++ b/internal/placing/loop.go
@@ -22,8 +22,6 @@
 const (
 	// DefaultCheckpointEvery is the time between the checkpoints of a running gang.
 	DefaultCheckpointEvery = 10 * time.Minute
-	// DefaultProbeEvery is the time between probes of a quarantined worker.
-	DefaultProbeEvery = 30 * time.Second
 
 	// placedTimeout bounds how long a reserved gang waits for its start to be logged.
 	placedTimeout = 10 * time.Second
@@ -86,9 +84,8 @@
 	Term time.Duration
 	// StartWindow bounds the second phase of a start; gang.DefaultStartWindow when 0.
 	StartWindow time.Duration
-	// CheckpointEvery and ProbeEvery have defaults when 0.
+	// CheckpointEvery is DefaultCheckpointEvery when 0.
 	CheckpointEvery time.Duration
-	ProbeEvery      time.Duration
 	// Policy is empty and is the loop's alone.
 	Policy  policy.Policy
 	View    View
@@ -118,6 +115,10 @@
 	EventWorkerSuspected
 	// EventFenced: another instance owns the data centre.
 	EventFenced
+	// EventGuaranteeAtRisk: a guarantee cannot be reclaimed, or would not survive the loss of one more worker.
+	EventGuaranteeAtRisk
+	// EventGuaranteesSafe: no guarantee is at risk any more.
+	EventGuaranteesSafe
 )
 
 // Event is something notable that the loop did or met.
@@ -128,6 +129,8 @@
 	Worker string
 	Result apiv1.RunResult
 	Err    error
+	// Risk is set for EventGuaranteeAtRisk.
+	Risk *policy.Risk
 }
 
 // Loop places the gangs of one data centre under one epoch.
@@ -136,10 +139,10 @@
 	manager *gang.Manager
 	mail    *mailbox
 	fleet   *fleetView
+	risks   []policy.Risk
 
-	jobs     map[string]*localJob
-	sheet    *apiv1.Sheet
-	evidence *evidence
+	jobs  map[string]*localJob
+	sheet *apiv1.Sheet
 	// quiet is until when no decisions are made, because the ledger refused one.
 	quiet time.Time
 	// silent is until when no decisions are made, because the log takes no records; logPause is the next pause.
@@ -163,9 +166,6 @@
 	if config.CheckpointEvery == 0 {
 		config.CheckpointEvery = DefaultCheckpointEvery
 	}
-	if config.ProbeEvery == 0 {
-		config.ProbeEvery = DefaultProbeEvery
-	}
 	if config.Observe == nil {
 		config.Observe = func(Event) {}
 	}
@@ -174,7 +174,6 @@
 		mail:     newMailbox(),
 		fleet:    newFleetView(),
 		jobs:     map[string]*localJob{},
-		evidence: newEvidence(),
 		logPause: firstLogPause,
 	}
 	l.manager = gang.New(gang.Config{
@@ -258,9 +257,9 @@
 		return
 	}
 	l.markWorkers()
-	l.probeWorkers()
 	l.checkpointGangs()
 	l.decide()
+	l.noteRisks()
 }
 
 // readViews reads the ledger and the instance list when they may have changed.
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -58,7 +58,11 @@
 		return rejection
 	}
 	s.free(job)
-	s.end(step, record, job, apiv1.JobState_JOB_STATE_CANCELLED)
+	final := apiv1.JobState_JOB_STATE_CANCELLED
+	if cancelled.AtFault {
+		final = apiv1.JobState_JOB_STATE_FAILED
+	}
+	s.end(step, record, job, final)
 	return nil
 }
 
