--- a/test/bench/control.go
+++ b/test/bench/control.go
@@ -38,11 +38,16 @@
 	// ticks of processor time and resident bytes of the process.
 	ticks    int64
 	resident int64
+	// heap is the live bytes of the Go heap and those not yet collected.
+	heap int64
 }
 
 // variables is the answer of /debug/vars.
 type variables struct {
 	Instance instance.Metrics `json:"dotterelgauge"`
+	Memory   struct {
+		HeapAlloc int64
+	} `json:"memstats"`
 }
 
 func read(i *site.Instance) reading {
@@ -52,6 +57,7 @@
 		_ = json.NewDecoder(response.Body).Decode(&all)
 		_ = response.Body.Close()
 		result.metrics = all.Instance
+		result.heap = all.Memory.HeapAlloc
 	}
 	pid := i.Process.Process.Pid
 	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
@@ -78,7 +84,8 @@
 	}
 	counted := b.site.Log.Counters()
 	work()
-	fmt.Printf("%-9s %10s %10s %12s %12s %12s %12s\n", "instance", "core %", "MiB", "peers B/s", "log B/s", "list B/s", "workers B/s")
+	fmt.Printf("%-9s %6s %10s %10s %10s %12s %12s %12s %12s\n",
+		"instance", "owns", "core %", "MiB", "heap MiB", "peers B/s", "log B/s", "list B/s", "workers B/s")
 	for n, i := range b.site.Instances {
 		printSpent(i.Name(), before[n], read(i))
 	}
@@ -91,9 +98,10 @@
 	rate := func(a, b int64) float64 { return float64(b-a) / seconds }
 	peers := rate(was.PeersOut.Sent+was.PeersOut.Received+was.PeersFrom.Sent+was.PeersFrom.Received,
 		is.PeersOut.Sent+is.PeersOut.Received+is.PeersFrom.Sent+is.PeersFrom.Received)
-	fmt.Printf("%-9s %10.2f %10.1f %12.0f %12.0f %12.0f %12.0f\n", name,
+	fmt.Printf("%-9s %6d %10.2f %10.1f %10.1f %12.0f %12.0f %12.0f %12.0f\n", name, after.metrics.Owned,
 		percent*float64(after.ticks-before.ticks)/ticksPerSecond/seconds,
 		float64(after.resident)/mebibyte,
+		float64(after.heap)/mebibyte,
 		peers,
 		rate(was.Log.Sent+was.Log.Received, is.Log.Sent+is.Log.Received),
 		rate(was.List.Sent+was.List.Received, is.List.Sent+is.List.Received),
@@ -102,8 +110,10 @@
 
 func printAppends(before, after logservice.Counters, elapsed time.Duration) {
 	seconds := elapsed.Seconds()
-	fmt.Printf("log: %.2f appends/s, %.0f bytes/s appended, by all instances\n",
-		float64(after.Appends-before.Appends)/seconds, float64(after.AppendBytes-before.AppendBytes)/seconds)
+	rate := func(a, b int64) float64 { return float64(b-a) / seconds }
+	fmt.Printf("log, by all instances: %.2f appends/s, %.0f bytes/s appended, %.1f reads/s, %.0f bytes/s read\n",
+		rate(before.Appends, after.Appends), rate(before.AppendBytes, after.AppendBytes),
+		rate(before.ReadCalls, after.ReadCalls), rate(before.ReadBytes, after.ReadBytes))
 }
 
 // measureIdle measures the site without work.
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -18,9 +18,12 @@
 	Time           time.Duration `help:"How long each measurement lasts." default:"10s"`
 	Seed           uint64        `help:"Seed of the load." default:"1"`
 	Instances      int           `help:"Instances." default:"8"`
-	Racks          int           `help:"Racks of each of two data centres." default:"5"`
+	DataCentres    int           `help:"Data centres." default:"2"`
+	Racks          int           `help:"Racks of each data centre." default:"5"`
 	WorkersPerRack int           `help:"Workers of a rack." default:"5"`
 	BasePort       int           `help:"First of about 1,000 ports; runs at the same time need their own." default:"29000"`
+	Tasks          []int         `help:"Tasks of gangs that run in all data centres together while the site is measured, rising." default:"500,1000"`
+	ControlOnly    bool          `help:"Measure the idle site and the running gangs only."`
 	Keep           bool          `help:"Keep the working directory with the logs."`
 }
 
@@ -30,7 +33,7 @@
 	// warmUp is how long the site runs before the first measurement.
 	warmUp = 5 * time.Second
 	// limit bounds the whole run.
-	limit = 5 * time.Minute
+	limit = 8 * time.Minute
 )
 
 func main() {
@@ -48,7 +51,7 @@
 	under, err := site.New(ctx, site.Config{
 		Program:        given.Program,
 		Instances:      given.Instances,
-		DataCentres:    []string{"perth-1", "perth-2"},
+		DataCentres:    dataCentres(given.DataCentres),
 		Racks:          given.Racks,
 		WorkersPerRack: given.WorkersPerRack,
 		LeaseTerm:      leaseTerm,
@@ -65,8 +68,15 @@
 	}
 	time.Sleep(warmUp)
 	b := &bench{ctx: ctx, site: under, given: given}
-	fmt.Printf("seed %d; %d instances, %d workers, %s each\n", given.Seed, given.Instances, len(under.Workers), given.Time)
+	fmt.Printf("seed %d; %d instances, %d data centres, %d workers, %s each\n",
+		given.Seed, given.Instances, given.DataCentres, len(under.Workers), given.Time)
 	b.measureIdle()
+	if err := b.measureGangs(); err != nil {
+		return err
+	}
+	if given.ControlOnly {
+		return nil
+	}
 	b.measureLoad()
 	b.measureClaim()
 	if err := b.measureThroughput(); err != nil {
@@ -74,3 +84,11 @@
 	}
 	return b.measureTakeover()
 }
+
+func dataCentres(count int) []string {
+	var names []string
+	for number := range count {
+		names = append(names, fmt.Sprintf("perth-%d", number+1))
+	}
+	return names
+}
