peer: a ping no longer carries the sender's standing

Cause: each ping carried the sender's standing with the names of all that it hears; no instance read it (the handler answers with its own). So pings grew with the cube of the instances in total. Older instances ignore the missing field.

--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -21,8 +21,8 @@
 	poll     = 20 * time.Millisecond
 )
 
-// startPlatform runs stand-ins on loopback until the test ends.
-func startPlatform(t *testing.T, log *logservice.Service) standin.Addresses {
+// startPlatform runs stand-ins on loopback until the test ends. The list has i0 and the others.
+func startPlatform(t *testing.T, log *logservice.Service, others ...*apiv1.Instance) standin.Addresses {
 	t.Helper()
 	ready := make(chan standin.Addresses, 1)
 	ended := make(chan struct{})
@@ -32,7 +32,7 @@
 		_ = standin.Run(ctx, standin.Options{
 			Sites:     []standin.Site{{DataCentre: dataCentre, Racks: 1, WorkersPerRack: 1}},
 			Log:       log.Handler(),
-			Instances: []*apiv1.Instance{{Name: "i0", DataCentre: dataCentre, Presence: apiv1.Presence_PRESENCE_LIVE}},
+			Instances: append(others, &apiv1.Instance{Name: "i0", DataCentre: dataCentre, Presence: apiv1.Presence_PRESENCE_LIVE}),
 			Ready:     func(addresses standin.Addresses) { ready <- addresses },
 		})
 	}()
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -34,8 +34,8 @@
 }
 
 // Ping asks the peer at address for its standing.
-func (p pinger) Ping(ctx context.Context, address string, standing *apiv1.PeerPong) (*apiv1.PeerPong, error) {
-	request := &apiv1.PeerRequest{Body: &apiv1.PeerRequest_Ping{Ping: &apiv1.PeerPing{Standing: standing}}}
+func (p pinger) Ping(ctx context.Context, address string) (*apiv1.PeerPong, error) {
+	request := &apiv1.PeerRequest{Body: &apiv1.PeerRequest_Ping{Ping: &apiv1.PeerPing{}}}
 	reply, err := p.asker.Ask(ctx, address, request)
 	if err != nil {
 		return nil, err
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -32,7 +32,7 @@
 
 // Pinger asks a peer for its standing.
 type Pinger interface {
-	Ping(ctx context.Context, address string, standing *apiv1.PeerPong) (*apiv1.PeerPong, error)
+	Ping(ctx context.Context, address string) (*apiv1.PeerPong, error)
 }
 
 // Config is what a Membership needs. All fields must be set.
@@ -138,8 +138,7 @@
 }
 
 func (m *Membership) ping(ctx context.Context, instance *apiv1.Instance) {
-	standing := m.Standing()
-	answer, err := m.config.Pinger.Ping(ctx, instance.PeerAddress, standing)
+	answer, err := m.config.Pinger.Ping(ctx, instance.PeerAddress)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state := m.state(instance.Name)
