membership: an answer to a ping leaves the heard list out when the asker has it

Cause: every answer named all instances heard, so peers' bytes grew with the cube of the instances in total and with the length of their names. The ping now has a digest of the list known (8 bytes); the answer leaves out a list with that digest. Weighed: naming who is not heard (an instance not yet listed would look heard), hashes of the names (still grows). TestAnswersDoNotGrowWithTheFleet: without the comparison an answer among 16 has 208 bytes, want at most 32. TestChangeOfWhatAPeerHearsIsLearnt fails when any digest counts as the same.

--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -34,8 +34,8 @@
 }
 
 // Ping asks the peer at address for its standing.
-func (p pinger) Ping(ctx context.Context, address string) (*apiv1.PeerPong, error) {
-	request := &apiv1.PeerRequest{Body: &apiv1.PeerRequest_Ping{Ping: &apiv1.PeerPing{}}}
+func (p pinger) Ping(ctx context.Context, address string, ping *apiv1.PeerPing) (*apiv1.PeerPong, error) {
+	request := &apiv1.PeerRequest{Body: &apiv1.PeerRequest_Ping{Ping: ping}}
 	reply, err := p.asker.Ask(ctx, address, request)
 	if err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 func (h peerHandler) Handle(ctx context.Context, request *apiv1.PeerRequest) (*apiv1.PeerReply, error) {
 	switch body := request.Body.(type) {
 	case *apiv1.PeerRequest_Ping:
-		return &apiv1.PeerReply{Body: &apiv1.PeerReply_Pong{Pong: h.instance.members.Standing()}}, nil
+		return &apiv1.PeerReply{Body: &apiv1.PeerReply_Pong{Pong: h.instance.members.Answer(body.Ping)}}, nil
 	case *apiv1.PeerRequest_State:
 		return h.state(body.State)
 	case *apiv1.PeerRequest_Read:
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
@@ -32,7 +34,7 @@
 
 // Pinger asks a peer for its standing.
 type Pinger interface {
-	Ping(ctx context.Context, address string) (*apiv1.PeerPong, error)
+	Ping(ctx context.Context, address string, ping *apiv1.PeerPing) (*apiv1.PeerPong, error)
 }
 
 // Config is what a Membership needs. All fields must be set.
@@ -138,7 +140,8 @@
 }
 
 func (m *Membership) ping(ctx context.Context, instance *apiv1.Instance) {
-	answer, err := m.config.Pinger.Ping(ctx, instance.PeerAddress)
+	known := m.heard(instance.Name)
+	answer, err := m.config.Pinger.Ping(ctx, instance.PeerAddress, &apiv1.PeerPing{HeardDigest: heardDigest(known)})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state := m.state(instance.Name)
@@ -153,6 +156,9 @@
 		m.config.Events.Log(events.PeerBack, "peer", instance.Name)
 	}
 	state.failures = 0
+	if answer.HeardUnchanged {
+		answer.Heard = known
+	}
 	state.standing = answer
 }
 
@@ -165,6 +171,32 @@
 	return state
 }
 
+// heard returns whom the peer said that it hears.
+func (m *Membership) heard(name string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state(name).standing.GetHeard()
+}
+
+// Answer returns the answer to a ping: this instance's standing, without Heard when the asker has it already. So
+// an answer does not grow with the number of instances.
+func (m *Membership) Answer(ping *apiv1.PeerPing) *apiv1.PeerPong {
+	standing := m.Standing()
+	if digest := heardDigest(standing.Heard); digest != 0 && digest == ping.GetHeardDigest() {
+		standing.Heard = nil
+		standing.HeardUnchanged = true
+	}
+	return standing
+}
+
+// heardDigest returns the digest of a list of names; 0 only for the empty list.
+func heardDigest(names []string) uint64 {
+	if len(names) == 0 {
+		return 0
+	}
+	return max(xxhash.Sum64String(strings.Join(names, "\x00")), 1)
+}
+
 // Standing returns this instance's standing with the peers that it hears.
 func (m *Membership) Standing() *apiv1.PeerPong {
 	standing := m.config.Standing()
