--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -74,6 +74,33 @@
 	return logOf(b, records)
 }
 
+// sheets are the records of as many sheets as the fold keeps, each with eight accounts, that many teams and a guarantee
+// of each account.
+func sheets(b testing.TB, teams int) logged {
+	const accounts = 8
+	var records []*apiv1.Record
+	for revision := range state.MaxRevisions {
+		sheet := &apiv1.Sheet{}
+		for n := range accounts {
+			name := fmt.Sprintf("account-%02d", n)
+			sheet.Accounts = append(sheet.Accounts, &apiv1.ClientAccount{Name: name, Priority: 50, Weight: 200})
+			sheet.Guarantees = append(sheet.Guarantees, &apiv1.Guarantee{
+				Account: name, DataCentre: "perth-1", Count: 4,
+				Shape: &apiv1.Shape{Members: 2, Accelerators: 8, Adjacency: apiv1.Adjacency_ADJACENCY_RACK},
+			})
+		}
+		for n := range teams {
+			account := fmt.Sprintf("account-%02d", n%accounts)
+			sheet.Teams = append(sheet.Teams, &apiv1.Team{Account: account, Name: fmt.Sprintf("settlement-%04d", n), Quota: 400})
+		}
+		records = append(records, &apiv1.Record{
+			Actor: "operator of the lounge", Reason: "the share of a team was changed",
+			Body: &apiv1.Record_SheetApplied{SheetApplied: &apiv1.SheetApplied{BaseRevision: uint64(revision), Sheet: sheet}},
+		})
+	}
+	return logOf(b, records)
+}
+
 // doneKeys are the records that claim keys and end them with small answers.
 func doneKeys(b testing.TB, keys int) logged {
 	var records []*apiv1.Record
@@ -168,6 +195,13 @@
 	}
 }
 
+// BenchmarkSheets measures the sheets kept in the ledger stream, by teams.
+func BenchmarkSheets(b *testing.B) {
+	for _, teams := range []int{50, 100, 150} {
+		benchmarkStream(b, func() ledger.Machine { return state.New() }, sheets(b, teams), teams)
+	}
+}
+
 // BenchmarkClaims measures the claims stream at a quarter, half and all of the table.
 func BenchmarkClaims(b *testing.B) {
 	for _, keys := range []int{claims.MaxKeys / 4, claims.MaxKeys / 2, claims.MaxKeys} {
