--- a/test/bench/control.go
+++ b/test/bench/control.go
@@ -38,6 +38,8 @@
 	// ticks of processor time and resident bytes of the process.
 	ticks    int64
 	resident int64
+	// own is the resident bytes that are no part of the program file.
+	own int64
 	// heap is the live bytes of the Go heap and those not yet collected.
 	heap int64
 }
@@ -67,9 +69,22 @@
 		result.ticks = number(fields[userField]) + number(fields[systemField])
 		result.resident = number(fields[residentField]) * pageBytes
 	}
+	result.own = ownBytes(pid)
 	return result
 }
 
+// ownBytes reads the anonymous resident bytes of a process.
+func ownBytes(pid int) int64 {
+	const kibibyte = 1 << 10
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(status)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "RssAnon:" {
+			return number(fields[1]) * kibibyte
+		}
+	}
+	return 0
+}
+
 func number(text string) int64 {
 	value, _ := strconv.ParseInt(text, 10, 64)
 	return value
@@ -84,8 +99,8 @@
 	}
 	counted := b.site.Log.Counters()
 	work()
-	fmt.Printf("%-9s %6s %10s %10s %10s %12s %12s %12s %12s\n",
-		"instance", "owns", "core %", "MiB", "heap MiB", "peers B/s", "log B/s", "list B/s", "workers B/s")
+	fmt.Printf("%-9s %6s %10s %10s %10s %10s %12s %12s %12s %12s\n",
+		"instance", "owns", "core %", "MiB", "own MiB", "heap MiB", "peers B/s", "log B/s", "list B/s", "workers B/s")
 	for n, i := range b.site.Instances {
 		printSpent(i.Name(), before[n], read(i))
 	}
@@ -98,9 +113,10 @@
 	rate := func(a, b int64) float64 { return float64(b-a) / seconds }
 	peers := rate(was.PeersOut.Sent+was.PeersOut.Received+was.PeersFrom.Sent+was.PeersFrom.Received,
 		is.PeersOut.Sent+is.PeersOut.Received+is.PeersFrom.Sent+is.PeersFrom.Received)
-	fmt.Printf("%-9s %6d %10.2f %10.1f %10.1f %12.0f %12.0f %12.0f %12.0f\n", name, after.metrics.Owned,
+	fmt.Printf("%-9s %6d %10.2f %10.1f %10.1f %10.1f %12.0f %12.0f %12.0f %12.0f\n", name, after.metrics.Owned,
 		percent*float64(after.ticks-before.ticks)/ticksPerSecond/seconds,
 		float64(after.resident)/mebibyte,
+		float64(after.own)/mebibyte,
 		float64(after.heap)/mebibyte,
 		peers,
 		rate(was.Log.Sent+was.Log.Received, is.Log.Sent+is.Log.Received),
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -23,6 +23,7 @@
 	WorkersPerRack int           `help:"Workers of a rack." default:"5"`
 	BasePort       int           `help:"First of about 1,000 ports; runs at the same time need their own." default:"29000"`
 	Tasks          []int         `help:"Tasks of gangs that run in all data centres together while the site is measured, rising." default:"500,1000"`
+	Keys           []int         `help:"Keys that are claimed while the site is measured, rising."`
 	ControlOnly    bool          `help:"Measure the idle site and the running gangs only."`
 	Keep           bool          `help:"Keep the working directory with the logs."`
 }
@@ -74,6 +75,9 @@
 	if err := b.measureGangs(); err != nil {
 		return err
 	}
+	if err := b.measureKeys(); err != nil {
+		return err
+	}
 	if given.ControlOnly {
 		return nil
 	}
