--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -24,6 +24,7 @@
 	BasePort       int           `help:"First of about 1,000 ports; runs at the same time need their own." default:"29000"`
 	Tasks          []int         `help:"Tasks of gangs that run in all data centres together while the site is measured, rising." default:"500,1000"`
 	Keys           []int         `help:"Keys that are claimed while the site is measured, rising."`
+	Load           []int         `help:"Requests a second of the loaded measurements, half of them not idempotent." default:"200"`
 	ControlOnly    bool          `help:"Measure the idle site and the running gangs only."`
 	Keep           bool          `help:"Keep the working directory with the logs."`
 }
@@ -81,7 +82,9 @@
 	if given.ControlOnly {
 		return nil
 	}
-	b.measureLoad()
+	for _, perSecond := range given.Load {
+		b.measureLoad(perSecond)
+	}
 	b.measureClaim()
 	if err := b.measureThroughput(); err != nil {
 		return err
--- a/test/bench/requests.go
+++ b/test/bench/requests.go
@@ -22,8 +22,6 @@
 )
 
 const (
-	// loadPerSecond is the requests of the loaded measurement, half of them not idempotent.
-	loadPerSecond = 200
 	// appendMillis is how long an append of the stand-in takes while the claim is measured.
 	appendMillis = 20
 	// claimSamples is how many requests of each kind measure the claim.
@@ -40,15 +38,15 @@
 
 var errNoOwner = errors.New("the data centre has no owner among the instances")
 
-// measureLoad runs 200 requests a second, half of them not idempotent.
-func (b *bench) measureLoad() {
+// measureLoad runs that many requests a second, half of them not idempotent.
+func (b *bench) measureLoad(perSecond int) {
 	var outcomes []trial.Outcome
-	b.measure(fmt.Sprintf("%d requests/s, half not idempotent", loadPerSecond), func() {
+	b.measure(fmt.Sprintf("%d requests/s, half not idempotent", perSecond), func() {
 		outcomes = trial.Requests(b.ctx, trial.Config{
 			Callers:   b.site.CallerAddresses(),
 			Token:     site.CallerToken,
-			Requests:  int(b.given.Time.Seconds() * loadPerSecond),
-			PerSecond: loadPerSecond,
+			Requests:  int(b.given.Time.Seconds() * float64(perSecond)),
+			PerSecond: perSecond,
 			Seed:      b.given.Seed,
 		})
 	})
