--- a/test/bench/gangs.go
+++ b/test/bench/gangs.go
@@ -31,7 +31,7 @@
 // measureGangs measures the site while it holds running gangs and does nothing else.
 func (b *bench) measureGangs() error {
 	var ids []string
-	for _, tasks := range b.given.Tasks {
+	for n, tasks := range b.given.Tasks {
 		more, err := b.submitGangs(len(ids), (tasks+gangMembers-1)/gangMembers)
 		if err != nil {
 			return err
@@ -41,8 +41,13 @@
 			return err
 		}
 		time.Sleep(settle)
-		b.measure(fmt.Sprintf("%d gangs of %d running, %d tasks in %d data centres", len(ids), gangMembers, len(ids)*gangMembers,
-			len(b.site.Config.DataCentres)), func() { time.Sleep(b.given.Time) })
+		lasts := b.given.Time
+		if n == len(b.given.Tasks)-1 && b.given.Hold > 0 {
+			lasts = b.given.Hold
+		}
+		title := fmt.Sprintf("%d gangs of %d running for %s, %d tasks in %d data centres",
+			len(ids), gangMembers, lasts, len(ids)*gangMembers, len(b.site.Config.DataCentres))
+		b.measure(title, func() { time.Sleep(lasts) })
 	}
 	return b.cancelGangs(ids)
 }
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -23,6 +23,7 @@
 	WorkersPerRack int           `help:"Workers of a rack." default:"5"`
 	BasePort       int           `help:"First of about 1,000 ports; runs at the same time need their own." default:"29000"`
 	Tasks          []int         `help:"Tasks of gangs that run in all data centres together while the site is measured, rising." default:"500,1000"`
+	Hold           time.Duration `help:"How long the last size of gangs is measured instead; with 10m each gang is checkpointed once."`
 	Keys           []int         `help:"Keys that are claimed while the site is measured, rising."`
 	Load           []int         `help:"Requests a second of the loaded measurements, half of them not idempotent." default:"200"`
 	ControlOnly    bool          `help:"Measure the idle site and the running gangs only."`
@@ -35,7 +36,7 @@
 	// warmUp is how long the site runs before the first measurement.
 	warmUp = 5 * time.Second
 	// limit bounds the whole run.
-	limit = 8 * time.Minute
+	limit = 30 * time.Minute
 )
 
 func main() {
