--- a/test/bench/control.go
+++ b/test/bench/control.go
@@ -127,8 +127,8 @@
 func printAppends(before, after logservice.Counters, elapsed time.Duration) {
 	seconds := elapsed.Seconds()
 	rate := func(a, b int64) float64 { return float64(b-a) / seconds }
-	fmt.Printf("log, by all instances: %.2f appends/s, %.0f bytes/s appended, %.1f reads/s, %.0f bytes/s read\n",
-		rate(before.Appends, after.Appends), rate(before.AppendBytes, after.AppendBytes),
+	fmt.Printf("log, by all instances in %.1f s: %.2f appends/s, %.0f bytes/s appended, %.1f reads/s, %.0f bytes/s read\n",
+		seconds, rate(before.Appends, after.Appends), rate(before.AppendBytes, after.AppendBytes),
 		rate(before.ReadCalls, after.ReadCalls), rate(before.ReadBytes, after.ReadBytes))
 }
 
--- a/test/bench/gangs.go
+++ b/test/bench/gangs.go
@@ -32,15 +32,9 @@
 func (b *bench) measureGangs() error {
 	var ids []string
 	for n, tasks := range b.given.Tasks {
-		more, err := b.submitGangs(len(ids), (tasks+gangMembers-1)/gangMembers)
-		if err != nil {
-			return err
-		}
-		ids = append(ids, more...)
-		if err := b.awaitGangs(len(ids)); err != nil {
+		if err := b.startGangs(&ids, (tasks+gangMembers-1)/gangMembers); err != nil {
 			return err
 		}
-		time.Sleep(settle)
 		lasts := b.given.Time
 		if n == len(b.given.Tasks)-1 && b.given.Hold > 0 {
 			lasts = b.given.Hold
@@ -52,6 +46,21 @@
 	return b.cancelGangs(ids)
 }
 
+// startGangs submits gangs until there are that many, waits until they run and measures both.
+func (b *bench) startGangs(ids *[]string, wanted int) error {
+	var failed error
+	b.measure(fmt.Sprintf("start of %d gangs of %d, and %s", wanted-len(*ids), gangMembers, settle), func() {
+		more, err := b.submitGangs(len(*ids), wanted)
+		*ids = append(*ids, more...)
+		if err == nil {
+			err = b.awaitGangs(len(*ids))
+		}
+		failed = err
+		time.Sleep(settle)
+	})
+	return failed
+}
+
 // submitGangs submits gangs number from to below to, the data centres and the instances in turn, and returns their ids.
 func (b *bench) submitGangs(from, to int) ([]string, error) {
 	ids := make([]string, max(to-from, 0))
