trial: checks of gangs, fencing and cancellations that a violation fails

Cause: the process-level checks could not fail for several violations. Trial jobs worked 2 s, less than a lease term, so no gang could run in part for long; a member that finished early counted as missing; nothing looked at the epochs that a worker obeyed, nor at the tasks of cancelled jobs, whose calls of cancellation were not even awaited; and a request was never asked through two instances at once.

--- a/internal/platform/standin/worker/faults.go
+++ b/internal/platform/standin/worker/faults.go
@@ -46,6 +46,7 @@
 	if faults.Dead {
 		w.endAll(now, CauseDied)
 		w.epochs = map[string]uint64{}
+		w.history.noteEpoch(0)
 	}
 	if faults.FailTasks {
 		w.failAll(now)
--- a/internal/platform/standin/worker/history.go
+++ b/internal/platform/standin/worker/history.go
@@ -50,6 +50,15 @@
 	Tasks    []TaskRun    `json:"tasks"`
 	// Refused counts the leases that were refused for a stale epoch.
 	Refused int `json:"refused"`
+	// Epochs are those of the calls that were carried out, in their order and each change once; 0 when the worker died.
+	Epochs []uint64 `json:"epochs"`
+}
+
+// noteEpoch notes the epoch of a call that is carried out.
+func (h *History) noteEpoch(epoch uint64) {
+	if len(h.Epochs) == 0 || h.Epochs[len(h.Epochs)-1] != epoch {
+		h.Epochs = append(h.Epochs, epoch)
+	}
 }
 
 // History returns a copy of what the worker ran until now.
@@ -61,5 +70,6 @@
 		Requests: slices.Clone(w.history.Requests),
 		Tasks:    slices.Clone(w.history.Tasks),
 		Refused:  w.history.Refused,
+		Epochs:   slices.Clone(w.history.Epochs),
 	}
 }
--- a/internal/platform/standin/worker/lease.go
+++ b/internal/platform/standin/worker/lease.go
@@ -45,6 +45,7 @@
 		return answer
 	}
 	w.epochs[request.GetDataCentre()] = request.GetEpoch()
+	w.history.noteEpoch(request.GetEpoch())
 	answer.HighestEpoch = request.GetEpoch()
 
 	if request.GetAll() {
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -37,6 +37,9 @@
 	requestTimeout = 5 * time.Second
 	// patience is how long a caller keeps asking.
 	patience = 25 * time.Second
+	// repeatEvery and repeatAt choose the requests that are asked through two instances at once.
+	repeatEvery = 8
+	repeatAt    = 1
 	// pause is the time between two calls for one request.
 	pause = 200 * time.Millisecond
 )
@@ -55,6 +58,8 @@
 	// Calls counts the calls to instances.
 	Calls int
 	Took  time.Duration
+	// Repeated says that the request was asked again through another instance before it was answered.
+	Repeated bool
 	// Cuts are the calls whose connection broke after it was made.
 	Cuts []Cut
 }
@@ -93,6 +98,7 @@
 			Class:      classes[i%len(classes)],
 			Idempotent: i%2 == 0,
 			Payload:    fmt.Sprintf("trial %d request %d", config.Seed, i),
+			Repeated:   i%repeatEvery == repeatAt,
 		}
 		running.Go(func() { c.ask(ctx, &outcomes[i]) })
 		select {
@@ -148,6 +154,14 @@
 		Timeout:    requestTimeout,
 		Payload:    []byte(outcome.Payload),
 	}
+	if outcome.Repeated {
+		repeat := request
+		repeat.Retry = true
+		var repeated sync.WaitGroup
+		other := c.config.Callers[(c.next+1)%len(c.config.Callers)]
+		repeated.Go(func() { c.repeat(ctx, other, repeat) })
+		defer repeated.Wait()
+	}
 	for time.Since(started) < patience && ctx.Err() == nil {
 		outcome.Calls++
 		callContext, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
@@ -169,6 +183,13 @@
 	}
 }
 
+// repeat asks the request once more through the instance at the address; what it answers is not looked at.
+func (c *caller) repeat(ctx context.Context, address string, request client.Request) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
+	defer cancel()
+	_, _ = client.New(address, c.config.Token).Request(ctx, request)
+}
+
 // settle notes an answer and reports whether it is final.
 func (c *caller) settle(outcome *Outcome, answer client.Answer, err error) bool {
 	var problem *client.ProblemError
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -23,6 +23,9 @@
 	config  *trial.ConfigWatch
 	drains  *trial.Invariant
 	leaving *trial.Invariant
+	// relays and isolated are checked by the faults of the network.
+	relays   *trial.Invariant
+	isolated *trial.Invariant
 
 	mu        sync.Mutex
 	faulty    []span
@@ -30,12 +33,15 @@
 }
 
 func newRun(ctx context.Context, under *site.Site) *faultRun {
+	relays, isolated := newNetworkInvariants()
 	return &faultRun{
-		Site:    under,
-		ctx:     ctx,
-		config:  &trial.ConfigWatch{},
-		drains:  &trial.Invariant{Name: "a graceful shutdown ends in order"},
-		leaving: &trial.Invariant{Name: "a leaving worker gets nothing new after 3 s"},
+		relays:   relays,
+		isolated: isolated,
+		Site:     under,
+		ctx:      ctx,
+		config:   &trial.ConfigWatch{},
+		drains:   &trial.Invariant{Name: "a graceful shutdown ends in order"},
+		leaving:  &trial.Invariant{Name: "a leaving worker gets nothing new after 3 s"},
 	}
 }
 
