--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,10 @@
 // callMargin is added to the wait of a relayed read, so that the peer can answer.
 const callMargin = 2 * time.Second
 
+// directSilence is how long the log service may answer nothing at all before an append that waits for it is given
+// up. It is longer than a read without entries waits, so that a log which only takes appends slowly is waited for.
+const directSilence = 3 * time.Second
+
 // Asker puts a question to the peer at an address.
 type Asker interface {
 	Ask(ctx context.Context, address string, request *apiv1.PeerRequest) (*apiv1.PeerReply, error)
@@ -57,7 +61,7 @@
 
 // Append adds payload to the stream, through a peer if need be.
 func (l *Log) Append(ctx context.Context, stream string, payload []byte) (int64, error) {
-	offset, err := l.direct.Append(ctx, stream, payload)
+	offset, err := l.appendDirect(ctx, stream, payload)
 	if !l.note(err) {
 		return offset, err
 	}
@@ -72,6 +76,37 @@
 	return reply.GetAppend().GetOffset(), nil
 }
 
+// appendDirect appends without a peer. An append under way on a connection that went silent is given up with an
+// unknown effect, long before its own timeout, so that the caller's next one finds the log or a peer.
+func (l *Log) appendDirect(ctx context.Context, stream string, payload []byte) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.cancelWhenSilent(ctx, cancel)
+	return l.direct.Append(ctx, stream, payload)
+}
+
+// cancelWhenSilent cancels once the log service has answered nothing for directSilence, until ctx ends.
+func (l *Log) cancelWhenSilent(ctx context.Context, cancel context.CancelFunc) {
+	heard := time.Now()
+	for {
+		if last := l.LastDirect(); last.After(heard) {
+			heard = last
+		}
+		wait := time.Until(heard.Add(directSilence))
+		if wait <= 0 {
+			cancel()
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
 // Read returns entries from the offset on, through a peer if need be.
 func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (*apiv1.ReadReply, error) {
 	answer, err := l.direct.Read(ctx, stream, from, limit, wait)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,6 +74,50 @@
 	}
 }
 
+// silentLog never answers an append; while it answers reads, the log lives.
+type silentLog struct{ fakeLog }
+
+func (silentLog) Append(ctx context.Context, _ string, _ []byte) (int64, error) {
+	<-ctx.Done()
+	return 0, errors.Wrap(platform.ErrUnknownEffect, ctx.Err().Error())
+}
+
+// TestAppendGivesUpASilentLog has an append under way when the connections to the log go silent: it must end soon
+// enough for another one through a peer. A slow log that answers reads is waited for.
+func TestAppendGivesUpASilentLog(t *testing.T) {
+	const patience = 10 * time.Second
+	tests := []struct {
+		name  string
+		reads bool
+		took  time.Duration
+	}{
+		{"silent", false, directSilence},
+		{"slow appends, reads answered", true, patience},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				log := New(silentLog{}, &fakeAsker{}, func() []string { return nil }, events.Discard())
+				var readers sync.WaitGroup
+				defer readers.Wait()
+				readers.Go(func() {
+					for test.reads && ctx.Err() == nil {
+						_, _ = log.Read(ctx, platform.StreamLedger, 0, 1, 0)
+						time.Sleep(2 * time.Second)
+					}
+				})
+				began := time.Now()
+				_, err := log.Append(ctx, platform.StreamLedger, nil)
+				if took := time.Since(began); !errors.Is(err, platform.ErrUnknownEffect) || took != test.took {
+					t.Errorf("Append = %v after %s, want an unknown effect after %s", err, took, test.took)
+				}
+			})
+		})
+	}
+}
+
 func TestReadAsksTheNextHelper(t *testing.T) {
 	asker := &fakeAsker{errs: []error{peer.ErrUnreachable}}
 	log := New(fakeLog{err: platform.ErrUnavailable}, asker, func() []string { return []string{"b:1", "c:1"} }, events.Discard())
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -37,6 +37,8 @@
 	requestTimeout = 5 * time.Second
 	// patience is how long a caller keeps asking.
 	patience = 25 * time.Second
+	// slowMillis is the least time that a slow request takes.
+	slowMillis = 400
 	// repeatEvery and repeatAt choose the requests that are asked through two instances at once.
 	repeatEvery = 8
 	repeatAt    = 1
@@ -97,7 +99,7 @@
 		outcomes[i] = Outcome{
 			Class:      classes[i%len(classes)],
 			Idempotent: i%2 == 0,
-			Payload:    fmt.Sprintf("trial %d request %d", config.Seed, i),
+			Payload:    payload(config.Seed, i),
 			Repeated:   i%repeatEvery == repeatAt,
 		}
 		running.Go(func() { c.ask(ctx, &outcomes[i]) })
@@ -110,6 +112,15 @@
 	return outcomes
 }
 
+// payload returns the payload of a request, which no other request of the trial has. Half of the requests take a while,
+// so that faults meet requests under way.
+func payload(seed uint64, number int) string {
+	if number/2%2 == 0 {
+		return fmt.Sprintf("sleep:%d", slowMillis+number/4*2+number%2)
+	}
+	return fmt.Sprintf("trial %d request %d", seed, number)
+}
+
 // caller asks one request.
 type caller struct {
 	config Config
