trial: check that no member of a run starts twice

Two owners that both take a run for theirs start the same members under one run number, which the check of two runs at once does not see. A history that violates it fails in check_test.go.

--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -122,7 +122,20 @@
 		whole.Check(max(partial.Start, partial.Stop) <= window, "job %s run %d ran in part for %s at its start and %s at its end",
 			key.job, key.run, partial.Start, partial.Stop)
 	}
-	return []*Invariant{whole, overlap(runs)}
+	return []*Invariant{whole, overlap(runs), startedOnce(runs)}
+}
+
+// startedOnce checks that no member of a run started twice: two owners that both believe the run theirs would do so.
+func startedOnce(byRun map[runKey][]worker.TaskRun) *Invariant {
+	once := &Invariant{Name: "no member of a run starts twice"}
+	for key, tasks := range byRun {
+		starts := make(map[uint32]int)
+		for _, task := range tasks {
+			starts[task.Member]++
+			once.Check(starts[task.Member] == 1, "job %s run %d: member %d started again on %s", key.job, key.run, task.Member, task.Worker)
+		}
+	}
+	return once
 }
 
 // CheckFencing checks that no worker carried out a call of an owner after one of a later owner. A worker that
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -56,6 +56,7 @@
 		"a task that goes on":                     {gangs(worker.History{Tasks: []worker.TaskRun{{Job: "j", Run: 1, Start: instant(0)}}}), 1},
 		"two runs at once":                        {gangs(task(1, 0, 0, 3*time.Second, worker.CauseLapsed), task(2, 0, 2*time.Second, 4*time.Second, worker.CauseLapsed)), 1},
 		"two runs one after another":              {gangs(task(1, 0, 0, 2*time.Second, worker.CauseLapsed), task(2, 0, 2*time.Second, 4*time.Second, worker.CauseLapsed)), 0},
+		"a member of a run twice":                 {gangs(task(1, 0, 0, time.Second, worker.CauseLapsed), task(1, 0, 2*time.Second, 3*time.Second, worker.CauseLapsed)), 1},
 		"non-idempotent twice":                    {requests(Outcome{Payload: "p", Result: Done}, ran("p", "p")), 1},
 		"idempotent twice":                        {requests(Outcome{Payload: "p", Result: Done, Idempotent: true}, ran("p", "p")), 0},
 		"told not run and ran":                    {requests(Outcome{Payload: "p", Result: NotRun}, ran("p")), 1},
