--- a/internal/gang/bench_test.go
+++ b/internal/gang/bench_test.go
@@ -174,6 +174,26 @@
 	}
 }
 
+// BenchmarkCheckpointGang measures the checkpoint of one gang with a member on each of eight workers.
+func BenchmarkCheckpointGang(b *testing.B) {
+	c := &counters{}
+	m := startGangs(b, size{gangMembers, gangMembers}, true, c)
+	var jobID string
+	for id := range m.gangs {
+		jobID = id
+	}
+	c.calls.Store(0)
+	c.wireBytes.Store(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := m.Checkpoint(b.Context(), jobID, time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(c.calls.Load())/float64(b.N), "calls/checkpoint")
+	b.ReportMetric(float64(c.wireBytes.Load())/float64(b.N), "wire-B/checkpoint")
+}
+
 // BenchmarkPlanRound measures what a round costs the owner before the calls.
 func BenchmarkPlanRound(b *testing.B) {
 	for _, s := range sizes {
