--- a/internal/placing/random_test.go
+++ b/internal/placing/random_test.go
@@ -65,7 +65,7 @@
 					x.act()
 				}
 				x.mend()
-				time.Sleep(20 * work)
+				x.settle()
 				checked += x.check(t)
 				x.owner.kill()
 			})
@@ -153,6 +153,19 @@
 	time.Sleep(term)
 }
 
+// settle waits until all jobs have ended, at most as long as they would take one after another.
+func (x *chaos) settle() {
+	for range 20 {
+		time.Sleep(work)
+		if !slices.ContainsFunc(x.jobs, func(id string) bool {
+			job := x.owner.job(id)
+			return job.Live()
+		}) {
+			return
+		}
+	}
+}
+
 func (x *chaos) mend() {
 	x.c.log.SetFaults(logservice.Faults{})
 	x.owner.network.SetLinks(worker.LinkUp)
