--- a/internal/gang/loss_test.go
+++ b/internal/gang/loss_test.go
@@ -93,17 +93,23 @@
 	})
 }
 
-func TestShortOutageOfAWorkerIsSurvived(t *testing.T) {
-	inBubble(t, 3, func(t *testing.T, f *fleet) {
-		o := f.newOwner(t, 1).run(t)
-		o.mustStart(t, job("a", 1, 0, 1, 2))
-		time.Sleep(term + period/2)
-		o.network.SetLink("w1", worker.LinkCut)
-		time.Sleep(period)
-		o.network.SetLink("w1", worker.LinkUp)
-		time.Sleep(work + term)
-		f.wantIntervals(t, "a", 3, worker.CauseFinished)
-	})
+func TestShortOutageOfALinkIsSurvived(t *testing.T) {
+	for name, state := range map[string]worker.LinkState{
+		"cut": worker.LinkCut, "answers lost": worker.LinkAnswersLost, "held": worker.LinkHeld,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, f *fleet) {
+				o := f.newOwner(t, 1).run(t)
+				o.mustStart(t, job("a", 1, 0, 1, 2))
+				time.Sleep(term + period/2)
+				o.network.SetLink("w1", state)
+				time.Sleep(period)
+				o.network.SetLink("w1", worker.LinkUp)
+				time.Sleep(work + term)
+				f.wantIntervals(t, "a", 3, worker.CauseFinished)
+			})
+		})
+	}
 }
 
 // TestLateCallsOfAFailedStart lets a worker take the reservation and the release of a first attempt after a
--- a/internal/gang/takeover_test.go
+++ b/internal/gang/takeover_test.go
@@ -52,13 +52,17 @@
 		name string
 		// after is how long after the first owner's death the second one restores.
 		after  time.Duration
-		break1 func(f *fleet)
+		break1 func(f *fleet, second *owner)
 		want   apiv1.RunResult
 	}{
-		{"within the term", term / 2, func(*fleet) {}, finished},
-		{"after the term", term + period, func(*fleet) {}, lost},
-		{"with a dead worker", term / 2, func(f *fleet) { f.workers[1].SetFaults(worker.Faults{Dead: true}) }, lost},
-		{"with a worker that restarted", term / 2, func(f *fleet) {
+		{"within the term", term / 2, func(*fleet, *owner) {}, finished},
+		{"after the term", term + period, func(*fleet, *owner) {}, lost},
+		{"with a dead worker", term / 2, func(f *fleet, _ *owner) { f.workers[1].SetFaults(worker.Faults{Dead: true}) }, lost},
+		{"with answers lost at first", term / 3, func(_ *fleet, second *owner) {
+			second.network.SetLink("w1", worker.LinkAnswersLost)
+			time.AfterFunc(term/2, func() { second.network.SetLink("w1", worker.LinkUp) })
+		}, finished},
+		{"with a worker that restarted", term / 2, func(f *fleet, _ *owner) {
 			f.workers[1].SetFaults(worker.Faults{Dead: true})
 			f.workers[1].SetFaults(worker.Faults{})
 		}, lost},
@@ -71,9 +75,9 @@
 				first.mustStart(t, placed)
 				time.Sleep(term)
 				first.kill()
-				test.break1(f)
-				time.Sleep(test.after)
 				second := f.newOwner(t, 2)
+				test.break1(f, second)
+				time.Sleep(test.after)
 				if err := second.Restore(second.ctx, []*apiv1.Job{placed.job}); err != nil {
 					t.Fatal(err)
 				}
