--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -56,8 +56,10 @@
 	WorkerQuarantined = Event{407, log.WarnLevel, "worker quarantined", actionWorker}
 	WorkerReturned    = Event{408, log.InfoLevel, "worker returned", actionNone}
 	WorkerLost        = Event{409, log.WarnLevel, "worker lost", actionWorker}
+	StartRefused      = Event{412, log.InfoLevel, "start refused", "nothing; the job waits again"}
+	RecordOwed        = Event{413, log.WarnLevel, "record owed to the log", actionLog}
 	GuaranteesSafe    = Event{411, log.InfoLevel, "guarantees safe again", actionNone}
-	PlacingFailed     = Event{410, log.WarnLevel, "placing failed", "read the reason in the line; it is tried again"}
+	PlacingFailed     = Event{410, log.WarnLevel, "placing failed", "read the reason in the line; another instance takes over"}
 )
 
 // Events of requests: 5xx.
@@ -76,6 +78,7 @@
 		PeerSilent, PeerBack, OwnershipTaken, OwnershipLost, OwnershipReleased, ListUnreachable, TakeoverRefused,
 		SheetInForce, SheetRejected, GuaranteeAtRisk, JobPlaced, JobEnded, JobPreempted, WorkerQuarantined,
 		WorkerReturned, WorkerLost, PlacingFailed, GuaranteesSafe,
+		StartRefused, RecordOwed,
 		ClaimUnresolved, RequestUnknown, CallerRefused, ListenerFailed,
 	}
 }
--- a/internal/instance/domains.go
+++ b/internal/instance/domains.go
@@ -296,6 +296,10 @@
 		kind = events.JobEnded
 	case placing.EventWorkerSuspected:
 		kind = events.WorkerLost
+	case placing.EventStartRefused:
+		kind = events.StartRefused
+	case placing.EventOwed:
+		kind = events.RecordOwed
 	default:
 		kind = events.PlacingFailed
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,8 +9,8 @@
 //     or may not have taken effect.
 //   - InstanceList: nothing is promised but that it is right in the end.
 //   - Worker: a lease ends at the latest one term after the worker received its last renewal; a call
-//     with an epoch below the highest one seen for the data centre is refused; a refusal of a request
-//     is proof that it did not run.
+//     with an epoch below the highest one seen for the data centre is refused; RENEW prolongs a lease
+//     once a round, START and CLAIM prolong nothing; a refusal of a request is proof that it did not run.
 package platform
 
 import (
