policy: no verdicts for callers that report no evidence

Cause: read in the placing loop, which judges workers itself and carries out Start and Stop only: after three failed runs the scheduler took the worker out by itself and nothing brought it back, and a job held at fault waited for ever. Now the scheduler judges only once the caller has used EvidenceKeeper. TestNoVerdictsForCallersThatReportNoEvidence failed before (j3 does not run).

--- a/internal/policy/decisions_test.go
+++ b/internal/policy/decisions_test.go
@@ -185,6 +185,22 @@
 	w.noFaults(t)
 }
 
+// TestNoVerdictsForCallersThatReportNoEvidence ends runs as failed without naming workers: such a caller does not
+// carry out verdicts, so that the worker has to stay in use.
+func TestNoVerdictsForCallersThatReportNoEvidence(t *testing.T) {
+	w := site(LoungeConfig(), 1, 1)
+	for i := range 3 * suspectJobs {
+		id := fmt.Sprintf("j%d", i)
+		w.submit(job(id, Shape{Members: 1, Accelerators: 1}, minute))
+		if decisions := w.decide(); len(decisions) == 0 || w.running[id] == nil {
+			t.Fatalf("%s does not run: %v", id, decisions)
+		}
+		w.end(id, Failed)
+		w.end(id, Cancelled)
+	}
+	w.noFaults(t)
+}
+
 func TestJobAtFaultLeavesWorkersAlone(t *testing.T) {
 	w := site(LoungeConfig(), 1, 4)
 	w.submit(job("bad", Shape{Members: 1, Accelerators: 8}, minute))
--- a/internal/policy/evidence.go
+++ b/internal/policy/evidence.go
@@ -46,6 +46,7 @@
 	if r == nil || w == nil {
 		return
 	}
+	s.judging = true
 	s.blame(r, w, nowMillis)
 	r.blamed = true
 }
@@ -108,6 +109,9 @@
 // noteFailed blames the worker of a run on one worker. Of several workers all are suspected, and the one with the
 // most failures is avoided by the job from now on.
 func (s *Scheduler) noteFailed(r *run, nowMillis int64) {
+	if !s.judging {
+		return
+	}
 	r.failures++
 	if r.blamed {
 		r.blamed = false
@@ -196,7 +200,7 @@
 		s.decisions = append(s.decisions, Decision{Verdict: &Verdict{
 			Worker: w.Name, Condition: Healthy, Reason: fmt.Sprintf("%d probes in a row succeeded", e.goodProbes),
 		}})
-	case w.condition == Quarantined && !e.probePending && s.now >= e.probeMillis && e.goodProbes < probesToReturn:
+	case s.judging && w.condition == Quarantined && !e.probePending && s.now >= e.probeMillis && e.goodProbes < probesToReturn:
 		e.probePending = true
 		s.decisions = append(s.decisions, Decision{Probe: &Probe{Worker: w.Name}})
 	}
@@ -258,6 +262,7 @@
 	}
 	e := &w.evidence
 	e.probePending = false
+	s.judging = true
 	s.now = max(s.now, nowMillis)
 	e.probeMillis = s.now + e.probePause()
 	if healthy {
@@ -272,7 +277,7 @@
 	next := int64(0)
 	for _, w := range s.suspects {
 		e := &w.evidence
-		if w.condition == Quarantined && !e.probePending && !e.verdict && (next == 0 || e.probeMillis < next) {
+		if s.judging && w.condition == Quarantined && !e.probePending && !e.verdict && (next == 0 || e.probeMillis < next) {
 			next = e.probeMillis
 		}
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -173,7 +173,8 @@
 	AtFault *AtFault
 }
 
-// EvidenceKeeper is implemented by policies that tell faulty workers from faulty jobs.
+// EvidenceKeeper is implemented by policies that tell faulty workers from faulty jobs. A caller that uses it carries
+// out Verdict, Probe and AtFault; for a caller that never does, the policy decides none of these.
 type EvidenceKeeper interface {
 	// StartFailed notes that the worker could not start a task of the job. The run itself ends with Ended or
 	// StartRefused.
--- a/internal/policy/properties_test.go
+++ b/internal/policy/properties_test.go
@@ -66,6 +66,8 @@
 	workers    []Worker
 	guarantees []Guarantee
 	submitted  int
+	// reportsFailures machines tell which worker failed before they end a run, however it ends.
+	reportsFailures bool
 }
 
 func newMachine(t *rapid.T) *machine {
@@ -75,6 +77,7 @@
 	for _, w := range m.workers {
 		m.s.AddWorker(w)
 	}
+	m.reportsFailures = rapid.Bool().Draw(t, "reports failures")
 	m.slowStarts = rapid.Bool().Draw(t, "slow starts")
 	m.quotas["b/x"] = rapid.IntRange(1, 24).Draw(t, "quota")
 	m.configure()
@@ -100,6 +103,9 @@
 				m.confirm(id)
 			}
 		} else if id != "" {
+			if m.reportsFailures {
+				m.s.StartFailed(id, m.running[id][0].Worker, m.now)
+			}
 			m.end(id, rapid.SampledFrom([]EndResult{Finished, Finished, Failed, LostEnd}).Draw(t, "result"))
 		}
 	case 6:
--- a/internal/policy/scheduler.go
+++ b/internal/policy/scheduler.go
@@ -55,7 +55,9 @@
 	reservation reservation
 	moves       moveBudget
 	suspects    []*workerState
-	decisions   []Decision
+	// judging is set once the caller reports evidence; until then no verdicts, probes and jobs at fault are decided.
+	judging   bool
+	decisions []Decision
 
 	best, trial      plan
 	bestPrice        int64
