--- a/internal/policy/scheduler.go
+++ b/internal/policy/scheduler.go
@@ -305,11 +305,14 @@
 	}
 }
 
+// againMillis is the time to the next decision when the passes of one were too few.
+const againMillis = 100
+
 // WakeMillis is when time alone can change the decisions; 0 means never.
 func (s *Scheduler) WakeMillis() int64 {
 	wake := int64(0)
 	if s.freed {
-		wake = s.now
+		wake = s.now + againMillis
 	}
 	for _, at := range [...]int64{s.reservation.wakeMillis(s.config.Bounds.BackfillDelayMillis), s.nextProbe()} {
 		if at > 0 && (wake == 0 || at < wake) {
