--- a/test/site/link.go
+++ b/test/site/link.go
@@ -41,6 +41,15 @@
 	restore()
 }
 
+// newLink listens at the address and forwards to the target.
+func newLink(kind Kind, address, target string) (link, error) {
+	if kind == ToPeer {
+		return newPacketLink(address, target)
+	}
+	l := &streamLink{address: address, target: target, pipes: make(map[*pipe]struct{})}
+	return l, l.listen()
+}
+
 // pipe is one forwarded TCP connection.
 type pipe struct {
 	near, far net.Conn
@@ -82,11 +91,6 @@
 	pipes map[*pipe]struct{}
 }
 
-func newStreamLink(address, target string) (*streamLink, error) {
-	l := &streamLink{address: address, target: target, pipes: make(map[*pipe]struct{})}
-	return l, l.listen()
-}
-
 func (l *streamLink) listen() error {
 	listener, err := net.Listen("tcp", l.address) //nolint:noctx // Ended by cut.
 	if err != nil {
@@ -155,39 +159,33 @@
 
 // packetLink forwards UDP datagrams.
 type packetLink struct {
-	near   *net.UDPConn
-	target *net.UDPAddr
+	near   net.PacketConn
+	target string
 	isCut  atomic.Bool
 }
 
 func newPacketLink(address, target string) (*packetLink, error) {
-	own, err := net.ResolveUDPAddr("udp", address)
+	near, err := net.ListenPacket("udp", address) //nolint:noctx // Until the process ends.
 	if err != nil {
 		return nil, err
 	}
-	l := &packetLink{}
-	if l.target, err = net.ResolveUDPAddr("udp", target); err != nil {
-		return nil, err
-	}
-	if l.near, err = net.ListenUDP("udp", own); err != nil {
-		return nil, err
-	}
+	l := &packetLink{near: near, target: target}
 	go l.forward()
 	return l, nil
 }
 
 // forward passes datagrams on, from a socket of its own for each source.
 func (l *packetLink) forward() {
-	sockets := make(map[string]*net.UDPConn)
+	sockets := make(map[string]net.Conn)
 	buffer := make([]byte, linkBuffer)
 	for {
-		n, source, err := l.near.ReadFromUDP(buffer)
+		n, source, err := l.near.ReadFrom(buffer)
 		if err != nil {
 			return
 		}
 		far := sockets[source.String()]
 		if far == nil {
-			if far, err = net.DialUDP("udp", nil, l.target); err != nil {
+			if far, err = net.Dial("udp", l.target); err != nil {
 				continue
 			}
 			sockets[source.String()] = far
@@ -200,12 +198,12 @@
 }
 
 // back returns the answers to a source. An error tells only that nobody listens at the target now.
-func (l *packetLink) back(far *net.UDPConn, source *net.UDPAddr) {
+func (l *packetLink) back(far net.Conn, source net.Addr) {
 	buffer := make([]byte, linkBuffer)
 	for {
 		n, err := far.Read(buffer)
 		if err == nil && !l.isCut.Load() {
-			_, _ = l.near.WriteToUDP(buffer[:n], source)
+			_, _ = l.near.WriteTo(buffer[:n], source)
 		}
 	}
 }
--- a/test/site/network.go
+++ b/test/site/network.go
@@ -34,7 +34,6 @@
 // and has an instance list that names them.
 type network struct {
 	links []namedLink
-	logs  []string
 	lists []string
 }
 
@@ -64,41 +63,35 @@
 	}
 }
 
-// DataCentre returns the data centre of the instance of that number.
-func (s *Site) DataCentre(number int) string {
-	return s.dataCentre(number)
-}
-
 // startLinks makes the links of an instance and its list.
-func (s *Site) startLinks(number int) error {
-	n := &s.network
+func (s *Site) startLinks(i *Instance) error {
+	n, number := &s.network, i.Number
 	ports := &portRange{next: s.Config.BasePort + linksOffset + linksPerInstance*number}
 	ports.end = ports.next + linksPerInstance
 	machines := &apiv1.InstanceList{Instances: s.listed()}
-	log, err := n.addStream(ports, End{Instance: number, Kind: ToLog}, fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort))
-	if err != nil {
+	var err error
+	if i.log, err = n.add(ports, End{Instance: number, Kind: ToLog}, i.log); err != nil {
 		return err
 	}
 	for other, listed := range machines.Instances {
 		if other == number {
 			continue
 		}
-		end := End{Instance: number, Kind: ToPeer, Peer: other, DataCentre: s.dataCentre(other)}
-		if listed.PeerAddress, err = n.addPacket(ports, end, listed.PeerAddress); err != nil {
+		end := End{Instance: number, Kind: ToPeer, Peer: other, DataCentre: s.DataCentre(other)}
+		if listed.PeerAddress, err = n.add(ports, end, listed.PeerAddress); err != nil {
 			return err
 		}
 	}
 	for _, worker := range s.Workers {
 		listed := proto.CloneOf(worker)
 		end := End{Instance: number, Kind: ToWorker, DataCentre: worker.DataCentre}
-		if listed.Address, err = n.addStream(ports, end, worker.Address); err != nil {
+		if listed.Address, err = n.add(ports, end, worker.Address); err != nil {
 			return err
 		}
 		machines.Workers = append(machines.Workers, listed)
 	}
-	n.logs = append(n.logs, log)
-	address, err := ports.open(func(address string) error { return serveList(address, machines) })
-	n.lists = append(n.lists, address)
+	i.list, err = ports.open(func(address string) error { return serveList(address, machines) })
+	n.lists = append(n.lists, i.list)
 	return err
 }
 
@@ -119,19 +112,10 @@
 	return "", errNoPort
 }
 
-func (n *network) addStream(ports *portRange, end End, target string) (string, error) {
+// add puts a link of that end in front of the target and returns its address.
+func (n *network) add(ports *portRange, end End, target string) (string, error) {
 	return ports.open(func(address string) error {
-		l, err := newStreamLink(address, target)
-		if err == nil {
-			n.links = append(n.links, namedLink{end, l})
-		}
-		return err
-	})
-}
-
-func (n *network) addPacket(ports *portRange, end End, target string) (string, error) {
-	return ports.open(func(address string) error {
-		l, err := newPacketLink(address, target)
+		l, err := newLink(end.Kind, address, target)
 		if err == nil {
 			n.links = append(n.links, namedLink{end, l})
 		}
@@ -151,18 +135,3 @@
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
-
-// logAddress and listAddress are what an instance's settings name.
-func (s *Site) logAddress(number int) string {
-	if s.Config.Links {
-		return s.network.logs[number]
-	}
-	return fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort)
-}
-
-func (s *Site) listAddress(number int) string {
-	if s.Config.Links {
-		return s.network.lists[number]
-	}
-	return s.listAddr
-}
--- a/test/site/site.go
+++ b/test/site/site.go
@@ -74,6 +74,8 @@
 	Callers   string
 	Operators string
 	Process   *exec.Cmd
+	// log and list are the addresses that its settings name.
+	log, list string
 }
 
 // Name returns the instance's name in the instance list.
@@ -131,15 +133,17 @@
 		return 0, err
 	}
 	for number := range s.Config.Instances {
-		if s.Config.Links {
-			if err := s.startLinks(number); err != nil {
-				return 0, err
-			}
-		}
 		i := &Instance{
 			Number:    number,
 			Callers:   fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort+callersOffset+number),
 			Operators: fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort+operatorsOffset+number),
+			log:       fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort),
+			list:      s.listAddr,
+		}
+		if s.Config.Links {
+			if err := s.startLinks(i); err != nil {
+				return 0, err
+			}
 		}
 		if err := s.StartInstance(i); err != nil {
 			return 0, err
@@ -191,7 +195,7 @@
 	for number := range s.Config.Instances {
 		listed = append(listed, &apiv1.Instance{
 			Name:        name(number),
-			DataCentre:  s.dataCentre(number),
+			DataCentre:  s.DataCentre(number),
 			PeerAddress: fmt.Sprintf("127.0.0.1:%d", s.Config.BasePort+peersOffset+number),
 			Presence:    apiv1.Presence_PRESENCE_LIVE,
 			Weight:      uint32(baseWeight + weightStep*number), //nolint:gosec // Small.
@@ -200,7 +204,8 @@
 	return listed
 }
 
-func (s *Site) dataCentre(number int) string {
+// DataCentre returns the data centre of the instance of that number.
+func (s *Site) DataCentre(number int) string {
 	return s.Config.DataCentres[number%len(s.Config.DataCentres)]
 }
 
@@ -245,8 +250,8 @@
 [[callers]]
 account = %q
 token = %q
-`, i.Name(), s.dataCentre(i.Number), baseWeight+weightStep*i.Number, i.Callers, i.Operators,
-		s.Config.BasePort+peersOffset+i.Number, s.logAddress(i.Number), s.listAddress(i.Number), OperatorToken, s.Config.LeaseTerm.Milliseconds(), Account, CallerToken)
+`, i.Name(), s.DataCentre(i.Number), baseWeight+weightStep*i.Number, i.Callers, i.Operators,
+		s.Config.BasePort+peersOffset+i.Number, i.log, i.list, OperatorToken, s.Config.LeaseTerm.Milliseconds(), Account, CallerToken)
 }
 
 // AwaitReady waits until the instance is ready.
