--- a/cmd/dotterelgauge/main.go
+++ b/cmd/dotterelgauge/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/instance"
@@ -46,7 +47,7 @@
 // Run lists every problem of the settings.
 func (c *checkCommand) Run() error {
 	if _, err := settings.Load(c.Settings); err != nil {
-		return &settingsError{err}
+		return err
 	}
 	fmt.Println(c.Settings + ": all right")
 	return nil
@@ -58,17 +59,11 @@
 func (c *runCommand) Run() error {
 	loaded, err := settings.Load(c.Settings)
 	if err != nil {
-		return &settingsError{err}
+		return err
 	}
 	return instance.Main(loaded, events.New(os.Stderr, loaded.Name))
 }
 
-// settingsError marks an error of the settings for the exit code.
-type settingsError struct{ err error }
-
-// Error returns the problems of the settings.
-func (e *settingsError) Error() string { return e.err.Error() }
-
 func main() {
 	var line commands
 	parser, err := kong.New(&line,
@@ -84,8 +79,9 @@
 		fail(exitUsage, err)
 	}
 	err = command.Run()
-	if _, wrong := err.(*settingsError); wrong { //nolint:errorlint // Made above and not wrapped.
-		fail(exitSettings, err)
+	var wrong *settings.Error
+	if errors.As(err, &wrong) {
+		fail(exitSettings, wrong)
 	}
 	if err != nil {
 		fail(exitFailed, err)
--- a/internal/placing/jobs.go
+++ b/internal/placing/jobs.go
@@ -32,6 +32,8 @@
 	phase phase
 	// cancelled: the ledger holds the job no longer.
 	cancelled bool
+	// stopFor is the job that the run is preempted for.
+	stopFor string
 	// stop is a Stop decision that came while the gang was starting.
 	stop *policy.Stop
 	// checkpointAt is when the next checkpoint is due.
--- a/internal/placing/loop.go
+++ b/internal/placing/loop.go
@@ -331,5 +331,6 @@
 	ctx, cancel := context.WithTimeout(ctx, placedTimeout)
 	defer cancel()
 	record.Actor = l.config.Actor
+	record.Reason = "its turn by class, deadline, expected time and guarantee"
 	return l.config.Ledger.Propose(ctx, record)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,6 +35,14 @@
 	}
 }
 
+func TestExamplesAreValid(t *testing.T) {
+	for _, file := range []string{"../../examples/lounge/instance.toml", "../../examples/gallery/instance.toml"} {
+		if _, err := Load(file); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestParseNamesEveryProblem(t *testing.T) {
 	broken := strings.NewReplacer(
 		`"127.0.0.1:7002"`, `"127.0.0.1:7001"`,
