--- a/test/site/link.go
+++ b/test/site/link.go
@@ -1,18 +1,17 @@
 package site
 
 import (
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 // linkBuffer is the size of the largest piece that a link forwards at once, in bytes.
 const linkBuffer = 64 << 10
 
-// listenRetry is the time between two tries to listen on a port that another process took meanwhile.
-const listenRetry = 50 * time.Millisecond
-
 // Kind is what a link leads to.
 type Kind int
 
@@ -46,7 +45,7 @@
 	if kind == ToPeer {
 		return newPacketLink(address, target)
 	}
-	l := &streamLink{address: address, target: target, pipes: make(map[*pipe]struct{})}
+	l := &streamLink{address: address, target: target, held: -1, pipes: make(map[*pipe]struct{})}
 	return l, l.listen()
 }
 
@@ -85,7 +84,8 @@
 type streamLink struct {
 	address, target string
 	listener        net.Listener
-	isCut           bool
+	// held is a socket that holds the port while the link is cut, else -1.
+	held int
 
 	mu    sync.Mutex
 	pipes map[*pipe]struct{}
@@ -137,10 +137,26 @@
 	}
 }
 
+// cut closes the listener and holds its port with a socket that refuses connections; a free one would soon be taken
+// by somebody's outgoing connection.
 func (l *streamLink) cut() {
-	_ = l.listener.Close()
-	l.isCut = true
 	l.silence()
+	address, isTCP := l.listener.Addr().(*net.TCPAddr)
+	_ = l.listener.Close()
+	if isTCP {
+		l.held = holdPort(address)
+	}
+}
+
+// holdPort binds a socket that does not listen, and returns it, or -1.
+func holdPort(address *net.TCPAddr) int {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1
+	}
+	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	_ = syscall.Bind(socket, &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())})
+	return socket
 }
 
 func (l *streamLink) restore() {
@@ -151,10 +167,14 @@
 			p.close()
 		}
 	}
-	for l.isCut && l.listen() != nil {
-		time.Sleep(listenRetry)
+	if l.held < 0 {
+		return
+	}
+	_ = syscall.Close(l.held)
+	l.held = -1
+	if err := l.listen(); err != nil {
+		fmt.Println("restore a link:", err)
 	}
-	l.isCut = false
 }
 
 // packetLink forwards UDP datagrams.
--- a/test/site/site.go
+++ b/test/site/site.go
@@ -257,7 +257,7 @@
 // AwaitReady waits until the instance is ready.
 func (s *Site) AwaitReady(i *Instance) error {
 	deadline := time.Now().Add(readyTimeout)
-	for time.Now().Before(deadline) {
+	for time.Now().Before(deadline) && s.ctx.Err() == nil {
 		status, err := i.Operator().Status(s.ctx)
 		if err == nil && status.Ready {
 			return nil
