--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -77,13 +77,15 @@
 	Address string
 	// From and To are when it was asked and when the process had ended.
 	From, To time.Time
+	// Cut counts the calls that were made for this shutdown and cut off.
+	Cut int
 }
 
 // CheckShutdowns checks that no call was cut off by a graceful shutdown. Each shutdown is one check.
 func CheckShutdowns(outcomes []Outcome, shutdowns []Shutdown) *Invariant {
 	whole := &Invariant{Name: "a graceful shutdown cuts off no request"}
 	for _, shutdown := range shutdowns {
-		cut := 0
+		cut := shutdown.Cut
 		for _, outcome := range outcomes {
 			for _, broken := range outcome.Cuts {
 				if broken.Address == shutdown.Address && broken.To.After(shutdown.From) && broken.From.Before(shutdown.To) {
--- a/internal/trial/check_test.go
+++ b/internal/trial/check_test.go
@@ -45,6 +45,11 @@
 	fencing := func(epochs ...uint64) []*Invariant {
 		return []*Invariant{CheckFencing([]worker.History{{Epochs: epochs}})}
 	}
+	shutdown := func(cutAt time.Duration, own int) []*Invariant {
+		outcome := Outcome{Cuts: []Cut{{Address: "a", From: instant(0), To: instant(cutAt)}}}
+		ended := Shutdown{Address: "a", From: instant(time.Second), To: instant(4 * time.Second), Cut: own}
+		return []*Invariant{CheckShutdowns([]Outcome{outcome}, []Shutdown{ended})}
+	}
 	tests := map[string]struct {
 		checks     []*Invariant
 		violations int
@@ -65,6 +70,9 @@
 		"cancelled and stopped":                   {cancelled(task(1, 0, 0, 5*time.Second, worker.CauseStopped)), 0},
 		"cancelled and goes on":                   {cancelled(task(1, 0, 0, 6*time.Second, worker.CauseLapsed)), 1},
 		"an earlier owner after a later":          {fencing(1, 2, 1), 1},
+		"a call cut before the shutdown":          {shutdown(time.Millisecond, 0), 0},
+		"a call cut by the shutdown":              {shutdown(2*time.Second, 0), 1},
+		"a call of the fault itself cut":          {shutdown(time.Millisecond, 1), 1},
 		"a worker that forgot the owners":         {fencing(1, 2, 0, 1, 2), 0},
 	}
 	for name, test := range tests {
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -139,8 +139,8 @@
 	return client.New(c.address(), c.config.Token)
 }
 
-// wasCut reports whether a call failed after its connection was made: not an answer, and not a refused connection.
-func wasCut(err error) bool {
+// WasCut reports whether a call failed after its connection was made: not an answer, and not a refused connection.
+func WasCut(err error) bool {
 	var problem *client.ProblemError
 	var operation *net.OpError
 	if err == nil || errors.As(err, &problem) {
@@ -180,7 +180,7 @@
 		began := time.Now()
 		answer, err := client.New(address, c.config.Token).Request(callContext, request)
 		cancel()
-		if wasCut(err) {
+		if WasCut(err) {
 			outcome.Cuts = append(outcome.Cuts, Cut{Address: address, From: began, To: time.Now()})
 		}
 		if c.settle(outcome, answer, err) {
--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,10 @@
 const (
 	// faultGap is the mean time between two faults.
 	faultGap = 2500 * time.Millisecond
+	// drainedCalls requests with drainedPayload are under way when a drain begins, drainedHead after they were asked.
+	drainedCalls   = 3
+	drainedPayload = "sleep:3500"
+	drainedHead    = 300 * time.Millisecond
 	// leaveBound is how soon a leaving worker gets nothing new.
 	leaveBound = 3 * time.Second
 	// leaveWatch is how long a leaving worker is watched after the bound.
@@ -125,16 +130,28 @@
 	i.Signal(syscall.SIGCONT)
 }
 
-// drain ends a process in order and checks that it does.
+// drain ends a process in order, with requests under way that outlast the pause before it refuses new ones, and checks
+// that it does and that they are answered.
 func drain(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
 	i := s.pickInstance(random)
 	defer s.beginFault(i.Operators)()
+	var calls sync.WaitGroup
+	var cut atomic.Int64
+	for range drainedCalls {
+		calls.Go(func() {
+			if trial.WasCut(s.ask(i, drainedPayload)) {
+				cut.Add(1)
+			}
+		})
+	}
+	time.Sleep(drainedHead)
 	asked := time.Now()
 	i.Signal(syscall.SIGTERM)
 	err := i.Process.Wait()
-	s.noteShutdown(trial.Shutdown{Address: i.Callers, From: asked, To: time.Now()})
+	calls.Wait()
+	s.noteShutdown(trial.Shutdown{Address: i.Callers, From: asked, To: time.Now(), Cut: int(cut.Load())})
 	s.drains.Check(err == nil, "%s ended with %v", i.Name(), err)
 	s.restart(i)
 }
--- a/test/faults/network.go
+++ b/test/faults/network.go
@@ -28,7 +28,7 @@
 	// restartPause is the time between two replacements, shorter than that between two snapshots.
 	restartPause = 300 * time.Millisecond
 	// askTimeout bounds one request of a check.
-	askTimeout = 3 * time.Second
+	askTimeout = 5 * time.Second
 )
 
 // silentConnections makes the connections between one instance and the workers silent while new ones work.
@@ -70,7 +70,7 @@
 	time.Sleep(leaveReadinessBound)
 	status, err := i.Operator().Status(s.ctx)
 	s.isolated.Check(err == nil && !status.Ready, "%s is ready %s after it was cut off (%v)", i.Name(), leaveReadinessBound, err)
-	err = s.ask(i)
+	err = s.ask(i, "check")
 	s.isolated.Check(err != nil, "%s took a request %s after it was cut off", i.Name(), leaveReadinessBound)
 	restore()
 	s.awaitReady(i)
@@ -107,13 +107,13 @@
 	}
 }
 
-// ask asks one non-idempotent request through an instance. Its payload is not one of the load.
-func (r *faultRun) ask(i *site.Instance) error {
+// ask asks one idempotent request through an instance: it needs no log, so an instance that takes new work runs it.
+func (r *faultRun) ask(i *site.Instance, payload string) error {
 	key, err := uuid.NewV7()
 	if err != nil {
 		return err
 	}
-	request := client.Request{Key: key.String(), Class: "urgent", Timeout: askTimeout, Payload: []byte("check " + key.String())}
+	request := client.Request{Key: key.String(), Class: "urgent", Idempotent: true, Timeout: askTimeout, Payload: []byte(payload)}
 	_, err = client.New(i.Callers, site.CallerToken).Request(r.ctx, request)
 	return err
 }
