--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -119,14 +119,31 @@
 	}
 }
 
-// pause stops a process for longer than a lease.
+// owner returns the instance that owns a data centre, else any.
+func (s *faultRun) owner(random *rand.Rand) *site.Instance {
+	for _, asked := range s.Instances {
+		status, err := asked.Operator().Status(s.ctx)
+		if err != nil || len(status.Owners) == 0 {
+			continue
+		}
+		name := status.Owners[random.IntN(len(status.Owners))].GetAuthor().GetInstance()
+		for _, i := range s.Instances {
+			if i.Name() == name {
+				return i
+			}
+		}
+	}
+	return s.pickInstance(random)
+}
+
+// pause stops the process of an owner for longer than a lease and a takeover.
 func pause(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
-	i := s.pickInstance(random)
+	i := s.owner(random)
 	defer s.beginFault(i.Operators)()
 	i.Signal(syscall.SIGSTOP)
-	time.Sleep(leaseTerm + time.Duration(random.Int64N(int64(leaseTerm))))
+	time.Sleep(2*leaseTerm + time.Duration(random.Int64N(int64(leaseTerm))))
 	i.Signal(syscall.SIGCONT)
 }
 
