--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,10 @@
 const (
 	// faultGap is the mean time between two faults.
 	faultGap = 2500 * time.Millisecond
+	// drainedCalls requests with drainedPayload are under way when a drain begins, drainedHead after they were asked.
+	drainedCalls   = 3
+	drainedPayload = "sleep:3500"
+	drainedHead    = 300 * time.Millisecond
 	// leaveBound is how soon a leaving worker gets nothing new.
 	leaveBound = 3 * time.Second
 	// leaveWatch is how long a leaving worker is watched after the bound.
@@ -55,7 +60,7 @@
 	{"replace-all", replaceAll},
 }
 
-// injectAll injects faults, two at a time, until the time is over.
+// injectAll injects faults, two at a time, until the time is over and each was injected once.
 func injectAll(ctx context.Context, s *faultRun, given options) {
 	random := rand.New(rand.NewPCG(given.Seed, 1)) //nolint:gosec // Not a secret.
 	chosen := slices.Clone(faults)
@@ -66,7 +71,7 @@
 	started := time.Now()
 	slots := make(chan struct{}, 2)
 	var running sync.WaitGroup
-	for n := 0; time.Since(started) < given.Time && ctx.Err() == nil; n++ {
+	for n := 0; (n < len(chosen) || time.Since(started) < given.Time) && ctx.Err() == nil; n++ {
 		next := chosen[n%len(chosen)]
 		own := rand.New(rand.NewPCG(given.Seed, uint64(n)+2)) //nolint:gosec // Not a secret.
 		slots <- struct{}{}
@@ -85,7 +90,12 @@
 	return s.Instances[random.IntN(len(s.Instances))]
 }
 
-var instanceFault sync.Mutex
+var (
+	// instanceFault is held by a fault of an instance as a whole.
+	instanceFault sync.Mutex
+	// wholeLogFault is held by a fault of the log.
+	wholeLogFault sync.Mutex
+)
 
 func kill(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
@@ -109,27 +119,56 @@
 	}
 }
 
-// pause stops a process for longer than a lease.
+// owner returns the instance that owns a data centre, else any.
+func (s *faultRun) owner(random *rand.Rand) *site.Instance {
+	for _, asked := range s.Instances {
+		status, err := asked.Operator().Status(s.ctx)
+		if err != nil || len(status.Owners) == 0 {
+			continue
+		}
+		name := status.Owners[random.IntN(len(status.Owners))].GetAuthor().GetInstance()
+		for _, i := range s.Instances {
+			if i.Name() == name {
+				return i
+			}
+		}
+	}
+	return s.pickInstance(random)
+}
+
+// pause stops the process of an owner for longer than a lease and a takeover.
 func pause(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
-	i := s.pickInstance(random)
+	i := s.owner(random)
 	defer s.beginFault(i.Operators)()
 	i.Signal(syscall.SIGSTOP)
-	time.Sleep(leaseTerm + time.Duration(random.Int64N(int64(leaseTerm))))
+	time.Sleep(2*leaseTerm + time.Duration(random.Int64N(int64(leaseTerm))))
 	i.Signal(syscall.SIGCONT)
 }
 
-// drain ends a process in order and checks that it does.
+// drain ends a process in order, with requests under way that outlast the pause before it refuses new ones, and checks
+// that it does and that they are answered.
 func drain(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
 	i := s.pickInstance(random)
 	defer s.beginFault(i.Operators)()
+	var calls sync.WaitGroup
+	var cut atomic.Int64
+	for range drainedCalls {
+		calls.Go(func() {
+			if trial.WasCut(s.ask(i, drainedPayload)) {
+				cut.Add(1)
+			}
+		})
+	}
+	time.Sleep(drainedHead)
 	asked := time.Now()
 	i.Signal(syscall.SIGTERM)
 	err := i.Process.Wait()
-	s.noteShutdown(trial.Shutdown{Address: i.Callers, From: asked, To: time.Now()})
+	calls.Wait()
+	s.noteShutdown(trial.Shutdown{Address: i.Callers, From: asked, To: time.Now(), Cut: int(cut.Load())})
 	s.drains.Check(err == nil, "%s ended with %v", i.Name(), err)
 	s.restart(i)
 }
@@ -137,6 +176,8 @@
 // logFault switches faults of the log on for a time.
 func logFault(faults logservice.Faults, duration time.Duration) func(*faultRun, *rand.Rand) {
 	return func(s *faultRun, _ *rand.Rand) {
+		wholeLogFault.Lock()
+		defer wholeLogFault.Unlock()
 		defer s.beginFault("")()
 		s.Log.SetFaults(faults)
 		time.Sleep(duration)
@@ -146,6 +187,8 @@
 
 // flapping switches an outage on and off.
 func flapping(s *faultRun, random *rand.Rand) {
+	wholeLogFault.Lock()
+	defer wholeLogFault.Unlock()
 	defer s.beginFault("")()
 	for range 6 {
 		s.Log.SetFaults(logservice.Faults{Outage: true})
