--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -58,6 +58,7 @@
 	{"isolate", isolate},
 	{"split-regions", splitRegions},
 	{"replace-all", replaceAll},
+	{"restart-in-outage", restartInOutage},
 }
 
 // injectAll injects faults, two at a time, until the time is over and each was injected once.
--- a/test/faults/network.go
+++ b/test/faults/network.go
@@ -11,6 +11,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/api/client"
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/platform/standin/logservice"
 	"github.com/dotterelgauge/dotterelgauge/internal/trial"
 	"github.com/dotterelgauge/dotterelgauge/test/site"
 )
@@ -57,11 +58,11 @@
 	s.awaitReady(i)
 }
 
-// isolate cuts one instance off from the log and from all peers and checks that it takes no new work.
+// isolate cuts an owner off from the log and from all peers and checks that it takes no new work.
 func isolate(s *faultRun, random *rand.Rand) {
 	instanceFault.Lock()
 	defer instanceFault.Unlock()
-	i := s.pickInstance(random)
+	i := s.owner(random)
 	defer s.beginFault(i.Operators)()
 	restore := s.Cut(func(end site.End) bool {
 		own := end.Instance == i.Number && end.Kind != site.ToWorker
@@ -107,6 +108,22 @@
 	}
 }
 
+// restartInOutage replaces an instance while the log is down: it takes the state from a peer or stays not ready.
+func restartInOutage(s *faultRun, random *rand.Rand) {
+	instanceFault.Lock()
+	defer instanceFault.Unlock()
+	wholeLogFault.Lock()
+	defer wholeLogFault.Unlock()
+	i := s.pickInstance(random)
+	defer s.beginFault("")()
+	s.Log.SetFaults(logservice.Faults{Outage: true})
+	i.Signal(syscall.SIGKILL)
+	_ = i.Process.Wait()
+	s.restart(i)
+	s.Log.SetFaults(logservice.Faults{})
+	s.awaitReady(i)
+}
+
 // ask asks one idempotent request through an instance: it needs no log, so an instance that takes new work runs it.
 func (r *faultRun) ask(i *site.Instance, payload string) error {
 	key, err := uuid.NewV7()
