--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -23,6 +23,10 @@
 	drainedCalls   = 3
 	drainedPayload = "sleep:3500"
 	drainedHead    = 300 * time.Millisecond
+	// busyFor is how long a busy worker has run a member; busyWait and busyPoll bound the search for one.
+	busyFor  = 2 * time.Second
+	busyWait = 5 * time.Second
+	busyPoll = 200 * time.Millisecond
 	// leaveBound is how soon a leaving worker gets nothing new.
 	leaveBound = 3 * time.Second
 	// leaveWatch is how long a leaving worker is watched after the bound.
@@ -47,7 +51,7 @@
 	{"racing-sheets", racingSheets},
 	{"worker-leaves", workerLeaves},
 	{"worker-fails-starts", workerFault(`{"fail_starts":true}`, 5*time.Second)},
-	{"worker-frozen", workerFault(`{"freeze":true}`, 3*leaseTerm)},
+	{"worker-frozen", freezeBusyWorker},
 	{"worker-dead", workerFault(`{"dead":true}`, 5*time.Second)},
 	{"worker-loses-answers", workerFault(`{"lose_answers":true}`, 3*time.Second)},
 	{"worker-damages-answers", workerFault(`{"damage_answers":true}`, 3*time.Second)},
@@ -229,6 +233,37 @@
 	}
 }
 
+// freezeBusyWorker freezes a worker that runs a member of a gang, if there is one, for three lease terms.
+func freezeBusyWorker(s *faultRun, random *rand.Rand) {
+	worker := s.Workers[random.IntN(len(s.Workers))]
+	for started := time.Now(); time.Since(started) < busyWait; time.Sleep(busyPoll) {
+		if busy := s.busyWorkers(); len(busy) > 0 {
+			worker = busy[random.IntN(len(busy))]
+			break
+		}
+	}
+	s.SetWorkerFaults(worker, `{"freeze":true}`)
+	time.Sleep(3 * leaseTerm)
+	s.SetWorkerFaults(worker, "{}")
+}
+
+// busyWorkers returns the workers that have run a member for longer than most jobs work.
+func (s *faultRun) busyWorkers() []*apiv1.Worker {
+	histories, err := trial.Histories(s.ctx, s.Workers)
+	if err != nil {
+		return nil
+	}
+	var busy []*apiv1.Worker
+	for n, history := range histories {
+		for _, task := range history.Tasks {
+			if task.End.IsZero() && time.Since(task.Start) > busyFor {
+				busy = append(busy, s.Workers[n])
+			}
+		}
+	}
+	return busy
+}
+
 // workerLeaves has a worker leave and checks that it gets nothing new after the bound, although the list lags.
 func workerLeaves(s *faultRun, random *rand.Rand) {
 	worker := s.Workers[random.IntN(len(s.Workers))]
