--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/audit"
@@ -28,6 +29,9 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/state"
 )
 
+// claimsReadPause is how long an instance lets the claims of others gather before it reads them.
+const claimsReadPause = 200 * time.Millisecond
+
 // Instance is one instance of the scheduler.
 type Instance struct {
 	settings *apiv1.Settings
@@ -114,7 +118,9 @@
 		Machine: table,
 		Budget:  budget,
 		Rank:    i.rank,
-		Notify:  i.notice,
+		// Nobody waits for the claims of other instances, and they are many.
+		ReadPause: claimsReadPause,
+		Notify:    i.notice,
 	})
 	i.router = routing.New(routing.Config{
 		Instance:     i.author.Instance,
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,8 @@
 	Budget *Budget
 	// Rank orders the instances that may write the next snapshot: rank 0 of size first. Nil means alone.
 	Rank func() (rank, size int)
+	// ReadPause is how long the reader lets entries of others gather; DefaultReadPause when 0.
+	ReadPause time.Duration
 	// Notify is told of what an operator may want to know. It may be nil and must not block.
 	Notify func(Notice)
 	// Now is the clock; nil means time.Now.
@@ -114,6 +116,9 @@
 	if config.Budget == nil {
 		config.Budget = NewBudget(DefaultAppendsPerSecond)
 	}
+	if config.ReadPause == 0 {
+		config.ReadPause = DefaultReadPause
+	}
 	if config.Rank == nil {
 		config.Rank = func() (int, int) { return 0, 1 }
 	}
--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -18,8 +18,8 @@
 	longRead = 2 * time.Second
 	// minRead bounds the wait of a read from below.
 	minRead = 10 * time.Millisecond
-	// readPause is how long the reader lets entries of others gather when none of its own is awaited.
-	readPause = 50 * time.Millisecond
+	// DefaultReadPause is how long the reader lets entries of others gather when none of its own is awaited.
+	DefaultReadPause = 50 * time.Millisecond
 	// readGrace is how long an answer may be late beyond the wait before the read is given up.
 	readGrace = 2 * time.Second
 )
@@ -64,7 +64,7 @@
 	if entries == 0 || entries >= readLimit || r.proposals.expected() {
 		return nil
 	}
-	timer := time.NewTimer(readPause)
+	timer := time.NewTimer(r.config.ReadPause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
