--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -36,25 +36,17 @@
 		l.outcomes = outcomes
 	})
 	l.work.Go(func() { l.runJobs(ctx, config, given.Time) })
-	l.work.Go(func() { l.runWaves(ctx, config, given.Time) })
 	return l
 }
 
-// runJobs submits batches of jobs, each after the last one ended.
+// runJobs submits batches of jobs, each after the last one ended, with a wave of cancellations between.
 func (l *load) runJobs(ctx context.Context, config trial.Config, duration time.Duration) {
-	for started := time.Now(); time.Since(started) < duration && ctx.Err() == nil; {
+	started := time.Now()
+	for batch := 0; time.Since(started) < duration && ctx.Err() == nil; batch++ {
 		jobs := trial.Jobs(ctx, config, jobsPerBatch)
-		l.mu.Lock()
-		l.jobs = append(l.jobs, jobs...)
-		l.mu.Unlock()
-	}
-}
-
-// runWaves submits and cancels waves of jobs, so that gangs start and stop for as long as faults are injected.
-func (l *load) runWaves(ctx context.Context, config trial.Config, duration time.Duration) {
-	for started := time.Now(); time.Since(started) < duration && ctx.Err() == nil; time.Sleep(wavePause) {
 		cancelled := trial.CancelWave(ctx, config, jobsPerBatch)
 		l.mu.Lock()
+		l.jobs = append(l.jobs, jobs...)
 		l.cancelled = append(l.cancelled, cancelled...)
 		l.mu.Unlock()
 	}
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -33,8 +33,6 @@
 	requestsPerSecond = 30
 	// jobsPerBatch is how many gang jobs are submitted together.
 	jobsPerBatch = 6
-	// wavePause is the time between two waves of cancellations.
-	wavePause = 3 * time.Second
 	// leaseTerm is the term of the run's leases.
 	leaseTerm = 3 * time.Second
 	// partialWindow is how long a gang may run in part: a start window of 1 s and one lease term.
