--- a/internal/replay/plan.go
+++ b/internal/replay/plan.go
@@ -7,6 +7,7 @@
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	"github.com/dotterelgauge/dotterelgauge/internal/policymsg"
 )
 
 // JobError reports a job of the trace that no empty data centre could run.
@@ -97,7 +98,7 @@
 		p.plan.sites = append(p.plan.sites, p.byName[name])
 	}
 	at := p.byName[name]
-	at.workers = append(at.workers, workerOf(worker))
+	at.workers = append(at.workers, policymsg.Worker(worker))
 	p.ofWorker[worker.GetName()] = at
 }
 
