--- a/internal/trial/jobs.go
+++ b/internal/trial/jobs.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// jobWork is the work of most trial jobs. Every longEvery-th has longWork, which outlasts a few lease terms.
+	// jobWork is the work of most trial jobs. With LongJobs every longEvery-th has longWork, which outlasts a few
+	// lease terms.
 	jobWork   = 2 * time.Second
 	longWork  = 12 * time.Second
 	longEvery = 3
@@ -66,7 +67,7 @@
 	}
 	outcome.ID = key.String()
 	started := time.Now()
-	spec := jobSpec(number, workOf(number))
+	spec := jobSpec(number, c.config.workOf(number))
 	submitted := false
 	for ctx.Err() == nil {
 		job, err := c.step(ctx, outcome.ID, spec, submitted)
@@ -86,8 +87,8 @@
 }
 
 // workOf returns the work of the trial job of that number.
-func workOf(number int) time.Duration {
-	if number%longEvery == 0 {
+func (c Config) workOf(number int) time.Duration {
+	if c.LongJobs && number%longEvery == 0 {
 		return longWork
 	}
 	return jobWork
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -84,7 +84,9 @@
 	Requests int
 	// PerSecond is how many are asked a second.
 	PerSecond int
-	Seed      uint64
+	// LongJobs makes some jobs outlast a few lease terms.
+	LongJobs bool
+	Seed     uint64
 }
 
 // Requests asks all requests, each through another instance, and returns when all are answered or lost.
--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -28,6 +28,7 @@
 		Requests:  int(given.Time.Seconds()) * requestsPerSecond,
 		PerSecond: requestsPerSecond,
 		Seed:      given.Seed,
+		LongJobs:  true,
 	}
 	l.work.Go(func() {
 		outcomes := trial.Requests(ctx, config)
