--- a/cmd/dotterelctl/trial.go
+++ b/cmd/dotterelctl/trial.go
@@ -46,7 +46,7 @@
 	members := func(job string) int { return trial.MembersOf(gangs, job) }
 	invariants := trial.CheckAnswers(outcomes)
 	invariants = append(invariants, trial.CheckAtMostOnce(outcomes, histories)...)
-	invariants = append(invariants, trial.CheckGangs(members, histories, partialWindow, time.Now())...)
-	invariants = append(invariants, trial.CheckJobs(gangs))
+	ran := trial.CheckGangs(members, histories, partialWindow, time.Now())
+	invariants = append(invariants, ran.Whole, ran.Overlap, ran.StartedOnce, trial.CheckJobs(gangs))
 	return trial.PrintInvariants(os.Stdout, invariants)
 }
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -104,10 +104,20 @@
 	run uint32
 }
 
+// Gangs is what the workers' histories say of the gangs.
+type Gangs struct {
+	// Whole: no gang ran in part for longer than the window. It is the one with a bound in time.
+	Whole *Invariant
+	// Overlap: no two runs of a job ran at once.
+	Overlap *Invariant
+	// StartedOnce: no member of a run started twice.
+	StartedOnce *Invariant
+}
+
 // CheckGangs checks from what the workers ran that no gang ran with only some of its members for longer
 // than the window, in which members start one after another or a cut gang lapses. A member that finished is not
 // missing. members gives the size of each job's gang; now ends what still runs.
-func CheckGangs(members func(job string) int, histories []worker.History, window time.Duration, now time.Time) []*Invariant {
+func CheckGangs(members func(job string) int, histories []worker.History, window time.Duration, now time.Time) Gangs {
 	runs := make(map[runKey][]worker.TaskRun)
 	for _, history := range histories {
 		for _, task := range history.Tasks {
@@ -124,7 +134,7 @@
 		whole.Check(max(partial.Start, partial.Stop) <= window, "job %s run %d ran in part for %s at its start and %s at its end",
 			key.job, key.run, partial.Start, partial.Stop)
 	}
-	return []*Invariant{whole, overlap(runs), startedOnce(runs)}
+	return Gangs{Whole: whole, Overlap: overlap(runs), StartedOnce: startedOnce(runs)}
 }
 
 // startedOnce checks that no member of a run started twice: two owners that both believe the run theirs would do so.
