--- a/internal/trial/jobs.go
+++ b/internal/trial/jobs.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// jobWork is the work of most trial jobs. With LongJobs every longEvery-th has longWork, which outlasts a few
+	// jobWork is the work of most trial jobs. With UnderFaults every longEvery-th has longWork, which outlasts a few
 	// lease terms.
 	jobWork   = 2 * time.Second
 	longWork  = 12 * time.Second
@@ -88,7 +88,7 @@
 
 // workOf returns the work of the trial job of that number.
 func (c Config) workOf(number int) time.Duration {
-	if c.LongJobs && number%longEvery == 0 {
+	if c.UnderFaults && number%longEvery == 0 {
 		return longWork
 	}
 	return jobWork
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -84,9 +84,10 @@
 	Requests int
 	// PerSecond is how many are asked a second.
 	PerSecond int
-	// LongJobs makes some jobs outlast a few lease terms.
-	LongJobs bool
-	Seed     uint64
+	// UnderFaults makes work that faults can meet: half of the requests take a while, some are asked through two
+	// instances at once, and some jobs outlast a few lease terms.
+	UnderFaults bool
+	Seed        uint64
 }
 
 // Requests asks all requests, each through another instance, and returns when all are answered or lost.
@@ -101,8 +102,8 @@
 		outcomes[i] = Outcome{
 			Class:      classes[i%len(classes)],
 			Idempotent: i%2 == 0,
-			Payload:    payload(config.Seed, i),
-			Repeated:   i%repeatEvery == repeatAt,
+			Payload:    config.payload(i),
+			Repeated:   config.UnderFaults && i%repeatEvery == repeatAt,
 		}
 		running.Go(func() { c.ask(ctx, &outcomes[i]) })
 		select {
@@ -114,13 +115,12 @@
 	return outcomes
 }
 
-// payload returns the payload of a request, which no other request of the trial has. Half of the requests take a while,
-// so that faults meet requests under way.
-func payload(seed uint64, number int) string {
-	if number/2%2 == 0 {
+// payload returns the payload of a request, which no other request of the trial has.
+func (c Config) payload(number int) string {
+	if c.UnderFaults && number/2%2 == 0 {
 		return fmt.Sprintf("sleep:%d", slowMillis+number/4*2+number%2)
 	}
-	return fmt.Sprintf("trial %d request %d", seed, number)
+	return fmt.Sprintf("trial %d request %d", c.Seed, number)
 }
 
 // caller asks one request.
--- a/test/faults/load.go
+++ b/test/faults/load.go
@@ -23,12 +23,12 @@
 func startLoad(ctx context.Context, r *faultRun, given options) *load {
 	l := &load{}
 	config := trial.Config{
-		Callers:   r.CallerAddresses(),
-		Token:     site.CallerToken,
-		Requests:  int(given.Time.Seconds()) * requestsPerSecond,
-		PerSecond: requestsPerSecond,
-		Seed:      given.Seed,
-		LongJobs:  true,
+		Callers:     r.CallerAddresses(),
+		Token:       site.CallerToken,
+		Requests:    int(given.Time.Seconds()) * requestsPerSecond,
+		PerSecond:   requestsPerSecond,
+		Seed:        given.Seed,
+		UnderFaults: true,
 	}
 	l.work.Go(func() {
 		outcomes := trial.Requests(ctx, config)
