events: every event of the catalogue is logged, or is gone from it

Cause: seven events were in the catalogue and in docs/EVENTS.md and were never logged, so an operator would have waited for lines that cannot come. After: an instance that leaves readiness (103), a preemption (406), a quarantine and a return (407, 408) are logged; 207, 501 and 502 are gone and their numbers stay unused. Ruled out: logging 501 and 502 for each request, which a caller learns from the answer.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -29,7 +29,6 @@
 	SnapshotWritten  = Event{204, log.InfoLevel, "snapshot written", actionNone}
 	LedgerStopped    = Event{205, log.ErrorLevel, "ledger stopped", "replace the instance by one of the newest version"}
 	StateFromPeer    = Event{206, log.InfoLevel, "state taken from a peer", actionNone}
-	RelayUsed        = Event{207, log.WarnLevel, "log reached through a peer", actionLog}
 	RecordUnresolved = Event{208, log.WarnLevel, "outcome of a record unknown", "look at the audit trail for the record"}
 	SnapshotProblem  = Event{209, log.WarnLevel, "snapshot missing or not written", actionLog}
 )
@@ -64,21 +63,19 @@
 
 // Events of requests: 5xx.
 var (
-	ClaimUnresolved = Event{501, log.WarnLevel, "claim unresolved", "tell the caller to ask again with the same key"}
-	RequestUnknown  = Event{502, log.WarnLevel, "request outcome unknown", "settle it with the caller by its key"}
-	CallerRefused   = Event{503, log.WarnLevel, "caller refused", "check the caller's token"}
-	ListenerFailed  = Event{504, log.ErrorLevel, "listener failed", "check the address in the settings"}
+	CallerRefused  = Event{503, log.WarnLevel, "caller refused", "check the caller's token"}
+	ListenerFailed = Event{504, log.ErrorLevel, "listener failed", "check the address in the settings"}
 )
 
 // Catalogue returns every event in the order of its number.
 func Catalogue() []Event {
 	return []Event{
 		InstanceStarted, InstanceReady, InstanceNotReady, DrainStarted, DrainEnded, DrainCutShort, InstanceFailed,
-		LogUnreachable, LogReached, LedgerRestored, SnapshotWritten, LedgerStopped, StateFromPeer, RelayUsed, RecordUnresolved, SnapshotProblem,
+		LogUnreachable, LogReached, LedgerRestored, SnapshotWritten, LedgerStopped, StateFromPeer, RecordUnresolved, SnapshotProblem,
 		PeerSilent, PeerBack, OwnershipTaken, OwnershipLost, OwnershipReleased, ListUnreachable, TakeoverRefused,
 		SheetInForce, SheetRejected, GuaranteeAtRisk, JobPlaced, JobEnded, JobPreempted, WorkerQuarantined,
 		WorkerReturned, WorkerLost, PlacingFailed, GuaranteesSafe,
 		StartRefused, RecordOwed,
-		ClaimUnresolved, RequestUnknown, CallerRefused, ListenerFailed,
+		CallerRefused, ListenerFailed,
 	}
 }
--- a/internal/instance/domains.go
+++ b/internal/instance/domains.go
@@ -294,6 +294,9 @@
 	case placing.EventRestored, placing.EventStarted:
 	case placing.EventEnded:
 		kind = events.JobEnded
+		if event.Result == apiv1.RunResult_RUN_RESULT_PREEMPTED {
+			kind = events.JobPreempted
+		}
 	case placing.EventWorkerSuspected:
 		kind = events.WorkerLost
 	case placing.EventStartRefused:
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -222,9 +222,22 @@
 	if event.Restored || event.Record.GetWorkerMarked() != nil {
 		i.setQuarantined()
 	}
+	i.logVerdict(event.Record)
 	i.domains.changed()
 }
 
+// logVerdict tells of a change of a worker's condition.
+func (i *Instance) logVerdict(record *apiv1.Record) {
+	marked := record.GetWorkerMarked()
+	switch marked.GetCondition() {
+	case apiv1.WorkerCondition_WORKER_CONDITION_QUARANTINED:
+		i.events.Log(events.WorkerQuarantined, "worker", marked.Worker, "actor", record.Actor, "reason", record.Reason)
+	case apiv1.WorkerCondition_WORKER_CONDITION_HEALTHY:
+		i.events.Log(events.WorkerReturned, "worker", marked.Worker, "actor", record.Actor, "reason", record.Reason)
+	default:
+	}
+}
+
 func (i *Instance) logRejection(event ledger.Event) {
 	if event.Record.GetSheetApplied() != nil {
 		i.events.Log(events.SheetRejected, "actor", event.Record.Actor, "reason", event.Rejection.Message)
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -87,6 +87,7 @@
 // behind the retention of the log is incomplete again.
 func (i *Instance) takeStates(ctx context.Context) {
 	wasReady := false
+	lastReason := ""
 	for {
 		for _, stream := range []string{platform.StreamLedger, platform.StreamClaims} {
 			i.takeState(ctx, stream)
@@ -95,6 +96,10 @@
 		if ready && !wasReady {
 			i.events.Log(events.InstanceReady, "revision", i.revision(), "offset", i.ledger.Offset())
 		}
+		if reason := i.notReady(); wasReady && reason != "" && reason != lastReason {
+			i.events.Log(events.InstanceNotReady, "reason", reason)
+		}
+		lastReason = i.notReady()
 		wasReady = ready
 		select {
 		case <-ctx.Done():
