--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -11,8 +11,14 @@
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/platform"
+	"github.com/dotterelgauge/dotterelgauge/internal/platform/workerclient"
+	"github.com/dotterelgauge/dotterelgauge/internal/routing/conn"
 )
 
+// silenceShare divides the time left to a request: a connection may be silent for that part of it while the worker
+// is busy, so that a slow answer isn't cut off and time is left for a retry.
+const silenceShare = 2
+
 // dispatch is one sending of a request to a worker.
 type dispatch struct {
 	request *Request
@@ -39,12 +45,16 @@
 func (r *Router) send(ctx context.Context, d dispatch) result {
 	started := time.Now()
 	r.counters.dispatches.Add(1)
+	given := time.Until(d.request.Deadline)
+	if given/silenceShare > conn.DefaultBusyAfter {
+		ctx = conn.WithSilence(ctx, given/silenceShare)
+	}
 	reply, err := d.worker.back.Run(ctx, &apiv1.RunRequest{
 		RequestId: d.id,
 		Attempt:   uint32(d.attempt),
 		Account:   d.request.Account,
 		WorkClass: workClass(d.request.Class),
-		TimeoutMs: time.Until(d.request.Deadline).Milliseconds(),
+		TimeoutMs: given.Milliseconds(),
 		Payload:   d.request.Payload,
 		Checksum:  d.checksum,
 	})
@@ -63,6 +73,10 @@
 	if errors.Is(err, platform.ErrUnavailable) {
 		return verdictUnsent
 	}
+	if errors.Is(err, workerclient.ErrDamagedAnswer) {
+		r.counters.droppedAnswers.Add(1)
+		return verdictLost
+	}
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return verdictCancelled
 	}
@@ -70,7 +84,7 @@
 		return verdictLost
 	}
 	if reply.GetRequestId() != d.id || reply.GetAttempt() != uint32(d.attempt) {
-		r.counters.foreign.Add(1)
+		r.counters.droppedAnswers.Add(1)
 		return verdictLost
 	}
 	return verdictOf(reply.GetStatus())
--- a/internal/routing/records.go
+++ b/internal/routing/records.go
@@ -42,7 +42,7 @@
 // and retries learn the truth from this instance while it lives, then get Unknown.
 func (r *Router) recordLater(e *entry, propose func(context.Context) error, accepted func()) {
 	if !r.work.beginRecord() {
-		r.counters.dropped.Add(1)
+		r.counters.recordsDropped.Add(1)
 		return
 	}
 	r.table.record(e, true)
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -4,13 +4,13 @@
 
 // counters are the running counts of a Router.
 type counters struct {
-	done, notRun, unknown                                      atomic.Int64
-	dispatches, retries, hedges, hedgeWins, budgetEmpty        atomic.Int64
-	refusedFull, refusedOverload, refusedDeadline, queued      atomic.Int64
-	workerFull, workerLeaving, workerBroken, workerDamaged     atomic.Int64
-	lost, foreign, late                                        atomic.Int64
-	claims, claimsUnavailable, releases, endsRecorded, dropped atomic.Int64
-	joined, answeredFromLog, answeredByHolder                  atomic.Int64
+	done, notRun, unknown                                             atomic.Int64
+	dispatches, retries, hedges, hedgeWins, budgetEmpty               atomic.Int64
+	refusedFull, refusedOverload, refusedDeadline, queued             atomic.Int64
+	workerFull, workerLeaving, workerBroken, workerDamaged            atomic.Int64
+	lost, droppedAnswers, late                                        atomic.Int64
+	claims, claimsUnavailable, releases, endsRecorded, recordsDropped atomic.Int64
+	joined, answeredFromLog, answeredByHolder                         atomic.Int64
 }
 
 // Stats are the counts of a Router since its start and what it holds now.
@@ -37,11 +37,11 @@
 	WorkerLeaving int64 `json:"worker_leaving"`
 	WorkerBroken  int64 `json:"worker_broken"`
 	WorkerDamaged int64 `json:"worker_damaged"`
-	// Lost counts dispatches without a usable answer, Foreign those of them whose answer was another request's,
-	// Late the answers that came after the caller's deadline.
-	Lost    int64 `json:"lost"`
-	Foreign int64 `json:"foreign"`
-	Late    int64 `json:"late"`
+	// Lost counts dispatches without a usable answer. DroppedAnswers counts those of them whose answer was another
+	// request's, short or damaged; Late the answers that came after the caller's deadline.
+	Lost           int64 `json:"lost"`
+	DroppedAnswers int64 `json:"dropped_answers"`
+	Late           int64 `json:"late"`
 	// Claims count accepted claims, ClaimsUnavailable those that the log did not decide in time.
 	Claims            int64 `json:"claims"`
 	ClaimsUnavailable int64 `json:"claims_unavailable"`
@@ -73,9 +73,9 @@
 		RefusedDeadline: c.refusedDeadline.Load(), Queued: c.queued.Load(),
 		WorkerFull: c.workerFull.Load(), WorkerLeaving: c.workerLeaving.Load(),
 		WorkerBroken: c.workerBroken.Load(), WorkerDamaged: c.workerDamaged.Load(),
-		Lost: c.lost.Load(), Foreign: c.foreign.Load(), Late: c.late.Load(),
+		Lost: c.lost.Load(), DroppedAnswers: c.droppedAnswers.Load(), Late: c.late.Load(),
 		Claims: c.claims.Load(), ClaimsUnavailable: c.claimsUnavailable.Load(),
-		Releases: c.releases.Load(), EndsRecorded: c.endsRecorded.Load(), RecordsDropped: c.dropped.Load(),
+		Releases: c.releases.Load(), EndsRecorded: c.endsRecorded.Load(), RecordsDropped: c.recordsDropped.Load(),
 		Joined: c.joined.Load(), AnsweredFromLog: c.answeredFromLog.Load(), AnsweredByHolder: c.answeredByHolder.Load(),
 	}
 	s.InFlight, s.PendingRecords = r.work.counts()
