--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -27,6 +27,8 @@
 	checksum uint64
 	attempt  int
 	worker   *worker
+	// enough says that the worker has the time that it can be expected to need, so that its silence counts.
+	enough bool
 }
 
 // result is how a dispatch ended.
@@ -46,6 +48,7 @@
 	started := time.Now()
 	r.counters.dispatches.Add(1)
 	given := time.Until(d.request.Deadline)
+	d.enough = given >= r.latency[d.request.Class].enough()
 	if given/silenceShare > conn.DefaultBusyAfter {
 		ctx = conn.WithSilence(ctx, given/silenceShare)
 	}
@@ -70,7 +73,7 @@
 
 // classify says what a reply or error proves.
 func (r *Router) classify(ctx context.Context, d dispatch, reply *apiv1.RunReply, err error) verdict {
-	cancelled := errors.Is(ctx.Err(), context.Canceled)
+	cancelled := errors.Is(ctx.Err(), context.Canceled) || errors.Is(ctx.Err(), context.DeadlineExceeded) && !d.enough
 	if errors.Is(err, platform.ErrUnavailable) && cancelled {
 		return verdictWithdrawn
 	}
@@ -162,6 +165,10 @@
 	hedgeDeviations = 4
 	// hedgeFactor is the least multiple of the mean.
 	hedgeFactor = 2
+	// enoughFactor is the multiple of the expected time that a worker must have had for its silence to count against
+	// it; enoughUnknown is that time before the first answer.
+	enoughFactor  = 2
+	enoughUnknown = time.Second
 	// minHedgeDelay bounds the hedge delay from below.
 	minHedgeDelay = 5 * time.Millisecond
 )
@@ -188,6 +195,21 @@
 	l.deviation += deviationGain * (max(difference, -difference) - l.deviation)
 }
 
+// expected is how long an answer takes; 0 before the first.
+func (l *latency) expected() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.mean + l.deviation)
+}
+
+// enough is the time after which a missing answer counts against the worker.
+func (l *latency) enough() time.Duration {
+	if expected := l.expected(); expected > 0 {
+		return enoughFactor * expected
+	}
+	return enoughUnknown
+}
+
 // hedgeDelay is how long to wait for an answer before a hedge is worth it; false before enough samples.
 func (l *latency) hedgeDelay() (time.Duration, bool) {
 	l.mu.Lock()
--- a/internal/routing/idempotent.go
+++ b/internal/routing/idempotent.go
@@ -34,7 +34,7 @@
 
 func (run *idempotentRun) do(ctx context.Context) Answer {
 	for {
-		w, refused := run.router.sched.acquire(ctx, run.request.demand(run.avoid))
+		w, refused := run.router.sched.acquire(ctx, run.router.demand(run.request, run.avoid))
 		if refused != nil {
 			return run.unanswered(refused)
 		}
@@ -139,7 +139,7 @@
 	run.mu.Lock()
 	avoid := append([]string(nil), run.avoid...)
 	run.mu.Unlock()
-	w := r.sched.tryAcquire(run.request.demand(avoid))
+	w := r.sched.tryAcquire(r.demand(run.request, avoid))
 	if w == nil {
 		return none
 	}
--- a/internal/routing/keyed.go
+++ b/internal/routing/keyed.go
@@ -187,7 +187,7 @@
 		r.counters.refusedFull.Add(1)
 		return &refusal{kind: KindQueueFull, retryAfter: minRetryAfter}
 	}
-	return r.sched.check(request.demand(nil))
+	return r.sched.check(r.demand(&request, nil))
 }
 
 // claim proposes the claim; the number of those that wait for the log is bounded by checkBeforeClaim.
@@ -233,7 +233,7 @@
 	id := r.nextID()
 	var avoid []string
 	for attempt := 1; ; attempt++ {
-		w, why := r.sched.acquire(e.ctx, request.demand(avoid))
+		w, why := r.sched.acquire(e.ctx, r.demand(&request, avoid))
 		if why != nil {
 			r.endNotRun(e, why, attempt-1)
 			return
--- a/internal/routing/limits_test.go
+++ b/internal/routing/limits_test.go
@@ -272,6 +272,38 @@
 	}
 }
 
+// TestShortDeadlinesDoNotEjectAWorker: a caller that leaves too little time proves nothing against the worker; a worker
+// that lets ample time pass is ejected.
+func TestShortDeadlinesDoNotEjectAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a")
+		f.setWorkers(2)
+		r := f.routers["a"]
+		f.workers.setAnswer(echoAfter(100 * time.Millisecond))
+		for _, given := range []time.Duration{50 * time.Millisecond, time.Second, 150 * time.Millisecond} {
+			f.workers.setAnswer(echoAfter(given * 2 / 3))
+			if given == 50*time.Millisecond {
+				f.workers.setAnswer(echoAfter(time.Hour))
+			}
+			for range 20 {
+				request := idempotent("check")
+				request.Deadline = time.Now().Add(given)
+				mustDo(t, r, request)
+			}
+			if ejected := r.Stats().EjectedWorkers; ejected != 0 {
+				t.Fatalf("%d workers ejected by callers that give %v", ejected, given)
+			}
+		}
+		f.workers.setAnswer(echoAfter(time.Hour))
+		for range 20 {
+			mustDo(t, r, idempotent("check"))
+		}
+		if ejected := r.Stats().EjectedWorkers; ejected != 1 {
+			t.Errorf("%d silent workers ejected, want one of two", ejected)
+		}
+	})
+}
+
 func TestFasterWorkersGetMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a")
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -13,6 +13,10 @@
 	patientPassLimit  = 16
 	// delayGain is the weight of a new sample in the average queue delay.
 	delayGain = 0.25
+	// delayMemory is how long the average outlives the last grant when nothing waits.
+	delayMemory = time.Second
+	// maxIdleAccounts bounds the accounts whose average is kept though nothing of theirs waits.
+	maxIdleAccounts = 1024
 )
 
 // passLimit is, by class, how many grants may pass it over.
@@ -24,6 +28,8 @@
 	class    Class
 	avoid    []string
 	enqueued time.Time
+	// latestStart is when the request gives up waiting.
+	latestStart time.Time
 	// ahead counts the account's requests that waited in the class when this one came.
 	ahead int
 	// element is the waiter's place in its account's queue; nil when it isn't queued.
@@ -44,11 +50,19 @@
 	place int
 	// delay is the average queue delay for each place in the queue.
 	delay time.Duration
+	// last is the time of the last grant.
+	last time.Time
 }
 
 // expectedWait estimates how long one more request would wait behind those that wait now.
 func (q *accountQueue) expectedWait(now time.Time) time.Duration {
+	if q.waiting.Len() == 0 && now.Sub(q.last) > delayMemory {
+		return 0
+	}
 	byPlace := time.Duration(q.waiting.Len()+1) * q.delay
+	if q.waiting.Len() == 0 {
+		return byPlace
+	}
 	oldest := q.waiting.Front().Value.(*waiter)
 	return max(byPlace, now.Sub(oldest.enqueued))
 }
@@ -56,15 +70,18 @@
 // noteGrant averages the delay that the granted request had for each place.
 func (q *accountQueue) noteGrant(w *waiter, now time.Time) {
 	sample := now.Sub(w.enqueued) / time.Duration(w.ahead+1)
-	if q.delay == 0 {
+	if q.delay == 0 || now.Sub(q.last) > delayMemory {
+		q.last = now
 		q.delay = sample
 		return
 	}
+	q.last = now
 	q.delay += time.Duration(delayGain * float64(sample-q.delay))
 }
 
 // fairQueue shares the grants of one class among accounts by weight: self-clocked fair queueing.
 type fairQueue struct {
+	// accounts holds the accounts in order and those whose average is kept.
 	accounts map[string]*accountQueue
 	order    accountHeap
 	// virtual is the finish of the last grant.
@@ -80,9 +97,12 @@
 func (f *fairQueue) push(w *waiter, weight int) {
 	q := f.accounts[w.account]
 	if q == nil {
+		f.forgetIdle()
 		q = &accountQueue{account: w.account}
-		q.finish = f.virtual + 1/float64(weight)
 		f.accounts[w.account] = q
+	}
+	if q.waiting.Len() == 0 {
+		q.finish = f.virtual + 1/float64(weight)
 		heap.Push(&f.order, q)
 	}
 	w.ahead = q.waiting.Len()
@@ -110,7 +130,18 @@
 	f.waiting--
 	if q.waiting.Len() == 0 {
 		heap.Remove(&f.order, q.place)
-		delete(f.accounts, w.account)
+	}
+}
+
+// forgetIdle drops the averages of accounts without waiters when there are too many.
+func (f *fairQueue) forgetIdle() {
+	if len(f.accounts)-len(f.order) < maxIdleAccounts {
+		return
+	}
+	for account, q := range f.accounts {
+		if q.waiting.Len() == 0 {
+			delete(f.accounts, account)
+		}
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -90,8 +90,12 @@
 	return nil
 }
 
-func (q *Request) demand(avoid []string) demand {
-	return demand{account: q.Account, class: q.Class, deadline: q.Deadline, avoid: avoid}
+// demand describes the request to the scheduler.
+func (r *Router) demand(q *Request, avoid []string) demand {
+	return demand{
+		account: q.Account, class: q.Class, deadline: q.Deadline,
+		service: r.latency[q.Class].expected(), avoid: avoid,
+	}
 }
 
 // maybeSentBefore says, at its arrival, whether an earlier request with the same key may have been sent to any instance:
--- a/internal/routing/scheduler.go
+++ b/internal/routing/scheduler.go
@@ -11,6 +11,9 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/platform"
 )
 
+// waitMargin divides the expected wait into the part that is added to it for its error.
+const waitMargin = 2
+
 // refusal says why a request gets no worker.
 type refusal struct {
 	kind       Kind
@@ -22,10 +25,17 @@
 	account  string
 	class    Class
 	deadline time.Time
+	// service is how long a worker is expected to take; a request waits no longer than leaves room for it.
+	service time.Duration
 	// avoid names workers that were tried already.
 	avoid []string
 }
 
+// latestStart is when a worker must start the request to be expected to answer in time.
+func (d demand) latestStart() time.Time {
+	return d.deadline.Add(-d.service)
+}
+
 // scheduler grants workers to requests in fair order. It does no I/O.
 type scheduler struct {
 	mu         sync.Mutex
@@ -86,7 +96,7 @@
 	if q := queue.accounts[d.account]; q != nil {
 		wait = q.expectedWait(now)
 	}
-	if now.Add(wait).After(d.deadline) {
+	if now.Add(wait + wait/waitMargin).After(d.latestStart()) {
 		s.counters.refusedOverload.Add(1)
 		return &refusal{kind: KindOverload, retryAfter: clampRetryAfter(wait)}
 	}
@@ -135,6 +145,8 @@
 	if refused != nil {
 		return nil, refused
 	}
+	ctx, cancel := context.WithDeadline(ctx, waiting.latestStart)
+	defer cancel()
 	return s.await(ctx, waiting)
 }
 
@@ -147,7 +159,10 @@
 	if s.queues.waiting() >= s.queueLimit {
 		s.evict(s.evictable(d))
 	}
-	w := &waiter{account: d.account, class: d.class, avoid: d.avoid, enqueued: now, ready: make(chan struct{})}
+	w := &waiter{
+		account: d.account, class: d.class, avoid: d.avoid,
+		enqueued: now, latestStart: d.latestStart(), ready: make(chan struct{}),
+	}
 	s.queues.queues[d.class].push(w, s.weight(d.account))
 	s.counters.queued.Add(1)
 	s.grantWaiting()
@@ -219,7 +234,14 @@
 // grantWaiting grants free workers to waiters.
 func (s *scheduler) grantWaiting() {
 	for s.queues.waiting() > 0 && len(s.pool.open) > 0 {
-		w := s.queues.pop(s.weight, time.Now())
+		now := time.Now()
+		w := s.queues.pop(s.weight, now)
+		if now.After(w.latestStart) {
+			s.counters.refusedDeadline.Add(1)
+			w.refusal = &refusal{kind: KindDeadline, retryAfter: minRetryAfter}
+			close(w.ready)
+			continue
+		}
 		w.worker = s.pool.pick(w.avoid)
 		s.pool.take(w.worker)
 		close(w.ready)
