assign: a unit keeps the workers on which room is made for it; planning looks workers up by rack

Workers are indexed by service and rack, runs by worker; a unit's density is computed once. The event of a job's end names its objective.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -11,13 +11,13 @@
 // allowed tells whether a unit may run on a worker, whatever its room. A gang, and a unit on its last attempt, rather wait
 // than try a worker on trial.
 func (w *world) allowed(unit *Unit, worker *Worker) bool {
-	if worker.Strained && unit.Step.GetFills() {
+	if !worker.Usable || worker.Service != unit.Service || unit.Avoid[worker.ID] {
 		return false
 	}
-	if worker.Trial && (unit.LastAttempt || unit.Members() > 1) && w.Now.Sub(unit.Waiting) < trialPatience {
+	if worker.Strained && unit.Step.GetFills() {
 		return false
 	}
-	if !worker.Usable || worker.Service != unit.Service || unit.Avoid[worker.ID] {
+	if worker.Trial && (unit.LastAttempt || unit.Members() > 1) && w.Now.Sub(unit.Waiting) < trialPatience {
 		return false
 	}
 	if unit.Allowed != nil && !unit.Allowed[worker.ID] {
@@ -41,6 +41,9 @@
 // fits returns how many members of a unit fit into room on a worker.
 func fits(unit *Unit, worker *Worker, room Room) int {
 	need := RoomOf(unit.Step)
+	if !room.Fits(need) {
+		return 0
+	}
 	count, most := 0, min(perWorker(unit, worker), unit.Members())
 	if worker.Trial {
 		most = min(most, 1)
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -1,7 +1,9 @@
 package assign
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,76 +22,28 @@
 	reserve       = 250 * time.Millisecond
 )
 
-// world is the snapshot as the plan changes it.
-type world struct {
-	*Snapshot
-	workers map[string]*Worker
-	// victims are runs that give way under this plan.
-	victims map[string]bool
-}
-
-// MakePlan returns what to do now.
+// MakePlan returns what to do now. It changes the rooms in the snapshot.
 func MakePlan(snapshot *Snapshot) Plan {
-	w := &world{Snapshot: snapshot, workers: map[string]*Worker{}, victims: map[string]bool{}}
-	for i := range snapshot.Workers {
-		w.workers[snapshot.Workers[i].ID] = &snapshot.Workers[i]
-	}
-	var plan Plan
+	w := newWorld(snapshot)
+	units := w.resume(rank(snapshot))
 	// Units of one step are alike: where one doesn't fit, no other does.
 	blocked := map[replica.Task]bool{}
-	for _, unit := range rank(snapshot) {
+	for _, unit := range units {
 		shape := replica.Task{Job: unit.Task.Job, Occurrence: unit.Task.Occurrence, Step: unit.Task.Step}
 		if blocked[shape] {
 			continue
 		}
 		found := w.place(unit, freeOf)
-		if found == nil || found.speed < neededSpeed(unit, w.Now) {
-			if stops, ok := w.hurry(unit, found); ok {
-				plan.Stops = append(plan.Stops, stops...)
-				blocked[shape] = true
-				continue
-			}
+		switch {
+		case (found == nil || found.speed < neededSpeed(unit, w.Now)) && w.hurry(unit, found):
+			blocked[shape] = true
+		case found != nil:
+			w.start(unit, found.workers)
+		default:
+			blocked[shape] = true
 		}
-		if found != nil {
-			w.take(unit, found.workers, false)
-			plan.Starts = append(plan.Starts, Start{Task: unit.Task, Workers: found.workers})
-			continue
-		}
-		blocked[shape] = true
-	}
-	return plan
-}
-
-// roomOf tells how much room of a worker counts as available.
-type roomOf func(*Worker) Room
-
-// freeOf is the room that is unused; soonOf adds what stopping runs still use.
-func freeOf(worker *Worker) Room { return worker.Free }
-
-func soonOf(worker *Worker) Room { return worker.Free.Add(worker.Freeing) }
-
-// take books a unit's room, so that no lower unit gets it. Room that is only being freed is booked first.
-func (w *world) take(unit *Unit, workers []string, soon bool) {
-	need := RoomOf(unit.Step)
-	for _, id := range workers {
-		worker := w.workers[id]
-		if worker.Trial {
-			worker.Usable = false
-		}
-		if unit.OnWorker != nil {
-			unit.OnWorker[id]++
-		}
-		if soon {
-			worker.Freeing = worker.Freeing.Sub(need)
-			worker.Free = Room{
-				CPU: min(worker.Free.CPU, worker.Free.CPU+worker.Freeing.CPU), Memory: min(worker.Free.Memory, worker.Free.Memory+worker.Freeing.Memory),
-				Accelerators: min(worker.Free.Accelerators, worker.Free.Accelerators+worker.Freeing.Accelerators),
-			}
-			worker.Freeing = Room{max(0, worker.Freeing.CPU), max(0, worker.Freeing.Memory), max(0, worker.Freeing.Accelerators)}
-			continue
-		}
-		worker.Free = worker.Free.Sub(need)
 	}
+	return w.plan
 }
 
 // option is a way to place a unit.
@@ -122,64 +76,59 @@
 		var best *option
 		enough := neededSpeed(unit, w.Now)
 		for _, rack := range racks {
-			if found := w.within(unit, room, rack); found.beats(best, enough) {
+			if found := w.within(unit, room, rack.workers); found.beats(best, enough) {
 				best = found
 			}
 		}
-		if best != nil || w.waitsForRack(unit) {
+		if best != nil || w.waitsForRack(unit, racks) {
 			return best
 		}
 	}
-	return w.within(unit, room, "")
+	return w.within(unit, room, w.poolOf(unit).workers)
 }
 
-// waitsForRack tells whether a unit rather waits for its rack than runs slowly elsewhere.
-func (w *world) waitsForRack(unit *Unit) bool {
-	possible := false
-	for _, rack := range w.suitable(unit) {
+// waitsForRack tells whether a unit rather waits for one of the racks than runs slowly elsewhere.
+func (w *world) waitsForRack(unit *Unit, racks []rack) bool {
+	patience := time.Duration(float64(unit.Step.GetEstimateMs())*remotePatience) * time.Millisecond
+	if w.Now.Sub(unit.Waiting) >= patience {
+		return false
+	}
+	for _, rack := range racks {
 		count := 0
-		for i := range w.Workers {
-			if worker := &w.Workers[i]; worker.Rack == rack && w.allowed(unit, worker) {
+		for _, worker := range rack.workers {
+			if w.allowed(unit, worker) {
 				count += fits(unit, worker, worker.Capacity)
 			}
 		}
-		possible = possible || count >= unit.Members()
+		if count >= unit.Members() {
+			return true
+		}
 	}
-	patience := time.Duration(float64(unit.Step.GetEstimateMs())*remotePatience) * time.Millisecond
-	return possible && w.Now.Sub(unit.Waiting) < patience
+	return false
 }
 
 // suitable are the racks on which a unit runs at full speed; nil if any worker will do.
-func (w *world) suitable(unit *Unit) []string {
-	if rack := unit.Step.GetDataRack(); rack != "" {
-		return []string{rack}
+func (w *world) suitable(unit *Unit) []rack {
+	racks := w.poolOf(unit).racks
+	if name := unit.Step.GetDataRack(); name != "" {
+		for i := range racks {
+			if racks[i].name == name {
+				return racks[i : i+1]
+			}
+		}
+		return []rack{{name: name}}
 	}
 	if unit.Step.GetSameRack() && unit.Members() > 1 {
-		return w.racks(unit.Service)
+		return racks
 	}
 	return nil
 }
 
-// racks returns the racks of a service in a fixed order.
-func (w *world) racks(service string) []string {
-	seen := map[string]bool{}
-	var racks []string
-	for i := range w.Workers {
-		if worker := &w.Workers[i]; worker.Service == service && !seen[worker.Rack] {
-			seen[worker.Rack] = true
-			racks = append(racks, worker.Rack)
-		}
-	}
-	sort.Strings(racks)
-	return racks
-}
-
 // left is the number of accelerators that stay free on the workers beside the members.
 func (w *world) left(workers []string, room roomOf) int {
-	seen, left := map[string]bool{}, 0
-	for _, id := range workers {
-		if !seen[id] {
-			seen[id] = true
+	left := 0
+	for i, id := range workers {
+		if !slices.Contains(workers[:i], id) {
 			left += room(w.workers[id]).Accelerators
 		}
 	}
@@ -193,21 +142,36 @@
 	left   Room
 }
 
-// within places a unit on workers of one rack, or of any rack if rack is empty. The members of a gang wait for the
-// slowest, so they go to workers of like speed: the slowest that suffice for the objective, for the fast ones are
-// wanted by whoever is in a hurry. Among like workers the tightest fit goes first.
-func (w *world) within(unit *Unit, room roomOf, rack string) *option {
-	candidates, total := w.candidates(unit, room, rack)
+// within places a unit on some of the workers. The members of a gang wait for the slowest, so they go to workers of like
+// speed: the slowest that suffice for the objective, for the fast ones are wanted by whoever is in a hurry. Among like
+// workers the tightest fit goes first.
+func (w *world) within(unit *Unit, room roomOf, workers []*Worker) *option {
+	candidates, total := w.candidates(unit, room, workers)
 	members := unit.Members()
 	if total < members {
 		return nil
 	}
-	sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].worker.Speed < candidates[b].worker.Speed })
-	enough := neededSpeed(unit, w.Now)
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.worker.Speed, b.worker.Speed) })
+	chosen := append([]candidate(nil), slowestGroup(candidates, members, neededSpeed(unit, w.Now))...)
+	slices.SortStableFunc(chosen, tighter)
+	found := &option{speed: math.Inf(1), workers: make([]string, 0, members)}
+	for _, candidate := range chosen {
+		for range min(candidate.count, members-len(found.workers)) {
+			found.workers = append(found.workers, candidate.worker.ID)
+			found.speed = min(found.speed, candidate.worker.Speed)
+		}
+	}
+	found.left = w.left(found.workers, room)
+	return found
+}
+
+// slowestGroup returns the candidates of like speed, by rising speed, that suffice for the members: the slowest that are
+// fast enough, else the fastest; and if no like ones suffice, the fastest of all.
+func slowestGroup(candidates []candidate, members int, enough float64) []candidate {
 	var chosen []candidate
 	for first := range candidates {
 		group := like(candidates[first:])
-		if count(group) < members {
+		if !suffice(group, members) {
 			continue
 		}
 		chosen = group
@@ -216,33 +180,23 @@
 		}
 	}
 	if chosen == nil {
-		chosen = fastest(candidates, members)
+		return fastest(candidates, members)
 	}
-	chosen = append([]candidate(nil), chosen...)
-	sort.SliceStable(chosen, func(a, b int) bool { return better(chosen[a], chosen[b]) })
-	found := &option{speed: math.Inf(1)}
-	for _, candidate := range chosen {
-		for range min(candidate.count, members-len(found.workers)) {
-			found.workers = append(found.workers, candidate.worker.ID)
-			found.speed = min(found.speed, candidate.worker.Speed)
-		}
-	}
-	found.left = w.left(found.workers, room)
-	return found
+	return chosen
 }
 
 // candidates are the workers that can take members of a unit, and how many they can take together.
-func (w *world) candidates(unit *Unit, room roomOf, rack string) ([]candidate, int) {
+func (w *world) candidates(unit *Unit, room roomOf, workers []*Worker) ([]candidate, int) {
 	var candidates []candidate
 	total := 0
 	need := RoomOf(unit.Step)
-	for i := range w.Workers {
-		worker := &w.Workers[i]
-		if (rack != "" && worker.Rack != rack) || !w.allowed(unit, worker) {
+	for _, worker := range workers {
+		available := room(worker)
+		if !available.Fits(need) || !w.allowed(unit, worker) {
 			continue
 		}
-		if count := fits(unit, worker, room(worker)); count > 0 {
-			candidates = append(candidates, candidate{worker: worker, count: count, left: room(worker).Sub(need)})
+		if count := fits(unit, worker, available); count > 0 {
+			candidates = append(candidates, candidate{worker: worker, count: count, left: available.Sub(need)})
 			total += count
 		}
 	}
@@ -251,30 +205,28 @@
 
 // like returns the first candidates, by rising speed, that are about as fast as the first one.
 func like(candidates []candidate) []candidate {
-	for i, candidate := range candidates {
-		if candidate.worker.Speed > likeSpeed*candidates[0].worker.Speed {
-			return candidates[:i]
-		}
-	}
-	return candidates
+	limit := likeSpeed * candidates[0].worker.Speed
+	end := sort.Search(len(candidates), func(i int) bool { return candidates[i].worker.Speed > limit })
+	return candidates[:end]
 }
 
 // fastest returns the last candidates, by rising speed, that suffice for the members.
 func fastest(candidates []candidate, members int) []candidate {
+	total := 0
 	for first := len(candidates) - 1; first > 0; first-- {
-		if count(candidates[first:]) >= members {
+		if total += candidates[first].count; total >= members {
 			return candidates[first:]
 		}
 	}
 	return candidates
 }
 
-func count(candidates []candidate) int {
-	total := 0
-	for _, candidate := range candidates {
-		total += candidate.count
+// suffice tells whether the candidates can take the members.
+func suffice(candidates []candidate, members int) bool {
+	for i := 0; i < len(candidates) && members > 0; i++ {
+		members -= candidates[i].count
 	}
-	return total
+	return members <= 0
 }
 
 // neededSpeed is how fast a worker has to be for the unit's job to end by its objective.
@@ -286,16 +238,12 @@
 	return estimateSlack * float64(unit.Left) / float64(left)
 }
 
-// better tells whether a is the better fit.
-func better(a, b candidate) bool {
-	if a.left.Accelerators != b.left.Accelerators {
-		return a.left.Accelerators < b.left.Accelerators
-	}
-	if a.worker.Speed != b.worker.Speed {
-		return a.worker.Speed > b.worker.Speed
-	}
-	if a.left.Memory != b.left.Memory {
-		return a.left.Memory < b.left.Memory
-	}
-	return a.worker.ID < b.worker.ID
+// tighter orders candidates by how well they fit: the tightest first, and the faster of two that are as tight.
+func tighter(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.left.Accelerators, b.left.Accelerators),
+		cmp.Compare(b.worker.Speed, a.worker.Speed),
+		cmp.Compare(a.left.Memory, b.left.Memory),
+		cmp.Compare(a.worker.ID, b.worker.ID),
+	)
 }
--- a/internal/assign/preempt.go
+++ b/internal/assign/preempt.go
@@ -1,7 +1,9 @@
 package assign
 
 import (
-	"sort"
+	"cmp"
+	"math"
+	"slices"
 )
 
 const (
@@ -15,168 +17,175 @@
 
 // hurry makes room for a unit that fits nowhere now, or only where it is too slow: it waits for room that is being
 // freed, or lets runs give way. It is false if that doesn't help.
-func (w *world) hurry(unit *Unit, found *option) ([]Stop, bool) {
+func (w *world) hurry(unit *Unit, found *option) bool {
 	enough := neededSpeed(unit, w.Now)
 	if soon := w.place(unit, soonOf); soon != nil && (found == nil || (found.speed < enough && soon.speed >= enough)) {
-		w.take(unit, soon.workers, true)
-		return nil, true
+		w.reserve(unit, soon.workers)
+		return true
 	}
 	if !unit.Claimed && unit.Priority > 0 {
-		return nil, false
+		return false
 	}
 	victims := w.victimsFor(unit, enough)
 	if victims == nil && found == nil {
 		victims = w.victimsFor(unit, 0)
 	}
 	if victims == nil {
-		return nil, false
+		return false
 	}
-	var stops []Stop
 	for _, victim := range victims {
-		w.victims[victim.Task.String()] = true
-		room := RoomOf(victim.Step)
-		for _, id := range victim.Workers {
-			if worker, known := w.workers[id]; known {
-				worker.Freeing = worker.Freeing.Add(room)
-			}
-		}
-		stops = append(stops, Stop{Task: victim.Task, For: unit.Task})
+		w.stop(victim, unit)
 	}
 	if soon := w.place(unit, soonOf); soon != nil {
-		w.take(unit, soon.workers, true)
+		w.reserve(unit, soon.workers)
 	}
-	return stops, true
+	return true
+}
+
+// stop lets a run give way to a unit.
+func (w *world) stop(victim *Running, unit *Unit) {
+	w.victims[victim] = true
+	room := RoomOf(victim.Step)
+	for _, id := range victim.Workers {
+		if worker, known := w.workers[id]; known {
+			worker.Freeing = worker.Freeing.Add(room)
+		}
+	}
+	w.plan.Stops = append(w.plan.Stops, Stop{Task: victim.Task, For: unit.Task})
 }
 
 // victimsFor returns the runs that give way to a unit on workers of a speed at least; nil if that can't be, or isn't
 // worth it. A claim is worth everything, but not only for a faster worker.
 func (w *world) victimsFor(unit *Unit, speed float64) []*Running {
-	var best []*Running
-	cost := 0.0
+	limit := math.Inf(1)
+	if !unit.Claimed || speed > 0 {
+		limit = cheapLoss * unit.Work
+	}
 	racks := w.suitable(unit)
 	if racks == nil || speed == 0 {
-		racks = append(racks, "")
+		racks = append(racks[:len(racks):len(racks)], rack{workers: w.poolOf(unit).workers})
 	}
+	var best *clearing
 	for _, rack := range racks {
-		if rack == "" && best != nil {
+		if rack.name == "" && best != nil {
 			break
 		}
-		victims, loss, ok := w.clear(unit, rack, speed)
-		if ok && (best == nil || loss < cost) {
-			best, cost = victims, loss
+		tried := &clearing{world: w, unit: unit, speed: speed, chosen: map[*Running]bool{}}
+		if tried.clear(rack.workers, limit) && (best == nil || tried.loss < best.loss) {
+			best = tried
+			limit = min(limit, best.loss)
 		}
 	}
-	if (!unit.Claimed || speed > 0) && cost > cheapLoss*unit.Work {
+	if best == nil {
 		return nil
 	}
-	return best
+	return best.order
 }
 
 // yields tells whether a run may give way to a unit.
 func (w *world) yields(run *Running, unit *Unit) bool {
-	if w.victims[run.Task.String()] || run.Claimed {
+	if run.Claimed || w.victims[run] {
 		return false
 	}
 	if unit.Claimed {
 		return true
 	}
-	return run.Priority > unit.Priority && Density(unit, w.Now) > clearGain*run.Density
+	return run.Priority > unit.Priority && unit.density > clearGain*run.Density
 }
 
-// clear chooses runs on a rack, or on any if rack is empty, that make room for a unit. It clears the workers on
-// which a member costs least, and counts a gang's room on all its workers once one of them was chosen.
-func (w *world) clear(unit *Unit, rack string, speed float64) ([]*Running, float64, bool) {
-	on := map[string][]*Running{}
-	for i := range w.Running {
-		run := &w.Running[i]
-		if !w.yields(run, unit) {
-			continue
-		}
-		for _, id := range run.Workers {
-			on[id] = append(on[id], run)
+// clearing chooses runs that make room for a unit on workers of a speed at least.
+type clearing struct {
+	*world
+	unit  *Unit
+	speed float64
+	// chosen are the runs that give way, order the same in the order of the choice; loss is the work that is lost.
+	chosen map[*Running]bool
+	order  []*Running
+	loss   float64
+}
+
+// site is a worker on which room for a member can be made, and what that costs.
+type site struct {
+	worker *Worker
+	cost   float64
+}
+
+// clear makes room for all members on some of the workers. It takes those on which a member costs least, and counts a
+// gang's room on all its workers once one of them was taken. It is false if that can't be, or costs more than a limit.
+func (c *clearing) clear(workers []*Worker, limit float64) bool {
+	members := c.unit.Members()
+	for _, site := range c.sites(workers) {
+		if members <= 0 || c.loss > limit {
+			break
 		}
-	}
-	chosen := map[*Running]bool{}
-	var order []*Running
-	loss, placed := 0.0, 0
-	used := map[string]bool{}
-	for placed < unit.Members() {
-		worker, runs, ok := w.cheapest(unit, worth{rack, speed}, on, chosen, used)
+		runs, _, ok := c.makeRoom(site.worker)
 		if !ok {
-			return nil, 0, false
+			continue
 		}
-		used[worker.ID] = true
 		for _, run := range runs {
-			if !chosen[run] {
-				chosen[run] = true
-				order = append(order, run)
-				loss += run.Lost
-			}
+			c.chosen[run] = true
+			c.loss += run.Lost
 		}
-		placed += max(1, fits(unit, worker, w.roomAfter(worker, on[worker.ID], chosen)))
+		c.order = append(c.order, runs...)
+		members -= max(1, fits(c.unit, site.worker, c.roomAfter(site.worker)))
 	}
-	return order, loss, true
+	return members <= 0 && c.loss <= limit
 }
 
-// worth says which workers are worth clearing: those of a rack, if it isn't empty, and of a speed at least.
-type worth struct {
-	rack  string
-	speed float64
-}
-
-// cheapest returns the worker on which room for one more member costs least, and the runs that have to go there.
-func (w *world) cheapest(unit *Unit, where worth, on map[string][]*Running, chosen map[*Running]bool, used map[string]bool) (*Worker, []*Running, bool) {
-	var best *Worker
-	var bestRuns []*Running
-	bestCost := 0.0
-	for i := range w.Workers {
-		worker := &w.Workers[i]
-		if used[worker.ID] || (where.rack != "" && worker.Rack != where.rack) || worker.Speed < where.speed || !w.allowed(unit, worker) {
+// sites returns the workers on which room for a member can be made, the cheapest first.
+func (c *clearing) sites(workers []*Worker) []site {
+	var sites []site
+	for _, worker := range workers {
+		if worker.Speed < c.speed || !worker.Capacity.Fits(RoomOf(c.unit.Step)) || !c.allowed(c.unit, worker) {
 			continue
 		}
-		runs, cost, ok := w.makeRoom(unit, worker, on[worker.ID], chosen)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestRuns, bestCost = worker, runs, cost
+		if _, cost, ok := c.makeRoom(worker); ok {
+			sites = append(sites, site{worker, cost})
 		}
 	}
-	return best, bestRuns, best != nil
+	slices.SortStableFunc(sites, func(a, b site) int { return cmp.Compare(a.cost, b.cost) })
+	return sites
 }
 
-// makeRoom returns the runs on a worker that have to go for one member of a unit.
-func (w *world) makeRoom(unit *Unit, worker *Worker, runs []*Running, chosen map[*Running]bool) ([]*Running, float64, bool) {
-	room := w.roomAfter(worker, runs, chosen)
-	rest := make([]*Running, 0, len(runs))
-	seen := map[*Running]bool{}
-	for _, run := range runs {
-		if !chosen[run] && !seen[run] {
-			seen[run] = true
-			rest = append(rest, run)
-		}
-	}
-	sort.SliceStable(rest, func(a, b int) bool { return rest[a].Lost < rest[b].Lost })
+// makeRoom returns the runs on a worker that have to go for one member, beside those that are chosen, and their loss.
+func (c *clearing) makeRoom(worker *Worker) ([]*Running, float64, bool) {
+	room := c.roomAfter(worker)
 	var out []*Running
 	cost := 0.0
-	for _, run := range rest {
-		if fits(unit, worker, room) > 0 {
+	for _, run := range c.runsOn(worker) {
+		if fits(c.unit, worker, room) > 0 {
 			break
 		}
+		if c.chosen[run] || !c.yields(run, c.unit) {
+			continue
+		}
 		out = append(out, run)
 		cost += run.Lost
-		for _, id := range run.Workers {
-			if id == worker.ID {
-				room = room.Add(RoomOf(run.Step))
-			}
-		}
+		room = room.Add(run.roomOn(worker.ID))
 	}
-	return out, cost, fits(unit, worker, room) > 0
+	return out, cost, fits(c.unit, worker, room) > 0
 }
 
 // roomAfter is a worker's room once the chosen runs have stopped.
-func (w *world) roomAfter(worker *Worker, runs []*Running, chosen map[*Running]bool) Room {
+func (c *clearing) roomAfter(worker *Worker) Room {
 	room := soonOf(worker)
-	for _, run := range runs {
-		if chosen[run] {
-			room = room.Add(RoomOf(run.Step))
+	if len(c.chosen) == 0 {
+		return room
+	}
+	for _, run := range c.runsOn(worker) {
+		if c.chosen[run] {
+			room = room.Add(run.roomOn(worker.ID))
+		}
+	}
+	return room
+}
+
+// roomOn is the room that a run takes on a worker.
+func (r *Running) roomOn(worker string) Room {
+	var room Room
+	for _, id := range r.Workers {
+		if id == worker {
+			room = room.Add(RoomOf(r.Step))
 		}
 	}
 	return room
--- a/internal/assign/rank.go
+++ b/internal/assign/rank.go
@@ -1,7 +1,8 @@
 package assign
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -17,31 +18,30 @@
 // rank orders the waiting units: claims by age, the others by what they earn for each core-second.
 func rank(snapshot *Snapshot) []*Unit {
 	units := make([]*Unit, len(snapshot.Waiting))
-	density := make(map[*Unit]float64, len(units))
 	for i := range snapshot.Waiting {
 		units[i] = &snapshot.Waiting[i]
-		density[units[i]] = Density(units[i], snapshot.Now)
+		units[i].density = Density(units[i], snapshot.Now)
 	}
-	sort.SliceStable(units, func(a, b int) bool {
-		first, second := units[a], units[b]
-		switch {
-		case first.Claimed != second.Claimed:
-			return first.Claimed
-		case first.Claimed && !first.Accepted.Equal(second.Accepted):
-			return first.Accepted.Before(second.Accepted)
-		case density[first] > density[second] || density[first] < density[second]:
-			return density[first] > density[second]
-		case !first.Accepted.Equal(second.Accepted):
-			return first.Accepted.Before(second.Accepted)
-		case first.Task.Job != second.Task.Job:
-			return first.Task.Job < second.Task.Job
-		default:
-			return first.Task.Index < second.Task.Index
-		}
-	})
+	slices.SortStableFunc(units, before)
 	return units
 }
 
+// before orders units by who is served first.
+func before(a, b *Unit) int {
+	if a.Claimed != b.Claimed {
+		if a.Claimed {
+			return -1
+		}
+		return 1
+	}
+	if !a.Claimed {
+		if order := cmp.Compare(b.density, a.density); order != 0 {
+			return order
+		}
+	}
+	return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+}
+
 // Density is what a unit's job earns for each core-second if it starts now.
 func Density(unit *Unit, now time.Time) float64 {
 	return unit.Credit * share(unit, now) / max(unit.Work, leastWork)
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -71,6 +71,8 @@
 	Usable, Trial bool
 	// Strained tells that a task that serves there is near its target: it gets no more tasks that fill.
 	Strained bool
+	// booked is the room that units of this plan wait for.
+	booked Room
 }
 
 // Unit is what starts together: a task, or a gang.
@@ -98,9 +100,13 @@
 	Allowed map[string]bool
 	// Avoid are workers on which it failed.
 	Avoid map[string]bool
+	// Reserved are the workers on which an earlier plan made room for it, one entry for each member; nil if none did.
+	Reserved []string
 	// OnWorker counts running tasks of its step; all units of the step share it, and a plan adds what it starts. It
 	// is nil if the step has no bound for each worker.
 	OnWorker map[string]int
+	// density is what the unit earns for each core-second; rank sets it.
+	density float64
 }
 
 // Members is the number of tasks that start together.
@@ -150,4 +156,6 @@
 type Plan struct {
 	Starts []Start
 	Stops  []Stop
+	// Reservations are the workers on which units wait for room that is being freed. The next snapshot has them again.
+	Reservations map[replica.Task][]string
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -106,8 +106,10 @@
 	began               time.Time
 	registered, settled bool
 	// dirty tells that something changed since the last plan.
-	dirty  bool
-	upkeep upkeep
+	dirty bool
+	// reservations are the workers on which the last plan made room.
+	reservations map[replica.Task][]string
+	upkeep       upkeep
 	// status writes for the operator.
 	status *storelog.Appender
 	// asking tells that a call for advice is under way.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -89,7 +89,8 @@
 		}
 		s.stop(unit, "job ended")
 	}
-	s.Events.Log(events.JobEnded, "job", j.spec.GetId(), "state", state, "reason", reason, "age_ms", s.now.UnixMilli()-j.spec.GetAcceptedUnixMs())
+	s.Events.Log(events.JobEnded, "job", j.spec.GetId(), "state", state, "reason", reason, "age_ms", s.now.UnixMilli()-j.spec.GetAcceptedUnixMs(),
+		"objective_ms", objectiveOf(j.spec, chainFrom(j.spec)).Milliseconds())
 	s.dirty = true
 	s.record(then, records...)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,6 +11,7 @@
 // plan decides and acts on it.
 func (s *session) plan() {
 	plan := assign.MakePlan(s.snapshot())
+	s.reservations = plan.Reservations
 	for _, stop := range plan.Stops {
 		u := s.unitOf(stop.Task)
 		s.Events.Log(events.JobPreempted, "task", stop.Task, "for", stop.For, "percent", u.run.percent,
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -68,6 +68,7 @@
 		case u.done:
 		case u.run == nil:
 			unit.Avoid, unit.LastAttempt = s.avoided(u), u.failures+1 >= attempts
+			unit.Reserved = s.reservations[u.task]
 			if u.freed.After(unit.Waiting) {
 				unit.Waiting = u.freed
 			}
