assign: the fastest workers are kept for urgent units, as many as they need at most times

Now the owner averages the cores that urgent jobs use or wait for (15 s), and a plan keeps as many of the fastest workers (mean and one standard deviation, at most a third of the service) from units of other priorities, but for those that fit nowhere else, and not while half of the service is free.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -14,6 +14,9 @@
 	if !worker.Usable || worker.Service != unit.Service || unit.Avoid[worker.ID] {
 		return false
 	}
+	if worker.kept && !unit.urgent() {
+		return false
+	}
 	if worker.Strained && unit.Step.GetFills() {
 		return false
 	}
--- /dev/null
+++ b/internal/assign/keep_test.go
@@ -0,0 +1,53 @@
+package assign_test
+
+import (
+	"testing"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+)
+
+// crowded is workers of two speeds, the slow ones full, with cores that urgent units need.
+func crowded(cores float64) *scene {
+	build := newScene().workers(4, 4)
+	for i := range build.snapshot.Workers {
+		worker := &build.snapshot.Workers[i]
+		worker.Speed = []float64{0.7, 1.7}[i%2]
+		if i%2 == 0 {
+			worker.Free = assign.Room{}
+		}
+	}
+	build.running("older", 1, step(1, 2), 50, "w01")
+	build.snapshot.Urgent = map[string]float64{"s": cores}
+	return build
+}
+
+func TestFastestWorkersAreKeptForUrgentUnits(t *testing.T) {
+	one := 8.0*assign.AcceleratorCores + 32
+	plan := assign.MakePlan(&crowded(one).waiting("patient", 2, step(20, 1)).waiting("urgent", 0, step(1, 4), urgent).snapshot)
+	counts := perWorker(plan)
+	if counts["w03"] != 8 || counts["w01"] != 1 {
+		t.Errorf("starts %v, want 8 patient tasks on w03 and the urgent one on w01, which is kept", counts)
+	}
+}
+
+func TestUnitsThatFitNowhereElseUseKeptWorkers(t *testing.T) {
+	build := newScene().workers(2, 2)
+	build.snapshot.Urgent = map[string]float64{"s": 1000}
+	for i := range build.snapshot.Workers {
+		build.snapshot.Workers[i].Free = assign.Room{CPU: 5000, Memory: 65536, Accelerators: 5}
+	}
+	gang := step(2, 5)
+	gang.Gang = true
+	plan := assign.MakePlan(&build.waiting("gang", 1, gang).snapshot)
+	if len(plan.Starts) != 1 {
+		t.Errorf("starts %v, want the gang, which needs both workers", plan.Starts)
+	}
+}
+
+func TestNothingIsKeptInAnIdlePool(t *testing.T) {
+	build := newScene().workers(4, 4).waiting("patient", 2, step(32, 1))
+	build.snapshot.Urgent = map[string]float64{"s": 1000}
+	if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 32 {
+		t.Errorf("%d tasks start on an idle pool, want all 32", len(plan.Starts))
+	}
+}
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -73,6 +73,8 @@
 	Strained bool
 	// booked is the room that units of this plan wait for.
 	booked Room
+	// kept tells that the worker is kept for urgent units.
+	kept bool
 }
 
 // Unit is what starts together: a task, or a gang.
@@ -107,8 +109,13 @@
 	OnWorker map[string]int
 	// density is what the unit earns for each core-second; rank sets it.
 	density float64
+	// anywhere tells that the unit needs the workers that are kept for urgent ones: it fits nowhere else.
+	anywhere bool
 }
 
+// urgent tells whether the unit may use the workers that are kept for urgent ones.
+func (u *Unit) urgent() bool { return u.Priority == 0 || u.anywhere }
+
 // Members is the number of tasks that start together.
 func (u *Unit) Members() int {
 	if u.Task.Index == replica.GangIndex {
@@ -134,7 +141,9 @@
 
 // Snapshot is all that a plan depends on.
 type Snapshot struct {
-	Now     time.Time
+	Now time.Time
+	// Urgent is how many cores of each service urgent units need at most times; see Room.Cores.
+	Urgent  map[string]float64
 	Workers []Worker
 	Waiting []Unit
 	Running []Running
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -110,6 +110,8 @@
 	// reservations are the workers on which the last plan made room.
 	reservations map[replica.Task][]string
 	upkeep       upkeep
+	// urgent is what the urgent jobs of each service need.
+	urgent map[string]*need
 	// status writes for the operator.
 	status *storelog.Appender
 	// asking tells that a call for advice is under way.
@@ -123,7 +125,7 @@
 func newSession(ctx context.Context, parts Parts, term leadership.Term) *session {
 	return &session{
 		Parts: parts, ctx: ctx, term: term, now: time.Now(), began: time.Now(), inbox: inbox{wake: make(chan struct{}, 1)},
-		jobs: map[string]*job{}, workers: map[string]*host{}, stats: map[string]*queueStats{}, upkeep: upkeep{waves: map[int64]*wave{}}, retired: time.Now(),
+		jobs: map[string]*job{}, workers: map[string]*host{}, stats: map[string]*queueStats{}, urgent: map[string]*need{}, upkeep: upkeep{waves: map[int64]*wave{}}, retired: time.Now(),
 	}
 }
 
@@ -178,6 +180,7 @@
 		s.look(host)
 	}
 	s.watchRuns()
+	s.learnUrgent()
 	s.recordSpeeds()
 	s.lookAtWaves()
 	if s.now.Sub(s.retired) > retireEvery {
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -17,7 +17,7 @@
 
 // snapshot returns what a plan depends on.
 func (s *session) snapshot() *assign.Snapshot {
-	out := &assign.Snapshot{Now: s.now}
+	out := &assign.Snapshot{Now: s.now, Urgent: s.urgentCores()}
 	for _, h := range s.workers {
 		free, freeing := h.free()
 		out.Workers = append(out.Workers, assign.Worker{
