--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
@@ -111,7 +112,7 @@
 	reservations map[replica.Task][]string
 	upkeep       upkeep
 	// urgent is what the urgent jobs of each service need.
-	urgent map[string]*need
+	urgent map[string]*learned.Need
 	// status writes for the operator.
 	status *storelog.Appender
 	// asking tells that a call for advice is under way.
@@ -125,7 +126,7 @@
 func newSession(ctx context.Context, parts Parts, term leadership.Term) *session {
 	return &session{
 		Parts: parts, ctx: ctx, term: term, now: time.Now(), began: time.Now(), inbox: inbox{wake: make(chan struct{}, 1)},
-		jobs: map[string]*job{}, workers: map[string]*host{}, stats: map[string]*queueStats{}, urgent: map[string]*need{}, upkeep: upkeep{waves: map[int64]*wave{}}, retired: time.Now(),
+		jobs: map[string]*job{}, workers: map[string]*host{}, stats: map[string]*queueStats{}, urgent: map[string]*learned.Need{}, upkeep: upkeep{waves: map[int64]*wave{}}, retired: time.Now(),
 	}
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -188,7 +188,7 @@
 	}
 	switch end.How {
 	case worker.Done:
-		h.strikes = 0
+		h.health.Clear()
 		s.finish(u, stored)
 	case worker.Failed:
 		if !s.proneToFail(u, h) {
@@ -207,7 +207,7 @@
 // proneToFail tells that a unit failed before on another worker that is sound: then it is the unit's fault.
 func (s *session) proneToFail(u *unit, h *host) bool {
 	for id := range u.avoid {
-		if other, known := s.workers[id]; known && id != h.id && !other.onTrial() {
+		if other, known := s.workers[id]; known && id != h.id && !other.health.OnTrial() {
 			return true
 		}
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -34,10 +35,6 @@
 	// earlierOwner is how long an earlier owner may have renewed leases after the claim that ended its term: until
 	// its next call to any worker that knows the new epoch.
 	earlierOwner = 2 * time.Second
-	// quarantineTime is how long a worker gets nothing new after a strike; it doubles with each further one. Tasks fail by
-	// themselves in some of a hundred, so a first strike costs little.
-	quarantineTime = 2 * time.Second
-	maxStrikes     = 4
 )
 
 // memberKey names a run of a task on a worker.
@@ -72,10 +69,9 @@
 	// leaseEnd is when everything that was ordered there is over, if nothing more is heard.
 	leaseEnd time.Time
 	// doubted tells that the last call had no answer.
-	doubted          bool
-	strikes          int
-	quarantinedUntil time.Time
-	speed            speed
+	doubted bool
+	health  learned.Health
+	speed   learned.Speed
 }
 
 // host returns a worker; one that isn't listed can't be reached, and what may run there has to lapse.
@@ -136,14 +132,13 @@
 
 // sound tells whether tasks may start on a worker.
 func (s *session) sound(h *host) bool {
-	return h.listed && h.confirmed && !h.reserved && !h.entry.Draining && !h.doubted && !s.now.Before(h.quarantinedUntil)
+	return h.listed && h.confirmed && !h.reserved && !h.entry.Draining && !h.doubted && !h.health.Quarantined(s.now)
 }
 
 // usable tells whether a worker gets new tasks: one on trial has one at a time.
-func (s *session) usable(h *host) bool { return s.sound(h) && (!h.onTrial() || len(h.members) == 0) }
-
-// onTrial tells that the last task that ended on a worker failed there, as far as is known by the worker's fault.
-func (h *host) onTrial() bool { return h.strikes > 0 }
+func (s *session) usable(h *host) bool {
+	return s.sound(h) && (!h.health.OnTrial() || len(h.members) == 0)
+}
 
 // free is a worker's room that is certainly unused, and the room that stopping runs still use.
 func (h *host) free() (free, freeing assign.Room) {
@@ -274,7 +269,5 @@
 
 // quarantine keeps new tasks from a worker for a time.
 func (s *session) quarantine(h *host, why string) {
-	h.strikes = min(h.strikes+1, maxStrikes)
-	h.quarantinedUntil = s.now.Add(quarantineTime << (h.strikes - 1))
-	s.Events.Log(events.WorkerQuarantined, "worker", h.id, "strikes", h.strikes, "reason", why)
+	s.Events.Log(events.WorkerQuarantined, "worker", h.id, "strikes", h.health.Strike(s.now), "reason", why)
 }
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
@@ -90,7 +91,7 @@
 		s.stop(unit, "job ended")
 	}
 	s.Events.Log(events.JobEnded, "job", j.spec.GetId(), "state", state, "reason", reason, "age_ms", s.now.UnixMilli()-j.spec.GetAcceptedUnixMs(),
-		"objective_ms", objectiveOf(j.spec, chainFrom(j.spec)).Milliseconds())
+		"objective_ms", assign.Span(j.spec).Milliseconds())
 	s.dirty = true
 	s.record(then, records...)
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -8,12 +8,8 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-const (
-	// avoidTime is how long a unit avoids a worker on which it failed.
-	avoidTime = 20 * time.Second
-	// lateTimes is how much later than the objective a job still earns something.
-	lateTimes = 3
-)
+// avoidTime is how long a unit avoids a worker on which it failed.
+const avoidTime = 20 * time.Second
 
 // snapshot returns what a plan depends on.
 func (s *session) snapshot() *assign.Snapshot {
@@ -22,7 +18,7 @@
 		free, freeing := h.free()
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: h.id, Service: h.entry.Service, Rack: h.entry.Rack, Labels: h.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.CapacityOf(h.entry.Capacity), Speed: h.speed.value(), Usable: s.usable(h), Trial: h.onTrial(),
+			Capacity: assign.CapacityOf(h.entry.Capacity), Speed: h.speed.Value(), Usable: s.usable(h), Trial: h.health.OnTrial(),
 			Strained: h.strain() > strainedShare,
 		})
 	}
@@ -41,11 +37,11 @@
 
 // addOccurrence adds the units of an occurrence that wait or run.
 func (s *session) addOccurrence(out *assign.Snapshot, j *job, o *occurrence, claimed bool) {
-	chain := chainFrom(j.spec)
-	span := objectiveOf(j.spec, chain)
+	chain := assign.Chain(j.spec)
+	span := assign.Span(j.spec)
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed, Accepted: o.due,
-		Objective: o.due.Add(span), Late: o.due.Add(lateTimes * span), Credit: s.credit(j.spec), Work: o.waitingWork(),
+		Objective: o.due.Add(span), Late: o.due.Add(assign.LateTimes * span), Credit: assign.Credit(j.spec, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
 	}
 	for _, st := range o.steps {
 		if st.since.IsZero() || st.left == 0 {
@@ -74,7 +70,7 @@
 			}
 			out.Waiting = append(out.Waiting, unit)
 		case !st.spec.GetLongRunning():
-			unit.Work += stepWork(st.spec) * float64(members(u))
+			unit.Work += assign.StepWork(st.spec) * float64(members(u))
 			s.addRunning(out, u, &unit)
 		default:
 			if spare--; spare >= 0 {
@@ -84,22 +80,13 @@
 	}
 }
 
-// objectiveOf is the time in which a job earns in full: its longest chain, stretched, and a duration more.
-func objectiveOf(spec *storev1.Job, chain []time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for _, length := range chain {
-		longest = max(longest, length)
-	}
-	return time.Duration(spec.GetStretchFactor()*float64(longest)) + time.Duration(spec.GetTargetDurationMs())*time.Millisecond
-}
-
 // waitingWork is the work of the units that neither run nor are done, in core-seconds.
 func (o *occurrence) waitingWork() float64 {
 	work := 0.0
 	for _, st := range o.steps {
 		for _, u := range st.units {
 			if !u.done && u.run == nil {
-				work += stepWork(st.spec) * float64(members(u))
+				work += assign.StepWork(st.spec) * float64(members(u))
 			}
 		}
 	}
@@ -126,7 +113,7 @@
 	}
 	spec := r.unit.step.spec
 	// A run that an earlier owner started has worked longer than this one has seen.
-	took := max(s.now.Sub(r.started), time.Duration(r.percent/allPercent*float64(estimateOf(spec))))
+	took := max(s.now.Sub(r.started), time.Duration(r.percent/allPercent*float64(assign.Estimate(spec))))
 	if spec.GetCheckpointing() || spec.GetLongRunning() {
 		took = min(took, s.Options.Stop+s.Options.Restore)
 	}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+)
 
 const (
 	// stallTime is how long a task may stand still, and stallShare the same in shares of its estimate: progress comes in
@@ -43,7 +47,7 @@
 	if m.run.started.After(last) {
 		last = m.run.started
 	}
-	return s.now.Sub(last) > max(stallTime, time.Duration(stallShare*float64(estimateOf(step))))
+	return s.now.Sub(last) > max(stallTime, time.Duration(stallShare*float64(assign.Estimate(step))))
 }
 
 // leaving tells that a worker leaves about when a stop ordered now is over.
@@ -57,6 +61,6 @@
 	if m.phase != running {
 		return false
 	}
-	left := time.Duration((1 - m.percent/allPercent) * float64(estimateOf(step)) / m.host.speed.value())
+	left := time.Duration((1 - m.percent/allPercent) * float64(assign.Estimate(step)) / m.host.speed.Value())
 	return step.GetLongRunning() || (step.GetCheckpointing() && left > s.Options.Stop+leaveMargin)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	Fresh() bool
 	// Refresh reads what the store has got meanwhile.
 	Refresh(ctx context.Context)
+	// Current returns nil once the replica has all that was stored when it was called.
+	Current(ctx context.Context) error
 	// Answers asks the store whether it answers, unless it just has.
 	Answers(ctx context.Context) error
 }
@@ -169,23 +171,29 @@
 		g.health.Refresh(ctx)
 		state, job = g.replica.State(call.ID)
 	}
-	if job == nil && !g.health.Fresh() {
-		return replica.Unknown, g.told(call, "state", notRun("the store can't be reached"))
-	}
 	if job == nil {
-		return replica.Unknown, Answer{Result: NoJob, Detail: "no such job"}
+		var answer Answer
+		if state, job, answer = g.lookAgain(ctx, call.ID); job == nil {
+			return replica.Unknown, g.told(call, "state", answer)
+		}
+	}
+	if answer := g.permit(call, job); answer.Result != OK {
+		return replica.Unknown, answer
+	}
+	if !state.Final() && !g.health.Fresh() {
+		return replica.Unknown, g.told(call, "state", notRun("the store can't be reached, so the state may be old"))
 	}
-	return state, g.permit(call, job)
+	return state, Answer{}
 }
 
 // Cancel ends a job.
 func (g *Gateway) Cancel(ctx context.Context, call Admitted) Answer {
 	state, job := g.await(ctx, call.ID)
 	if job == nil {
-		if !g.health.Fresh() {
-			return g.told(call, "cancel", notRun("the store can't be reached"))
+		var answer Answer
+		if state, job, answer = g.lookAgain(ctx, call.ID); job == nil {
+			return g.told(call, "cancel", answer)
 		}
-		return g.told(call, "cancel", Answer{Result: NoJob, Detail: "no such job"})
 	}
 	if answer := g.permit(call, job); answer.Result != OK {
 		return g.told(call, "cancel", answer)
@@ -200,6 +208,19 @@
 	return g.told(call, "cancel", g.store(ctx, call, record))
 }
 
+// lookAgain looks up a job that isn't known here, once the replica has all that is stored: only then is it true that there
+// is no such job.
+func (g *Gateway) lookAgain(ctx context.Context, id string) (replica.State, *storev1.Job, Answer) {
+	if err := g.health.Current(ctx); err != nil {
+		return replica.Unknown, nil, notRun("the store can't be reached")
+	}
+	state, job := g.replica.State(id)
+	if job == nil {
+		return replica.Unknown, nil, Answer{Result: NoJob, Detail: "no such job"}
+	}
+	return state, job, Answer{}
+}
+
 // Pending returns the number of a queue's jobs for which nothing has started.
 func (g *Gateway) Pending(call Admitted) (int, Answer) {
 	if !g.health.Fresh() {
--- /dev/null
+++ b/internal/learned/need.go
@@ -0,0 +1,30 @@
+package learned
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// needMemory is the time over which the need of urgent jobs is averaged: some times the length of such a job.
+	needMemory = 15 * time.Second
+	// needSpread is how many standard deviations above the mean suffice at most times.
+	needSpread = 1.0
+)
+
+// Need is the cores that urgent jobs use or wait for, averaged over time.
+type Need struct {
+	mean, square float64
+}
+
+// Add takes in that the need was some cores for a time.
+func (n *Need) Add(cores float64, span time.Duration) {
+	share := -math.Expm1(-float64(span) / float64(needMemory))
+	n.mean += share * (cores - n.mean)
+	n.square += share * (cores*cores - n.square)
+}
+
+// Most is what suffices at most times.
+func (n *Need) Most() float64 {
+	return n.mean + needSpread*math.Sqrt(max(0, n.square-n.mean*n.mean))
+}
--- a/internal/mock/orders.go
+++ b/internal/mock/orders.go
@@ -47,6 +47,8 @@
 			h.end(name, worker.Stopped)
 		case h.fails:
 			h.end(name, worker.Failed)
+		case now.Sub(task.started) > gangTime && !w.present(name, task):
+			h.end(name, worker.Alone)
 		case h.hangs || task.step.GetLongRunning():
 		case now.Sub(task.started) >= task.takes && w.whole(name, task):
 			w.done[name] = true
@@ -79,6 +81,21 @@
 	return true
 }
 
+// present tells whether all members of a gang's run are on workers, or were; a task that is no gang's is present.
+func (w *Workers) present(name string, task *mockTask) bool {
+	named, err := replica.ParseTask(name)
+	if err != nil || !task.step.GetGang() {
+		return true
+	}
+	for index := range int(task.step.GetCount()) {
+		named.Index = index
+		if w.newest[named.String()] < task.run {
+			return false
+		}
+	}
+	return true
+}
+
 // worked tells whether a run has done its work on one of the workers.
 func (w *Workers) worked(name string, run uint32) bool {
 	for _, host := range w.hosts {
@@ -173,6 +190,10 @@
 		w.violate("%s starts on %s without a ticket", order.Task, host.entry.ID)
 	}
 	w.starts[order.Task]++
+	w.newest[order.Task] = max(w.newest[order.Task], order.Run)
+	if spec := w.job(task.Job).GetSpec(); order.Spec != spec {
+		w.violate("%s starts with the text %q, its job has %q", order.Task, order.Spec, spec)
+	}
 	var used uint32
 	for _, running := range host.running {
 		used += running.step.GetNeed().GetAccelerators()
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,9 @@
 // stopTime is how long a worker takes to stop a task, unless a test says otherwise.
 const stopTime = 100 * time.Millisecond
 
+// gangTime is how long a member of a gang waits for the others before it ends alone.
+const gangTime = 3 * time.Second
+
 // Workers are workers that run tasks for their step's estimate. They break a test's promises loudly: see Violations.
 type Workers struct {
 	mu     sync.Mutex
@@ -21,6 +26,8 @@
 	found  []string
 	starts map[string]int
 	done   map[string]bool
+	// newest is the newest run of each task that started.
+	newest map[string]uint32
 	// StopTime is how long a worker takes to stop a task.
 	StopTime time.Duration
 	// deaf workers get no starts, and mute ones answer no holds.
@@ -74,7 +81,7 @@
 
 // NewWorkers returns workers with 8 accelerators, 32 cores and 64 GB each, named w00, w01, ... Jobs are looked up by job.
 func NewWorkers(count int, job func(id string) *storev1.Job) *Workers {
-	w := &Workers{hosts: map[string]*mockHost{}, job: job, starts: map[string]int{}, done: map[string]bool{}, StopTime: stopTime}
+	w := &Workers{hosts: map[string]*mockHost{}, job: job, starts: map[string]int{}, done: map[string]bool{}, newest: map[string]uint32{}, StopTime: stopTime}
 	for i := range count {
 		w.add(fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/4))
 	}
@@ -124,10 +131,13 @@
 }
 
 // FailAll lets a worker fail all that it starts.
-func (w *Workers) FailAll(id string) {
+func (w *Workers) FailAll(id string) { w.Fail(id, true) }
+
+// Fail lets a worker fail all that it starts, or work again.
+func (w *Workers) Fail(id string, fails bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hosts[id].fails = true
+	w.hosts[id].fails = fails
 }
 
 // LoseStarts lets no start order arrive anywhere, or all again.
@@ -179,6 +189,26 @@
 	return w.starts[task]
 }
 
+// Started are the tasks that started at least once.
+func (w *Workers) Started() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.starts))
+}
+
+// Running are the tasks that run.
+func (w *Workers) Running() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var tasks []string
+	for _, host := range w.hosts {
+		w.settle(host)
+		tasks = slices.AppendSeq(tasks, maps.Keys(host.running))
+	}
+	slices.Sort(tasks)
+	return tasks
+}
+
 // Runs counts what runs on a worker.
 func (w *Workers) Runs(id string) int {
 	w.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,9 @@
 // Answers implements gateway.Health.
 func (n *Node) Answers(ctx context.Context) error { return n.jobs.Check(ctx, evidenceFor) }
 
+// Current implements gateway.Health.
+func (n *Node) Current(ctx context.Context) error { return n.jobs.Current(ctx) }
+
 // Refresh implements gateway.Health.
 func (n *Node) Refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -335,3 +335,59 @@
 		c.await(1, 2, replica.Completed, 30*time.Second)
 	})
 }
+
+// An instance that the store doesn't answer can't know that a job was never accepted.
+func TestInstanceCutOffDoesNotDenyJobs(t *testing.T) {
+	run(t, 2, 2, func(c *cluster) {
+		c.inject(func(instance, _ string) mock.Fault {
+			if instance == "i1" {
+				return mock.Silent
+			}
+			return mock.None
+		})
+		time.Sleep(time.Second)
+		mustSubmit(c, c.submit(1, 2, "i0", tasks(1, 1, 30*time.Second)))
+		time.Sleep(time.Second)
+		admitted, gate := c.call(1, 2, "i1")
+		if _, answer := gate.State(context.Background(), admitted); answer.Result == gateway.NoJob {
+			t.Error("an instance that hears nothing of the store says that an accepted job doesn't exist")
+		}
+		if answer := gate.Cancel(context.Background(), admitted); answer.Result == gateway.NoJob {
+			t.Error("an instance that hears nothing of the store says so to a cancel")
+		}
+	})
+}
+
+// A job that another instance has just accepted is known as soon as anybody asks for it.
+func TestJobIsKnownEverywhereAtOnce(t *testing.T) {
+	run(t, 3, 2, func(c *cluster) {
+		for n := range 20 {
+			mustSubmit(c, c.submit(n, 2, "i0", tasks(1, 1, 30*time.Second)))
+			for _, name := range []string{"i1", "i2"} {
+				if state := c.state(n, 2, name); state == replica.Unknown {
+					t.Errorf("%s doesn't know job %d right after it was accepted", name, n)
+				}
+			}
+		}
+	})
+}
+
+// A state that isn't final is told only while the store answers: an instance cut off would show it for ever.
+func TestInstanceCutOffTellsNoOldStates(t *testing.T) {
+	run(t, 2, 2, func(c *cluster) {
+		mustSubmit(c, c.submit(1, 2, "i0", tasks(1, 1, 4*time.Second)))
+		c.await(1, 2, replica.Running, 2*time.Second)
+		c.inject(func(instance, _ string) mock.Fault {
+			if instance == "i1" {
+				return mock.Silent
+			}
+			return mock.None
+		})
+		time.Sleep(10 * time.Second)
+		c.await(1, 2, replica.Completed, time.Second)
+		admitted, gate := c.call(1, 2, "i1")
+		if state, answer := gate.State(context.Background(), admitted); answer.Result == gateway.OK {
+			t.Errorf("an instance cut off for 10 s says that the job is in state %d", state)
+		}
+	})
+}
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -20,6 +20,8 @@
 	readPauseMost = 400 * time.Millisecond
 	// checkTimeout bounds a check.
 	checkTimeout = 600 * time.Millisecond
+	// currentPoll spaces the looks at whether a read that is under way has arrived.
+	currentPoll = 5 * time.Millisecond
 	// newestTimeout bounds one page of the newest records.
 	newestTimeout = 2 * time.Second
 )
@@ -76,11 +78,11 @@
 		switch {
 		case err == nil:
 			next += int64(len(page.Records))
-			f.note(next)
 			if len(page.Records) > 0 {
 				f.reader.Apply(page.Records)
 				f.reader.Ready()
 			}
+			f.note(next) // after Apply: Current takes the end for what the reader has
 			wait, pause = f.options.Wait, readPause
 			var early bool
 			if early, ok = f.rest(ctx); early {
@@ -166,6 +168,28 @@
 	return err
 }
 
+// Current returns nil once the reader has all that was stored when it was called. It asks the store itself, so nil is
+// proof, also when other reads hang.
+func (f *Follower) Current(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	page, err := f.partition.Read(call, f.End(), 0)
+	if err != nil {
+		return err
+	}
+	ticker := time.NewTicker(currentPoll)
+	defer ticker.Stop()
+	for f.End() < page.End {
+		f.Refresh(call)
+		select {
+		case <-call.Done():
+			return call.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // Answered returns when the store last answered, and since when it has answered every read.
 func (f *Follower) Answered() (last, since time.Time) {
 	f.mu.Lock()
--- a/internal/storelog/follower_test.go
+++ b/internal/storelog/follower_test.go
@@ -110,3 +110,40 @@
 		}
 	})
 }
+
+// slowReader takes a while to take records in.
+type slowReader struct{ *collector }
+
+func (r slowReader) Apply(records []storelog.Record) {
+	time.Sleep(20 * time.Millisecond)
+	r.collector.Apply(records)
+}
+
+// What was stored before the call is with the reader after it.
+func TestCurrentWaitsForTheReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, seen := mock.NewStore(), &collector{values: map[string]string{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		follower := storelog.NewFollower(store.For("i"), slowReader{seen}, storelog.FollowOptions{
+			Name: "test", Wait: time.Second, Every: func() time.Duration { return 200 * time.Millisecond },
+		}, events.Discard())
+		go follower.Run(ctx)
+		for i := range 50 {
+			time.Sleep(37 * time.Millisecond)
+			key := fmt.Sprintf("key %d", i)
+			store.Put(key, []byte("v"))
+			if err := follower.Current(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if seen.value(key) == "" {
+				t.Errorf("%s is stored and not with the reader", key)
+			}
+		}
+		store.Inject(func(_, _ string) mock.Fault { return mock.Silent })
+		if follower.Current(ctx) == nil {
+			t.Error("a reader is current although the store is silent")
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
