--- a/cmd/dotterelctl/main.go
+++ b/cmd/dotterelctl/main.go
@@ -1,4 +1,4 @@
-// Command dotterelctl is for operators and callers of dotterelgauge, and runs the platform's stand-ins for trials.
+// Command dotterelctl is for operators and callers of dotterelgauge.
 package main
 
 import (
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelgauge/dotterelgauge/api/client"
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
@@ -26,43 +28,40 @@
 const description = `Operates and calls dotterelgauge.
 
 Examples:
-  dotterelctl sheet apply examples/lounge/sheet.csv --operators 127.0.0.1:7002 --token TOKEN --actor ana --base 0
-  dotterelctl request "check member 7" --callers 127.0.0.1:7001 --token TOKEN --class urgent
-  dotterelctl job submit --members 4 --accelerators 8 --callers 127.0.0.1:7001 --token TOKEN
+  dotterelctl job submit settle --count 4 --accelerators 8 --gang --at 10.1.0.19:7000 --key KEY
+  dotterelctl status --at 10.1.0.19:7000
+  dotterelctl trace 5c0e7a21d94b36f8 i1.log i2.log
+  dotterelctl replay testdata/traces/lounge-day.jsonl.gz
 
-Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 not run, 4 unknown whether it ran.`
+Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 not run, 4 unknown whether it took effect.`
 
 // commands is the command line.
 type commands struct {
-	Sheet   sheetCommands  `cmd:"" help:"Check, apply and compare the configuration."`
-	Job     jobCommands    `cmd:"" help:"Submit, list, show and cancel jobs."`
-	Request requestCommand `cmd:"" help:"Run a short request. Example: dotterelctl request hello --class urgent --idempotent."`
-	Status  statusCommand  `cmd:"" help:"Show revision, owners, workers that are not healthy, and instances."`
-	Audit   auditCommands  `cmd:"" help:"Follow or export the audit trail."`
-	Worker  workerCommands `cmd:"" help:"Drain, quarantine and return workers."`
-	Replay  replayCommand  `cmd:"" help:"Replay a trace through the decisions. Example: dotterelctl replay trace.jsonl --objective lounge."`
-	Standin standinCommand `cmd:"" help:"Run stand-ins of the platform on loopback, for trials."`
-	Trial   trialCommand   `cmd:"" help:"Ask every class of request through several instances and check each answer."`
+	Job    jobCommands   `cmd:"" help:"Submit, show and cancel jobs."`
+	Queue  queueCommand  `cmd:"" help:"Show how many jobs of a queue have not begun."`
+	Status statusCommand `cmd:"" help:"Show an instance: readiness, configuration, owner, jobs and, at the owner, workers."`
+	Trace  traceCommand  `cmd:"" help:"Tell one job's story in order from the logs of several instances."`
+	Sheet  sheetCommands `cmd:"" help:"Check and compare the planners' sheets."`
+	Replay replayCommand `cmd:"" help:"Replay a trace through the decisions. Example: dotterelctl replay trace.jsonl."`
 }
 
-// callersFlags reach the callers' address.
-type callersFlags struct {
-	Callers string `help:"Callers' address of an instance, IP:port." env:"DOTTERELGAUGE_CALLERS" required:""`
-	Token   string `help:"Token of the client account." env:"DOTTERELGAUGE_TOKEN" required:""`
+// instanceFlags reach an instance.
+type instanceFlags struct {
+	At   string `help:"Operations address of an instance, IP:port." env:"DOTTERELGAUGE_AT" required:""`
+	Key  string `help:"API key of the client account." env:"DOTTERELGAUGE_KEY"`
+	JSON bool   `help:"Print JSON."`
 }
 
-func (f callersFlags) client() *client.Client {
-	return client.New(f.Callers, f.Token)
-}
-
-// operatorsFlags reach the operators' address.
-type operatorsFlags struct {
-	Operators string `help:"Operators' address of an instance, IP:port." env:"DOTTERELGAUGE_OPERATORS" required:""`
-	Token     string `help:"Operator token." env:"DOTTERELGAUGE_OPERATOR_TOKEN" required:""`
-}
+func (f instanceFlags) client() *client.Client { return client.New(f.At, f.Key) }
 
-func (f operatorsFlags) client() *client.Client {
-	return client.New(f.Operators, f.Token)
+// printJSON prints a message.
+func printJSON(message proto.Message) error {
+	body, err := protojson.MarshalOptions{UseProtoNames: true, Multiline: true}.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode the answer")
+	}
+	_, err = fmt.Println(string(body))
+	return err
 }
 
 func main() {
@@ -92,13 +91,13 @@
 	os.Exit(code)
 }
 
-// exitCode tells scripts whether a request that failed ran.
+// exitCode tells scripts whether a call that failed took effect.
 func exitCode(err error) int {
 	var answered *client.ProblemError
 	if !errors.As(err, &answered) {
 		return exitFailed
 	}
-	switch answered.Problem.Outcome {
+	switch answered.Problem.GetOutcome() {
 	case apiv1.Outcome_OUTCOME_NOT_RUN:
 		return exitNotRun
 	case apiv1.Outcome_OUTCOME_UNKNOWN:
--- a/cmd/dotterelctl/replay.go
+++ b/cmd/dotterelctl/replay.go
@@ -7,8 +7,6 @@
 	"github.com/go-faster/errors"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/policy"
-	"github.com/dotterelgauge/dotterelgauge/internal/policy/baseline"
 	"github.com/dotterelgauge/dotterelgauge/internal/replay"
 )
 
@@ -16,7 +14,6 @@
 type replayCommand struct {
 	Trace     string `arg:"" help:"Trace (docs/TRACES.md); compressed when it ends in .gz." type:"existingfile"`
 	Sheet     string `help:"CSV sheet; the one of the trace when left out." type:"existingfile"`
-	Objective string `help:"lounge or gallery." enum:"lounge,gallery" default:"lounge"`
 	Baselines bool   `help:"Replay the baselines too." default:"true" negatable:""`
 	JSON      bool   `help:"Print JSON."`
 }
@@ -29,11 +26,15 @@
 	}
 	var given *apiv1.Sheet
 	if c.Sheet != "" {
-		if _, given, err = readSheet(c.Sheet); err != nil {
+		if given, err = readSheet(c.Sheet); err != nil {
 			return err
 		}
 	}
-	result, err := replay.Run(trace, given, replay.Options{Policies: c.candidates()})
+	candidates := []replay.Candidate{replay.Scheduler()}
+	if c.Baselines {
+		candidates = append(candidates, replay.Baselines()...)
+	}
+	result, err := replay.Run(trace, given, replay.Options{Candidates: candidates})
 	if err != nil {
 		return err
 	}
@@ -47,16 +48,3 @@
 	}
 	return result.Text(os.Stdout)
 }
-
-func (c *replayCommand) candidates() []replay.Candidate {
-	config, _ := policy.Preset(c.Objective)
-	candidates := []replay.Candidate{{Name: c.Objective, New: func() policy.Policy { return policy.New(config) }}}
-	if !c.Baselines {
-		return candidates
-	}
-	return append(candidates,
-		replay.Candidate{Name: "fifo", New: baseline.NewFIFO},
-		replay.Candidate{Name: "fifo-backfill", New: baseline.NewBackfill},
-		replay.Candidate{Name: "edf-best-fit", New: baseline.NewEDF},
-	)
-}
--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -24,17 +25,10 @@
 
 // Run serves until SIGTERM.
 func (c *serveCommand) Run() error {
-	path, err := platform.SettingsPath()
-	if err != nil {
-		return err
-	}
-	settings, err := platform.LoadSettings(path)
+	path, settings, err := load()
 	if err != nil {
 		return err
 	}
-	if err := settings.Check(); err != nil {
-		return err
-	}
 	lines := events.NewWriter(os.Stdout)
 	defer lines.Close(logCloseTime)
 	logger := events.New(lines, settings.Name)
@@ -73,11 +67,34 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			settings, err := platform.LoadSettings(path)
-			if err == nil {
-				err = settings.Check()
-			}
+			_, _, err := load()
 			logger.Log(events.SettingsRead, "path", path, "error", err)
 		}
 	}
 }
+
+// load reads and checks the settings file that the environment names.
+func load() (string, node.Settings, error) {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return "", node.Settings{}, err
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return path, settings, err
+	}
+	return path, settings, settings.Check()
+}
+
+// checkCommand checks the settings file.
+type checkCommand struct{}
+
+// Run lists every problem of the settings.
+func (c *checkCommand) Run() error {
+	path, _, err := load()
+	if err != nil {
+		return err
+	}
+	fmt.Println(path + ": all right")
+	return nil
+}
--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -169,3 +169,23 @@
 		})
 	}
 }
+
+// A unit stays away from workers on which it failed as long as others hold it, however long that is.
+func TestUnitsAvoidWorkersOnWhichTheyFailed(t *testing.T) {
+	avoid := func(ids ...string) func(*assign.Unit) {
+		return func(unit *assign.Unit) {
+			unit.Avoid = map[string]bool{}
+			for _, id := range ids {
+				unit.Avoid[id] = true
+			}
+		}
+	}
+	build := newScene().workers(2, 2).running("old", 1, step(1, 8), 50, "w01").waiting("a", 1, step(1, 8), avoid("w00"))
+	if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 0 {
+		t.Errorf("%v starts where it failed, though w01 will be free", plan.Starts)
+	}
+	build = newScene().workers(2, 2).waiting("a", 1, step(1, 8), avoid("w00", "w01"))
+	if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 1 {
+		t.Error("a unit that failed on all workers never starts again")
+	}
+}
--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -32,6 +32,29 @@
 	return true
 }
 
+// holdsWhole tells whether the workers that a unit may use have the capacity for it.
+func (w *world) holdsWhole(unit *Unit) bool {
+	members := unit.Members()
+	for _, worker := range w.poolOf(unit).workers {
+		if members <= 0 {
+			break
+		}
+		if w.allowed(unit, worker) {
+			members -= fits(unit, worker, worker.Capacity)
+		}
+	}
+	return members <= 0
+}
+
+// forgive lets units use workers on which they failed where no others hold them.
+func (w *world) forgive() {
+	for i := range w.Waiting {
+		if unit := &w.Waiting[i]; len(unit.Avoid) > 0 && !w.holdsWhole(unit) {
+			unit.Avoid = nil
+		}
+	}
+}
+
 // perWorker is how many more tasks of a unit's step a worker may get.
 func perWorker(unit *Unit, worker *Worker) int {
 	most := int(unit.Step.GetMaxPerWorker())
--- a/internal/assign/keep.go
+++ b/internal/assign/keep.go
@@ -30,7 +30,7 @@
 		}
 		for i := range w.Waiting {
 			if unit := &w.Waiting[i]; unit.Service == service && unit.Priority > 0 {
-				unit.anywhere = !w.fitsBeside(unit)
+				unit.anywhere = !w.holdsWhole(unit)
 			}
 		}
 	}
@@ -66,17 +66,3 @@
 	}
 	return usable
 }
-
-// fitsBeside tells whether the workers that aren't kept have the capacity for a unit.
-func (w *world) fitsBeside(unit *Unit) bool {
-	members := unit.Members()
-	for _, worker := range w.poolOf(unit).workers {
-		if members <= 0 {
-			break
-		}
-		if !worker.kept && w.allowed(unit, worker) {
-			members -= fits(unit, worker, worker.Capacity)
-		}
-	}
-	return members <= 0
-}
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -25,6 +25,7 @@
 // MakePlan returns what to do now. It changes the rooms in the snapshot.
 func MakePlan(snapshot *Snapshot) Plan {
 	w := newWorld(snapshot)
+	w.forgive()
 	w.keep()
 	units := w.resume(rank(snapshot))
 	// Units of one step are alike: where one doesn't fit, no other does.
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -100,7 +100,7 @@
 	Credit, Work float64
 	// Allowed are the only workers that may run it; nil if all may.
 	Allowed map[string]bool
-	// Avoid are workers on which it failed.
+	// Avoid are workers on which it failed; it uses them only where no others hold it.
 	Avoid map[string]bool
 	// Reserved are the workers on which an earlier plan made room for it, one entry for each member; nil if none did.
 	Reserved []string
--- a/internal/assign/worth.go
+++ b/internal/assign/worth.go
@@ -11,6 +11,9 @@
 	mostWork = 5.0
 	// baseCredit is the share of a job's credit that doesn't depend on its work.
 	baseCredit = 0.3
+	// hurriedStops is the slack of a job, in times that a run takes to give way, below which it can't wait for one: besides
+	// the stop there are the start, rough estimates and other jobs that wait for the same.
+	hurriedStops = 5
 	// LateTimes is how much later than the objective a job still earns something.
 	LateTimes = 3
 )
@@ -47,13 +50,23 @@
 	return chain
 }
 
+// Hurried tells that a job of the best priority has so little slack that it is late by the time that runs have given way
+// for it; stop is how long that takes.
+func Hurried(spec *storev1.Job, stop time.Duration) bool {
+	return spec.GetPriority() == 0 && Span(spec)-longest(spec) < hurriedStops*stop
+}
+
+func longest(spec *storev1.Job) time.Duration {
+	length := time.Duration(0)
+	for _, each := range Chain(spec) {
+		length = max(length, each)
+	}
+	return length
+}
+
 // Span is the time in which a job earns in full: its longest chain, stretched, and a duration more.
 func Span(spec *storev1.Job) time.Duration {
-	longest := time.Duration(0)
-	for _, length := range Chain(spec) {
-		longest = max(longest, length)
-	}
-	return time.Duration(spec.GetStretchFactor()*float64(longest)) + time.Duration(spec.GetTargetDurationMs())*time.Millisecond
+	return time.Duration(spec.GetStretchFactor()*float64(longest(spec))) + time.Duration(spec.GetTargetDurationMs())*time.Millisecond
 }
 
 // Credit is what a job earns in time: the better its priority the more, and partly by its work against the mean of its
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,12 +8,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
+	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
@@ -66,11 +68,14 @@
 	// Decode reads a worker's entry; false if it names no worker to use.
 	Decode func(storelog.Record) (worker.Entry, bool)
 	Events *events.Logger
+	Stages *metrics.Stages
 }
 
 // Dispatcher runs jobs on workers.
 type Dispatcher struct {
 	parts Parts
+	// current is the term that runs here; nil if none does.
+	current atomic.Pointer[session]
 }
 
 // New returns a Dispatcher.
@@ -79,6 +84,8 @@
 // Work runs jobs until ctx ends. It is a leadership.Work.
 func (d *Dispatcher) Work(ctx context.Context, term leadership.Term) {
 	s := newSession(ctx, d.parts, term)
+	d.current.Store(s)
+	defer d.current.Store(nil)
 	defer d.parts.Replica.Unwatch()
 	s.status = storelog.NewAppender(d.parts.Status, "owner", term.Epoch, 0)
 	go func() { _ = s.status.Run(ctx) }() // ends with the term; a later owner writes the states again
@@ -198,10 +205,11 @@
 
 // record appends records and runs then in the loop once they are stored.
 func (s *session) record(then func(), records ...storelog.Record) {
-	pending := s.term.Appender.Submit(records...)
+	pending, submitted := s.term.Appender.Submit(records...), time.Now()
 	go func() {
 		select {
 		case <-pending.Done():
+			s.Stages.Record.Observe(time.Since(submitted))
 			if pending.Err() == nil && then != nil {
 				s.post(then)
 			}
--- /dev/null
+++ b/internal/dispatch/explain.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+)
+
+// explainedMost bounds the steps of a job that are explained.
+const explainedMost = 8
+
+// ask runs a question in the loop of the term that runs here; it is false if none does, or ctx ends first.
+func (d *Dispatcher) ask(ctx context.Context, question func(*session)) bool {
+	s := d.current.Load()
+	if s == nil {
+		return false
+	}
+	answered := make(chan struct{})
+	s.post(func() {
+		question(s)
+		close(answered)
+	})
+	select {
+	case <-answered:
+		return true
+	case <-ctx.Done():
+	case <-s.ctx.Done():
+	}
+	return false
+}
+
+// Explain says for each step of a job that waits why it does. It is empty on an instance that owns nothing.
+func (d *Dispatcher) Explain(ctx context.Context, id string) []string {
+	var lines []string
+	if !d.ask(ctx, func(s *session) { lines = s.explain(id) }) {
+		return nil
+	}
+	return lines
+}
+
+func (s *session) explain(id string) []string {
+	j, known := s.jobs[id]
+	if !known || j.over() || j.cancelled {
+		return nil
+	}
+	var lines []string
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if line := s.explainStep(o, st); line != "" && len(lines) < explainedMost {
+				lines = append(lines, line)
+			}
+		}
+	}
+	return lines
+}
+
+// explainStep says why the first unit of a step that waits does; empty if none does.
+func (s *session) explainStep(o *occurrence, st *step) string {
+	waits := slices.IndexFunc(st.units, func(u *unit) bool { return !u.done && u.run == nil })
+	switch {
+	case waits < 0:
+		return ""
+	case st.since.IsZero():
+		return fmt.Sprintf("occurrence %d, step %d: waits for the steps before it", o.number, st.index)
+	default:
+		why := assign.Explain(s.snapshot(), st.units[waits].task)
+		return fmt.Sprintf("occurrence %d, step %d: %s", o.number, st.index, why)
+	}
+}
+
+// Workers returns what the owner thinks of each worker, by its id. It is empty on an instance that owns nothing.
+func (d *Dispatcher) Workers(ctx context.Context) []*apiv1.WorkerStatus {
+	var workers []*apiv1.WorkerStatus
+	d.ask(ctx, func(s *session) {
+		for _, h := range s.workers {
+			workers = append(workers, s.workerStatus(h))
+		}
+	})
+	slices.SortFunc(workers, func(a, b *apiv1.WorkerStatus) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return workers
+}
+
+func (s *session) workerStatus(h *host) *apiv1.WorkerStatus {
+	free, _ := h.free()
+	return &apiv1.WorkerStatus{
+		Id: h.id, Service: h.entry.Service, Rack: h.entry.Rack, State: s.stateOf(h), Speed: h.speed.Value(),
+		Tasks: uint32(len(h.members)), FreeAccelerators: uint32(max(0, free.Accelerators)), //nolint:gosec // small numbers.
+	}
+}
+
+// stateOf names what decides whether a worker gets new tasks.
+func (s *session) stateOf(h *host) string {
+	switch {
+	case !h.listed:
+		return "unlisted"
+	case h.entry.Draining:
+		return "draining"
+	case h.doubted || !h.confirmed:
+		return "silent"
+	case h.reserved:
+		return "reserved"
+	case h.health.Quarantined(s.now):
+		return "quarantined"
+	case h.health.OnTrial():
+		return "on trial"
+	default:
+		return "usable"
+	}
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -188,13 +189,16 @@
 	}
 	switch end.How {
 	case worker.Done:
+		if h.health.OnTrial() {
+			s.Events.Log(events.WorkerReturned, "worker", h.id)
+		}
 		h.health.Clear()
 		s.finish(u, stored)
 	case worker.Failed:
 		if !s.proneToFail(u, h) {
 			s.quarantine(h, "a task failed")
 		}
-		u.avoid[h.id] = s.now
+		u.avoid[h.id] = true
 		s.fail(u, end.Run, stored)
 	default:
 		stored()
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -24,7 +24,9 @@
 type occurrence struct {
 	number int
 	due    time.Time
-	steps  []*step
+	// began tells that a run of it was at work in this term.
+	began bool
+	steps []*step
 }
 
 // step is one step of an occurrence.
@@ -61,8 +63,8 @@
 	freed time.Time
 	// run is the run that may be on workers; nil if there is none.
 	run *run
-	// failed are workers on which it failed, until when it avoids them.
-	avoid map[string]time.Time
+	// avoid are workers on which it failed.
+	avoid map[string]bool
 }
 
 // times is how often a job runs its steps.
@@ -184,7 +186,7 @@
 }
 
 func (s *session) newUnit(owner *step, task replica.Task) *unit {
-	added := &unit{task: task, step: owner, avoid: map[string]time.Time{}}
+	added := &unit{task: task, step: owner, avoid: map[string]bool{}}
 	recorded, known := owner.job.recorded[task]
 	if !known {
 		return added
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
@@ -92,6 +94,9 @@
 	}
 	s.Events.Log(events.JobEnded, "job", j.spec.GetId(), "state", state, "reason", reason, "age_ms", s.now.UnixMilli()-j.spec.GetAcceptedUnixMs(),
 		"objective_ms", assign.Span(j.spec).Milliseconds())
+	if state == storev1.JobState_JOB_STATE_COMPLETED {
+		s.Stages.End.Observe(s.now.Sub(time.UnixMilli(j.spec.GetAcceptedUnixMs())))
+	}
 	s.dirty = true
 	s.record(then, records...)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
@@ -10,7 +12,9 @@
 
 // plan decides and acts on it.
 func (s *session) plan() {
+	began := time.Now()
 	plan := assign.MakePlan(s.snapshot())
+	s.Stages.Plan.Observe(time.Since(began))
 	s.reservations = plan.Reservations
 	for _, stop := range plan.Stops {
 		u := s.unitOf(stop.Task)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -195,8 +195,13 @@
 			return
 		}
 	}
-	if r.started.IsZero() {
-		r.started = s.now
+	if !r.started.IsZero() {
+		return
+	}
+	r.started = s.now
+	if occurrence := r.unit.step.occurrence; !occurrence.began {
+		occurrence.began = true
+		s.Stages.Start.Observe(s.now.Sub(occurrence.due))
 	}
 }
 
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -8,9 +8,6 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-// avoidTime is how long a unit avoids a worker on which it failed.
-const avoidTime = 20 * time.Second
-
 // snapshot returns what a plan depends on.
 func (s *session) snapshot() *assign.Snapshot {
 	out := &assign.Snapshot{Now: s.now, Urgent: s.urgentCores()}
@@ -63,7 +60,7 @@
 		switch {
 		case u.done:
 		case u.run == nil:
-			unit.Avoid, unit.LastAttempt = s.avoided(u), u.failures+1 >= attempts
+			unit.Avoid, unit.LastAttempt = u.avoid, u.failures+1 >= attempts
 			unit.Reserved = s.reservations[u.task]
 			if u.freed.After(unit.Waiting) {
 				unit.Waiting = u.freed
@@ -157,20 +154,6 @@
 	return counts
 }
 
-// avoided are the workers on which a unit failed lately.
-func (s *session) avoided(u *unit) map[string]bool {
-	if len(u.avoid) == 0 {
-		return nil
-	}
-	out := map[string]bool{}
-	for id, since := range u.avoid {
-		if s.now.Sub(since) < avoidTime {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // serviceOf is the service whose workers run a job.
 func (s *session) serviceOf(spec *storev1.Job) string {
 	if current := s.Configs.Current(); current != nil {
--- a/internal/dispatch/urgent.go
+++ b/internal/dispatch/urgent.go
@@ -1,12 +1,15 @@
 package dispatch
 
-import "github.com/dotterelgauge/dotterelgauge/internal/learned"
+import (
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
+)
 
-// learnUrgent takes a sample of what urgent jobs need.
+// learnUrgent takes a sample of what urgent jobs need that can't wait for runs to give way.
 func (s *session) learnUrgent() {
 	cores := map[string]float64{}
 	for _, j := range s.jobs {
-		if j.over() || j.cancelled || j.spec.GetPriority() > 0 {
+		if j.over() || j.cancelled || !assign.Hurried(j.spec, s.Options.Stop) {
 			continue
 		}
 		service := s.serviceOf(j.spec)
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -28,7 +28,7 @@
 				s.stop(r.unit, "a member did not start")
 			case s.stalled(member):
 				s.quarantine(h, "tasks stand still")
-				r.unit.avoid[h.id] = s.now
+				r.unit.avoid[h.id] = true
 				s.stop(r.unit, "stands still")
 			case s.leaving(h) && s.worthSaving(member):
 				s.stop(r.unit, "its worker leaves")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 )
@@ -80,8 +81,8 @@
 	// ID of the job; empty for the queue itself.
 	ID        string
 	BodyLimit int64
-	// Until is when the caller has to have its answer.
-	Until time.Time
+	// Since is when the call came, Until when the caller has to have its answer.
+	Since, Until time.Time
 }
 
 // Health tells whether the store's records reach this instance.
@@ -104,16 +105,17 @@
 	health   Health
 	events   *events.Logger
 	counters *Counters
+	stages   *metrics.Stages
 }
 
 // New returns a Gateway.
-func New(configs *config.Holder, jobs *replica.Replica, appender *storelog.Appender, health Health, logger *events.Logger) *Gateway {
-	return &Gateway{configs: configs, replica: jobs, appender: appender, health: health, events: logger, counters: newCounters()}
+func New(configs *config.Holder, jobs *replica.Replica, appender *storelog.Appender, health Health, stages *metrics.Stages, logger *events.Logger) *Gateway {
+	return &Gateway{configs: configs, replica: jobs, appender: appender, health: health, events: logger, counters: newCounters(), stages: stages}
 }
 
 var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
 
-// Admit finds the queue of a call and checks its key.
+// Admit finds the queue of a call by its host and path, and checks its key.
 func (g *Gateway) Admit(call Call) (Admitted, Answer) {
 	now := g.configs.Current()
 	if now == nil {
@@ -121,11 +123,39 @@
 	}
 	queue, known := now.Find(call.Host, call.Path)
 	if !known {
-		return Admitted{}, Answer{Result: NoQueue, Detail: "no queue has this host and path: look at the configuration"}
+		return Admitted{}, g.refused(call, Answer{Result: NoQueue, Detail: "no queue has this host and path: look at the configuration"})
 	}
+	return g.admit(now, queue, strings.TrimPrefix(call.Path, queue.Prefix), call)
+}
+
+// AdmitTo checks the key of a call to a queue by its name; id is empty for the queue itself.
+func (g *Gateway) AdmitTo(name, id string, call Call) (Admitted, Answer) {
+	now := g.configs.Current()
+	if now == nil {
+		return Admitted{}, notRun("this instance has no configuration yet")
+	}
+	queue, known := now.Queue(name)
+	if !known {
+		return Admitted{}, g.refused(call, Answer{Result: NoQueue, Detail: "no queue has this name: look at the configuration"})
+	}
+	return g.admit(now, queue, id, call)
+}
+
+// refused logs and counts a call that the configuration doesn't allow.
+func (g *Gateway) refused(call Call, answer Answer) Answer {
+	g.counters.count("call", answer.Result)
+	version := int64(0)
+	if now := g.configs.Current(); now != nil {
+		version = now.Version
+	}
+	g.events.Log(events.CallerRefused, "host", call.Host, "path", call.Path, "version", version, "result", answer.Result)
+	return answer
+}
+
+func (g *Gateway) admit(now *config.Configuration, queue config.Queue, id string, call Call) (Admitted, Answer) {
 	account, known := now.AccountOf(call.Key)
 	if !known && !queue.Public {
-		return Admitted{}, Answer{Result: Unauthorized, Detail: "the key is unknown: send one of the account's keys"}
+		return Admitted{}, g.refused(call, Answer{Result: Unauthorized, Detail: "the key is unknown: send one of the account's keys"})
 	}
 	wait := answerTime
 	if call.Deadline > 0 {
@@ -138,11 +168,11 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	id := strings.TrimPrefix(call.Path, queue.Prefix)
 	if id != "" && !idPattern.MatchString(id) {
-		return Admitted{}, Answer{Result: Invalid, Detail: "a job's id has 16 hexadecimal digits"}
+		return Admitted{}, g.refused(call, Answer{Result: Invalid, Detail: "a job's id has 16 hexadecimal digits"})
 	}
-	return Admitted{Queue: queue, Account: account, ID: id, BodyLimit: limit, Until: time.Now().Add(wait)}, Answer{}
+	since := time.Now()
+	return Admitted{Queue: queue, Account: account, ID: id, BodyLimit: limit, Since: since, Until: since.Add(wait)}, Answer{}
 }
 
 // Submit accepts a job.
@@ -313,6 +343,7 @@
 // told logs and counts an answer.
 func (g *Gateway) told(call Admitted, what string, answer Answer) Answer {
 	g.counters.count(what, answer.Result)
+	g.stages.Answer.Observe(time.Since(call.Since))
 	g.events.Log(events.CallAnswered, "call", what, "job", call.ID, "queue", call.Queue.Name, "result", answer.Result, "detail", answer.Detail)
 	return answer
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -26,8 +26,13 @@
 	renewEvery = 700 * time.Millisecond
 	// silence is how long an owner may be silent before another claims: two renewals may be lost or late.
 	silence = 2200 * time.Millisecond
-	// jitter spreads the claims of several instances.
-	jitter = 300 * time.Millisecond
+	// jitter spreads the claims of instances of like strength.
+	jitter = 200 * time.Millisecond
+	// weakDelay is how much longer an instance without any processor waits than one with a whole core: an owner's work
+	// grows with the workers, so it goes to a strong instance. It is short beside the silence that it follows.
+	weakDelay = 400 * time.Millisecond
+	// firstDelay is the same when nobody has ever owned the orders: all instances start, and there is time.
+	firstDelay = 2 * time.Second
 	// releaseSpread and releaseHalf let the youngest instance claim what was released: ownership is released in rolling
 	// restarts, and the instance that was restarted last stays longest. An instance of releaseHalf waits half the spread.
 	// The spread is well above the pause between two readings, so that all have read the release.
@@ -72,15 +77,27 @@
 	events    *events.Logger
 	work      Work
 	started   time.Time
+	// weakness is 0 for an instance with a whole core or more, up to 1.
+	weakness float64
 
 	mu      sync.Mutex
 	resting time.Time
 	epoch   int64
 }
 
+// Options say who the candidate is.
+type Options struct {
+	Instance string
+	// Cores is the processor that the instance has; 0 if that is not known.
+	Cores float64
+}
+
 // New returns a Candidate.
-func New(instance string, partition storelog.Partition, follower *storelog.Follower, jobs *replica.Replica, work Work, logger *events.Logger) *Candidate {
-	return &Candidate{instance: instance, partition: partition, follower: follower, replica: jobs, work: work, events: logger, started: time.Now()}
+func New(options Options, partition storelog.Partition, follower *storelog.Follower, jobs *replica.Replica, work Work, logger *events.Logger) *Candidate {
+	return &Candidate{
+		instance: options.Instance, weakness: 1 - min(1, options.Cores), partition: partition, follower: follower, replica: jobs,
+		work: work, events: logger, started: time.Now(),
+	}
 }
 
 // Epoch returns the epoch that this instance holds; 0 if it holds none.
@@ -139,7 +156,7 @@
 	}
 	owner := c.replica.Owner()
 	if owner.Owner == nil {
-		return true
+		return now.Sub(since) > delay+c.longer(firstDelay)
 	}
 	if owner.Owner.GetReleased() {
 		return now.Sub(owner.Seen) > releaseDelay(now.Sub(c.started))
@@ -151,7 +168,12 @@
 	if since.After(last) {
 		last = since
 	}
-	return now.Sub(last) > silence+delay
+	return now.Sub(last) > silence+delay+c.longer(weakDelay)
+}
+
+// longer is the part of a delay that a weak instance waits.
+func (c *Candidate) longer(most time.Duration) time.Duration {
+	return time.Duration(c.weakness * float64(most))
 }
 
 // releaseDelay is how long an instance of an age waits before it claims what was released.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,9 +18,11 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/dispatch"
+	"github.com/dotterelgauge/dotterelgauge/internal/entry"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/gateway"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
+	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
@@ -55,8 +57,6 @@
 	// before that; memory is dear, processor time is not.
 	memoryShare    = 0.7
 	collectPercent = 50
-	// metricsPath is where the counters are.
-	metricsPath = "/metrics"
 )
 
 // Platform is what an instance uses of the platform.
@@ -82,14 +82,18 @@
 	platform Platform
 	events   *events.Logger
 
-	configs   *config.Holder
-	replica   *replica.Replica
-	jobs      *storelog.Follower
-	operator  *storelog.Follower
-	appender  *storelog.Appender
-	candidate *leadership.Candidate
-	gateway   *gateway.Gateway
-	leaving   atomic.Bool
+	configs    *config.Holder
+	replica    *replica.Replica
+	jobs       *storelog.Follower
+	operator   *storelog.Follower
+	dispatcher *dispatch.Dispatcher
+	appender   *storelog.Appender
+	candidate  *leadership.Candidate
+	gateway    *gateway.Gateway
+	stages     metrics.Stages
+	leaving    atomic.Bool
+	// wasReady is what the balancer was told last.
+	wasReady atomic.Bool
 }
 
 // New returns an instance that isn't running.
@@ -103,17 +107,17 @@
 		Name: "configuration", Wait: time.Duration(operatorShare * float64(settings.ConfigApply)),
 	}, logger)
 	n.appender = storelog.NewAppender(platform.Jobs, settings.Name+"-"+uuid.NewString(), 1, 0)
-	dispatcher := dispatch.New(dispatch.Parts{
+	n.dispatcher = dispatch.New(dispatch.Parts{
 		Options: dispatch.Options{
 			Name: settings.Name, HolderRest: settings.HolderRest,
 			Lease: settings.Lease, Stop: settings.Stop, GangWait: settings.GangWait, Restore: settings.Restore,
 			Retention: settings.Retention,
 		},
 		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves, Status: platform.Status,
-		WaveStatus: platform.WaveStatus, Configs: n.configs, Replica: n.replica, Registry: platform.Registry, Decode: platform.DecodeWorker, Events: logger,
+		WaveStatus: platform.WaveStatus, Configs: n.configs, Replica: n.replica, Stages: &n.stages, Registry: platform.Registry, Decode: platform.DecodeWorker, Events: logger,
 	})
-	n.candidate = leadership.New(settings.Name, platform.Jobs, n.jobs, n.replica, dispatcher.Work, logger)
-	n.gateway = gateway.New(n.configs, n.replica, n.appender, n, logger)
+	n.candidate = leadership.New(leadership.Options{Instance: settings.Name, Cores: settings.Cores}, platform.Jobs, n.jobs, n.replica, n.dispatcher.Work, logger)
+	n.gateway = gateway.New(n.configs, n.replica, n.appender, n, &n.stages, logger)
 	return n
 }
 
@@ -153,10 +157,8 @@
 		newServer(n.settings.CallersAddress, n.platform.Callers(n.gateway)),
 		newServer(n.settings.ReadinessAddress, n.platform.Readiness(n.ready)),
 	}
-	if n.settings.MetricsAddress != "" {
-		mux := http.NewServeMux()
-		mux.Handle(metricsPath, expvar.Handler())
-		servers = append(servers, newServer(n.settings.MetricsAddress, mux))
+	if n.settings.OperationsAddress != "" {
+		servers = append(servers, newServer(n.settings.OperationsAddress, entry.Handler(n.gateway, n)))
 	}
 	// What answers callers outlives ctx by the time to leave.
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
@@ -208,8 +210,21 @@
 // Epoch is the epoch that the instance owns; 0 if it owns none.
 func (n *Node) Epoch() int64 { return n.candidate.Epoch() }
 
-// ready tells the balancer whether callers may come.
-func (n *Node) ready() bool { return !n.leaving.Load() && n.Fresh() }
+// ready tells the balancer whether callers may come, and logs when that changes.
+func (n *Node) ready() bool {
+	ready := !n.leaving.Load() && n.Fresh()
+	if n.wasReady.Swap(ready) == ready {
+		return ready
+	}
+	if ready {
+		n.events.Log(events.InstanceReady)
+		return true
+	}
+	answered, _ := n.jobs.Answered()
+	n.events.Log(events.InstanceNotReady, "leaving", n.leaving.Load(), "jobs_read", n.replica.IsReady(),
+		"configured", n.configs.Current() != nil, "store_answered_ms_ago", time.Since(answered).Milliseconds())
+	return false
+}
 
 // leave lets the balancer turn away, then answers what is under way.
 func (n *Node) leave(servers []*http.Server) {
@@ -229,6 +244,7 @@
 // publish puts the counters on the metrics page.
 func (n *Node) publish() {
 	expvar.Publish("answers", n.gateway.Answers())
+	expvar.Publish("latency", &n.stages)
 	expvar.Publish("owner_epoch", expvar.Func(func() any { return n.candidate.Epoch() }))
 	expvar.Publish("configuration_version", expvar.Func(func() any {
 		if now := n.configs.Current(); now != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -391,3 +391,18 @@
 		}
 	})
 }
+
+// An owner's work grows with the workers, so the orders go to an instance with much processor.
+func TestStrongInstancesOwnTheOrders(t *testing.T) {
+	runSized(t, []float64{0.15, 0.9, 0.15, 0.9, 0.15}, 2, nil, func(c *cluster) {
+		first := c.owner()
+		if c.cores[first] < 0.9 {
+			t.Errorf("%s owns the orders at the start, with %v cores", first, c.cores[first])
+		}
+		c.kill(first)
+		time.Sleep(5 * time.Second)
+		if second := c.owner(); c.cores[second] < 0.9 {
+			t.Errorf("%s takes over, with %v cores", second, c.cores[second])
+		}
+	})
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -11,13 +11,17 @@
 	Name       string
 	DataCentre string
 	// Addresses are IP:port.
-	CallersAddress, ReadinessAddress, MetricsAddress, StoreAddress string
+	CallersAddress, ReadinessAddress, StoreAddress string
+	// OperationsAddress serves the own interface and the counters; empty for none.
+	OperationsAddress string
 	// AdvisorAddress is empty where no queue needs advice.
 	AdvisorAddress string
 	// MachinesAddress is empty where no machine has upkeep.
 	MachinesAddress string
 	// HolderRest is how long orders of two owners for one machine are kept apart.
-	HolderRest  time.Duration
+	HolderRest time.Duration
+	// Cores is the processor that the instance has.
+	Cores       float64
 	MemoryBytes int64
 	// Grace is the time between the order to end and the kill.
 	Grace time.Duration
@@ -36,16 +40,20 @@
 // Check returns every problem of the settings.
 func (s *Settings) Check() error {
 	var problems []error
-	for name, value := range map[string]string{
-		"NodeName": s.Name, "Listen.Front": s.CallersAddress, "Listen.Readiness": s.ReadinessAddress, "platform.Address": s.StoreAddress,
+	for _, text := range []struct{ name, value string }{
+		{"the instance's name", s.Name}, {"the callers' address", s.CallersAddress}, {"the readiness address", s.ReadinessAddress},
+		{"the store's address", s.StoreAddress},
 	} {
-		if value == "" {
-			problems = append(problems, errors.Errorf("%s is missing: set it in the settings file", name))
+		if text.value == "" {
+			problems = append(problems, errors.Errorf("%s is missing: set it in the settings file", text.name))
 		}
 	}
-	for name, value := range map[string]time.Duration{"Bounds.MaxHoldMs": s.Lease, "Bounds.ConfigApplyMs": s.ConfigApply, "Bounds.GraceS": s.Grace} {
-		if value <= 0 {
-			problems = append(problems, errors.Errorf("%s must be above 0: set it in the settings file", name))
+	for _, span := range []struct {
+		name  string
+		value time.Duration
+	}{{"the longest lease", s.Lease}, {"the time to put a configuration into force", s.ConfigApply}, {"the grace time", s.Grace}} {
+		if span.value <= 0 {
+			problems = append(problems, errors.Errorf("%s must be above 0: set it in the settings file", span.name))
 		}
 	}
 	return errors.Join(problems...)
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+)
+
+// Status implements entry.Instance.
+func (n *Node) Status(ctx context.Context) *apiv1.InstanceStatus {
+	owner := n.replica.Owner().Owner
+	status := &apiv1.InstanceStatus{
+		Instance: n.settings.Name, DataCentre: n.settings.DataCentre, Ready: n.ready(), Owner: owner.GetInstance(), OwnerEpoch: owner.GetEpoch(),
+		OwnedEpoch: uint64(n.Epoch()), StoreAnsweredMsAgo: -1, Jobs: n.replica.States(), //nolint:gosec // an epoch.
+	}
+	if answered, _ := n.jobs.Answered(); !answered.IsZero() {
+		status.StoreAnsweredMsAgo = time.Since(answered).Milliseconds()
+	}
+	if now := n.configs.Current(); now != nil {
+		status.ConfigurationVersion = now.Version
+		status.Queues, status.Accounts = uint32(len(now.Queues)), uint32(len(now.Accounts)) //nolint:gosec // hundreds.
+	}
+	status.Workers = n.dispatcher.Workers(ctx)
+	return status
+}
+
+// Explain implements entry.Instance.
+func (n *Node) Explain(ctx context.Context, job string) []string {
+	return n.dispatcher.Explain(ctx, job)
+}
--- /dev/null
+++ b/internal/replay/baseline.go
@@ -0,0 +1,174 @@
+package replay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+)
+
+// Baselines are the planners that the scheduler is measured beside. They start whole gangs within workers' room, and know
+// neither priorities nor guarantees; nothing gives way.
+func Baselines() []Candidate {
+	return []Candidate{
+		{Name: "fifo", Plan: planFIFO}, {Name: "fifo+backfill", Plan: planBackfill}, {Name: "edf+best-fit", Plan: planEDF},
+	}
+}
+
+// planFIFO starts jobs in the order of submission, first fit; the first that doesn't fit holds up all behind it.
+func planFIFO(view View) assign.Plan {
+	pool := newPool(view.Snapshot, firstFit)
+	for _, unit := range inOrder(view.Snapshot, byAge) {
+		if !pool.start(unit) {
+			break
+		}
+	}
+	return pool.plan
+}
+
+// planEDF goes through the jobs by their objectives and starts each that fits, on the fullest workers that hold it.
+func planEDF(view View) assign.Plan {
+	pool := newPool(view.Snapshot, bestFit)
+	for _, unit := range inOrder(view.Snapshot, byObjective) {
+		pool.start(unit)
+	}
+	return pool.plan
+}
+
+// planBackfill is FIFO, but jobs behind the first that doesn't fit start if they are declared to end before it will fit,
+// by the declared ends of what runs.
+func planBackfill(view View) assign.Plan {
+	pool := newPool(view.Snapshot, firstFit)
+	var head *assign.Unit
+	var until time.Time
+	for _, unit := range inOrder(view.Snapshot, byAge) {
+		switch {
+		case head == nil && pool.start(unit):
+		case head == nil:
+			head, until = unit, pool.fitsAt(unit, view.Ends)
+		case !view.Now.Add(unit.Left).After(until):
+			pool.start(unit)
+		}
+	}
+	return pool.plan
+}
+
+func byAge(a, b *assign.Unit) int {
+	return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.Task.Job, b.Task.Job))
+}
+
+func byObjective(a, b *assign.Unit) int { return cmp.Or(a.Objective.Compare(b.Objective), byAge(a, b)) }
+
+func inOrder(snapshot *assign.Snapshot, order func(a, b *assign.Unit) int) []*assign.Unit {
+	units := make([]*assign.Unit, len(snapshot.Waiting))
+	for i := range units {
+		units[i] = &snapshot.Waiting[i]
+	}
+	slices.SortStableFunc(units, order)
+	return units
+}
+
+// fit orders the workers that could take a member.
+type fit func(a, b *assign.Worker) int
+
+// firstFit takes the workers in their own order.
+func firstFit(_, _ *assign.Worker) int { return 0 }
+
+// bestFit takes the fullest workers first.
+func bestFit(a, b *assign.Worker) int { return cmp.Compare(a.Free.Accelerators, b.Free.Accelerators) }
+
+// pool is the workers as the plan changes them.
+type pool struct {
+	snapshot *assign.Snapshot
+	fit      fit
+	plan     assign.Plan
+}
+
+func newPool(snapshot *assign.Snapshot, fit fit) *pool { return &pool{snapshot: snapshot, fit: fit} }
+
+// start starts a unit if it fits.
+func (p *pool) start(unit *assign.Unit) bool {
+	workers := p.place(unit)
+	if workers == nil {
+		return false
+	}
+	ids := make([]string, len(workers))
+	for i, worker := range workers {
+		worker.Free = worker.Free.Sub(assign.RoomOf(unit.Step))
+		ids[i] = worker.ID
+	}
+	p.plan.Starts = append(p.plan.Starts, assign.Start{Task: unit.Task, Workers: ids})
+	return true
+}
+
+// place returns a worker for each member, on one rack where the unit asks for it; nil if there is no room.
+func (p *pool) place(unit *assign.Unit) []*assign.Worker {
+	var candidates []*assign.Worker
+	need, room := assign.RoomOf(unit.Step), 0
+	for i := range p.snapshot.Workers {
+		worker := &p.snapshot.Workers[i]
+		if worker.Free.Fits(need) && worker.Usable && !worker.Trial && !unit.Avoid[worker.ID] {
+			candidates = append(candidates, worker)
+			room += worker.Free.Accelerators
+		}
+	}
+	if room < unit.Members()*need.Accelerators {
+		return nil
+	}
+	slices.SortStableFunc(candidates, p.fit)
+	if !unit.Step.GetSameRack() {
+		return choose(candidates, unit)
+	}
+	racks := map[string][]*assign.Worker{}
+	for _, worker := range candidates {
+		racks[worker.Rack] = append(racks[worker.Rack], worker)
+	}
+	for _, first := range candidates {
+		if chosen := choose(racks[first.Rack], unit); chosen != nil {
+			return chosen
+		}
+		delete(racks, first.Rack)
+	}
+	return nil
+}
+
+func choose(candidates []*assign.Worker, unit *assign.Unit) []*assign.Worker {
+	var chosen []*assign.Worker
+	need := assign.RoomOf(unit.Step)
+	for _, worker := range candidates {
+		for free := worker.Free; free.Fits(need) && len(chosen) < unit.Members(); free = free.Sub(need) {
+			chosen = append(chosen, worker)
+		}
+	}
+	if len(chosen) < unit.Members() {
+		return nil
+	}
+	return chosen
+}
+
+// fitsAt is when a unit fits by the declared ends of what runs; far off if it never does.
+func (p *pool) fitsAt(unit *assign.Unit, ends []time.Time) time.Time {
+	future := assign.Snapshot{Workers: slices.Clone(p.snapshot.Workers)}
+	byID := map[string]*assign.Worker{}
+	for i := range future.Workers {
+		byID[future.Workers[i].ID] = &future.Workers[i]
+	}
+	order := make([]int, len(ends))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return ends[a].Compare(ends[b]) })
+	later := newPool(&future, p.fit)
+	for _, at := range order {
+		run := &p.snapshot.Running[at]
+		for _, id := range run.Workers {
+			byID[id].Free = byID[id].Free.Add(assign.RoomOf(run.Step))
+		}
+		if later.place(unit) != nil {
+			return ends[at]
+		}
+	}
+	return time.Unix(math.MaxInt32, 0)
+}
--- /dev/null
+++ b/internal/replay/check.go
@@ -0,0 +1,103 @@
+package replay
+
+import (
+	"fmt"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+)
+
+// Invariant is what a replay checks.
+type Invariant string
+
+// Invariants.
+const (
+	// GuaranteeMissed: an urgent job within its account's guarantee did not run in time.
+	GuaranteeMissed Invariant = "guarantee missed"
+	// UrgentLate: an urgent job did not run in time.
+	UrgentLate Invariant = "urgent start late"
+	// PartialGang: a start without all members.
+	PartialGang Invariant = "partial gang"
+	// Overlap: a start on room that others hold.
+	Overlap Invariant = "overlap"
+	// InvalidDecision: a decision on a job or worker that isn't open to it.
+	InvalidDecision Invariant = "invalid decision"
+)
+
+// Violation is a broken invariant.
+type Violation struct {
+	Invariant  Invariant `json:"invariant"`
+	Job        string    `json:"job"`
+	TimeMillis int64     `json:"time_unix_ms"`
+	Detail     string    `json:"detail"`
+}
+
+// check keeps the checks of one data centre.
+type check struct {
+	starts, claims int
+	violations     []Violation
+}
+
+func (c *check) violate(invariant Invariant, target *job, now int64, detail string) {
+	id := ""
+	if target != nil {
+		id = target.spec.GetId()
+	}
+	c.violations = append(c.violations, Violation{invariant, id, now, detail})
+}
+
+// start tells whether a start may be carried out.
+func (c *check) start(d *domain, target *job, workers []string) bool {
+	c.starts++
+	switch {
+	case target == nil || target.phase != waiting:
+		c.violate(InvalidDecision, target, d.now, "start of a job that doesn't wait")
+		return false
+	case len(workers) != int(target.step.GetCount()):
+		c.violate(PartialGang, target, d.now, fmt.Sprintf("%d members of %d", len(workers), target.step.GetCount()))
+		return false
+	}
+	taken := map[string]assign.Room{}
+	for _, name := range workers {
+		h, known := d.hosts[name]
+		if !known || !d.usable(h) {
+			c.violate(InvalidDecision, target, d.now, "start on "+name+", which takes nothing new")
+			return false
+		}
+		taken[name] = taken[name].Add(assign.RoomOf(target.step))
+		if !h.capacity.Sub(h.used).Fits(taken[name]) {
+			c.violate(Overlap, target, d.now, "no room on "+name)
+			return false
+		}
+	}
+	return true
+}
+
+// firstStart checks how long an urgent job waited. It is a claim if its account's urgent jobs need no more than is
+// guaranteed.
+func (c *check) firstStart(d *domain, target *job) { c.waited(d, target, d.now) }
+
+// closed checks a job that ends without a start.
+func (c *check) closed(d *domain, target *job) {
+	if target.firstStart == 0 && target.phase != cancelled {
+		c.waited(d, target, d.now)
+	}
+}
+
+func (c *check) waited(d *domain, target *job, until int64) {
+	if target.spec.GetPriority() > 0 {
+		return
+	}
+	waited := until - target.spec.GetAcceptedUnixMs()
+	claimed := d.neededByUrgent()[target.spec.GetAccount()] <= d.guaranteed.accelerators[target.spec.GetAccount()]
+	if claimed {
+		c.claims++
+	}
+	if waited <= MaxReclaimMillis {
+		return
+	}
+	detail := fmt.Sprintf("started after %d ms", waited)
+	c.violate(UrgentLate, target, until, detail)
+	if claimed {
+		c.violate(GuaranteeMissed, target, until, detail)
+	}
+}
--- /dev/null
+++ b/internal/replay/guarantee.go
@@ -0,0 +1,72 @@
+package replay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+)
+
+// GuaranteeError reports guarantees of a sheet that can't all be held at once, whatever else runs.
+type GuaranteeError struct {
+	DataCentre string
+	// Held of Asked shapes fit on the empty workers.
+	Held, Asked int
+}
+
+// Error names the data centre and the remedy.
+func (e *GuaranteeError) Error() string {
+	return fmt.Sprintf("data centre %q holds %d of the %d shapes guaranteed there: guarantee less, or list more workers",
+		e.DataCentre, e.Held, e.Asked)
+}
+
+// CheckGuarantees places all shapes guaranteed in a data centre on its empty workers. The error is a *GuaranteeError.
+func CheckGuarantees(dataCentre string, workers []*apiv1.Worker, guarantees []*apiv1.Guarantee) error {
+	snapshot := &assign.Snapshot{Now: time.UnixMilli(0)}
+	for _, worker := range workers {
+		room := capacityOf(worker)
+		snapshot.Workers = append(snapshot.Workers, assign.Worker{
+			ID: worker.GetName(), Service: dataCentre, Rack: worker.GetRack(), Free: room, Capacity: room, Speed: 1, Usable: true,
+		})
+	}
+	asked := shapesOf(dataCentre, guarantees)
+	for n, spec := range asked {
+		step := spec.GetSteps()[0]
+		unit := assign.Unit{
+			Task: replica.Task{Job: fmt.Sprint(n)}, Service: dataCentre, Step: step, Claimed: true, Accepted: snapshot.Now.Add(time.Duration(n)),
+			Waiting: snapshot.Now, Objective: snapshot.Now.Add(time.Hour),
+		}
+		if step.GetGang() {
+			unit.Task.Index = replica.GangIndex
+		}
+		snapshot.Waiting = append(snapshot.Waiting, unit)
+	}
+	if held := len(assign.MakePlan(snapshot).Starts); held < len(asked) {
+		return &GuaranteeError{DataCentre: dataCentre, Held: held, Asked: len(asked)}
+	}
+	return nil
+}
+
+// shapesOf returns the shapes guaranteed in a data centre, the largest first.
+func shapesOf(dataCentre string, guarantees []*apiv1.Guarantee) []*storev1.Job {
+	var shapes []*storev1.Job
+	for _, row := range guarantees {
+		if row.GetDataCentre() != dataCentre {
+			continue
+		}
+		shaped := &apiv1.TraceJob{Spec: &apiv1.JobSpec{Shape: row.GetShape(), ExpectedMs: time.Hour.Milliseconds()}}
+		for range row.GetCount() {
+			shapes = append(shapes, jobOf(shaped, dataCentre, 0))
+		}
+	}
+	size := func(job *storev1.Job) uint32 {
+		return job.GetSteps()[0].GetCount() * job.GetSteps()[0].GetNeed().GetAccelerators()
+	}
+	slices.SortStableFunc(shapes, func(a, b *storev1.Job) int { return cmp.Compare(size(b), size(a)) })
+	return shapes
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -1,74 +1,76 @@
-// Package replay runs a recorded trace through a policy in virtual time and measures the outcome.
+// Package replay plays a recorded trace through the scheduler's decisions in virtual time and measures the outcome, beside
+// baselines in the same run.
 //
-// Every data centre has its own policy, as in the scheduler. The replay plays the workers: it starts
-// and stops gangs with stated delays, ends them after their true run time at the speed of the slowest
-// member, writes their checkpoints, and lets workers fail and racks go as the trace says. It checks
-// each decision itself, without asking the policy. The same trace, sheet and options give the same
-// result.
+// Each data centre of the trace is a service with workers of its own. The replay plays the workers: it starts and stops
+// gangs with stated delays, ends them after their true run time at the speed of the slowest member, keeps what a stop
+// saves, and lets workers fail and racks go as the trace says. It checks each start itself, without asking the planner.
+// The same trace, sheet and options give the same result.
 package replay
 
 import (
-	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 )
 
-// Defaults of Options, milliseconds but for the limit.
 const (
-	// DefaultStartMillis is the time from a Start decision to the running gang: a round trip to
-	// reserve, an append to the log and a round trip to start.
-	DefaultStartMillis = 100
-	// DefaultFailMillis is the time from a start to the failure of a task that fails.
-	DefaultFailMillis = 2_000
-	// DefaultMaxFailures is the number of failed runs after which a job is given up.
-	DefaultMaxFailures = 5
-	// MaxReclaimMillis bounds the time until a guaranteed or urgent job runs.
+	// startMillis is the time from a decision to the running gang: an append to the store and an order.
+	startMillis = 20
+	// stopMillis bounds the time that a stop takes; what a checkpoint can't save in it is lost since the last one.
+	stopMillis = 900
+	// failMillis is the time from a start to the failure of a task that fails.
+	failMillis = 2_000
+	// maxFailures is the number of failed runs after which a job is given up.
+	maxFailures = 5
+	// wakeMillis spaces the decisions while jobs wait and nothing happens: patience runs out with time alone.
+	wakeMillis = 60_000
+	// maxIdleMillis ends a replay in which jobs wait for workers that never come back.
+	maxIdleMillis = 24 * 60 * 60 * 1000
+	// MaxReclaimMillis bounds the time until an urgent job runs.
 	MaxReclaimMillis = 2_000
 )
 
 // ErrNoSheet means that neither the trace nor the caller has a sheet.
 var ErrNoSheet = errors.New("no sheet: give one or put it into the header of the trace")
 
-// ErrNoPolicies means that the options name no policy.
-var ErrNoPolicies = errors.New("no policies: name at least one in the options")
+// ErrNoPlanners means that the options name no planner.
+var ErrNoPlanners = errors.New("no planners: name at least one in the options")
 
-// Candidate is a policy to run the trace through.
+// View is what a planner decides on.
+type View struct {
+	*assign.Snapshot
+	// Ends are when the runs end as declared, in the order of Running.
+	Ends []time.Time
+}
+
+// Planner decides. It may change the view.
+type Planner func(View) assign.Plan
+
+// Candidate is a planner to run the trace through.
 type Candidate struct {
 	// Name is the heading in the result.
 	Name string
-	// New returns a fresh policy for one data centre.
-	New func() policy.Policy
+	Plan Planner
 }
 
-// Options time the replay; zero fields take the defaults.
-type Options struct {
-	Policies    []Candidate
-	StartMillis int64
-	FailMillis  int64
-	MaxFailures int
-	// TakeoverMillis is the time between changes of the owner: a fresh policy is given the workers, the waiting and
-	// the running jobs, as a new owner reads them from the ledger. 0 means none.
-	TakeoverMillis int64
+// Scheduler is the product's own planner.
+func Scheduler() Candidate {
+	return Candidate{Name: "scheduler", Plan: func(view View) assign.Plan { return assign.MakePlan(view.Snapshot) }}
 }
 
-func (o Options) withDefaults() Options {
-	if o.StartMillis == 0 {
-		o.StartMillis = DefaultStartMillis
-	}
-	if o.FailMillis == 0 {
-		o.FailMillis = DefaultFailMillis
-	}
-	if o.MaxFailures == 0 {
-		o.MaxFailures = DefaultMaxFailures
-	}
-	return o
+// Options say what is replayed.
+type Options struct {
+	Candidates []Candidate
+	// TakeoverMillis is the time between changes of the owner: a new one knows what is recorded, not what the one before
+	// learned or reserved. 0 means none.
+	TakeoverMillis int64
 }
 
-// Run replays the trace once for each policy. A nil sheet means the one in the trace's header.
-// Errors wrap ErrNoSheet, ErrNoPolicies, *JobError or, when the guarantees don't pack, *policy.PackError.
+// Run replays the trace once for each candidate. A nil sheet means the one in the trace's header. Errors wrap ErrNoSheet,
+// ErrNoPlanners, *GuaranteeError or *JobError.
 func Run(trace *Trace, sheet *apiv1.Sheet, options Options) (*Result, error) {
 	if sheet == nil {
 		sheet = trace.Header.GetSheet()
@@ -76,48 +78,28 @@
 	if sheet == nil {
 		return nil, ErrNoSheet
 	}
-	if len(options.Policies) == 0 {
-		return nil, ErrNoPolicies
+	if len(options.Candidates) == 0 {
+		return nil, ErrNoPlanners
 	}
-	plan, err := newPlan(trace, sheet)
+	sites, measured, err := split(trace, sheet)
 	if err != nil {
 		return nil, err
 	}
-	result := &Result{Trace: trace.Header.GetName(), Seed: trace.Header.GetSeed(), Bound: plan.bound()}
-	for _, candidate := range options.Policies {
-		result.Runs = append(result.Runs, plan.run(candidate, options.withDefaults()))
+	result := &Result{Trace: trace.Header.GetName(), Seed: trace.Header.GetSeed()}
+	for _, candidate := range options.Candidates {
+		totals := newTotals(measured)
+		for _, site := range sites {
+			played := newDomain(site, candidate.Plan, options, measured)
+			played.run()
+			totals.add(played)
+		}
+		result.Runs = append(result.Runs, totals.result(candidate.Name))
 	}
 	return result, nil
 }
 
-// run replays the plan through one policy for each data centre.
-func (p *plan) run(candidate Candidate, options Options) PolicyResult {
-	totals := newTotals(p.window)
-	for _, site := range p.sites {
-		domain := newDomain(site, candidate.New, options, p.window)
-		domain.run()
-		totals.add(domain)
-	}
-	return totals.result(candidate.Name)
-}
-
 // window is the time that is measured, Unix milliseconds.
-type window struct {
-	from int64
-	to   int64
-}
+type window struct{ from, to int64 }
 
 // overlap is the part of a time span that lies in the window, milliseconds.
-func (w window) overlap(from, to int64) int64 {
-	return max(0, min(to, w.to)-max(from, w.from))
-}
-
-// sortedNames returns the keys of a set in order.
-func sortedNames[V any](set map[string]V) []string {
-	names := make([]string, 0, len(set))
-	for name := range set {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func (w window) overlap(from, to int64) int64 { return max(0, min(to, w.to)-max(from, w.from)) }
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -4,31 +4,29 @@
 	"cmp"
 	"slices"
 
-	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 )
 
-// Result is the outcome of a trace under each policy.
+// Result is the outcome of a trace under each planner.
 type Result struct {
-	Trace string         `json:"trace"`
-	Seed  uint64         `json:"seed"`
-	Bound Bound          `json:"bound"`
-	Runs  []PolicyResult `json:"runs"`
+	Trace string       `json:"trace"`
+	Seed  uint64       `json:"seed"`
+	Runs  []PlanResult `json:"runs"`
 }
 
-// Find returns the outcome under the policy of that name, or nil.
-func (r *Result) Find(name string) *PolicyResult {
+// Find returns the outcome under the planner of that name, or nil.
+func (r *Result) Find(name string) *PlanResult {
 	for at := range r.Runs {
-		if r.Runs[at].Policy == name {
+		if r.Runs[at].Planner == name {
 			return &r.Runs[at]
 		}
 	}
 	return nil
 }
 
-// ClassResult is the slowdown of the measured jobs of one class that finished and that the trace does not
-// cancel, so that every policy is judged by the same jobs: the time from
-// submission to the end over the run time alone on the fastest fitting workers, the latter taken as
-// at least SlowdownFloorMillis.
+// ClassResult is the slowdown of the measured jobs of one class that finished and that the trace does not cancel, so that
+// every planner is judged by the same jobs: the time from submission to the end over the run time alone on the fastest
+// fitting workers, the latter taken as at least SlowdownFloorMillis.
 type ClassResult struct {
 	Class        string  `json:"class"`
 	Jobs         int     `json:"jobs"`
@@ -40,9 +38,9 @@
 // SlowdownFloorMillis keeps very short jobs from ruling the slowdown.
 const SlowdownFloorMillis = 10_000
 
-// PolicyResult is the outcome under one policy. Accelerator times are in hours, shares from 0 to 1.
-type PolicyResult struct {
-	Policy string `json:"policy"`
+// PlanResult is the outcome under one planner. Accelerator times are in hours, shares from 0 to 1.
+type PlanResult struct {
+	Planner string `json:"planner"`
 	// Classes are urgent, ordinary, patient and all.
 	Classes []ClassResult `json:"classes"`
 
@@ -55,48 +53,37 @@
 
 	// MeanCompletionMillis is the mean time from submission to the end, over the same jobs as the slowdowns.
 	MeanCompletionMillis int64 `json:"mean_completion_ms"`
-	// LastEndMillis is when the last job ended, Unix milliseconds.
-	LastEndMillis int64 `json:"last_end_unix_ms"`
-	Deadlines     int   `json:"deadlines"`
-	LateJobs      int   `json:"late_jobs"`
-
-	// Fragmentation is the share of free accelerators that no waiting or guaranteed shape can use,
-	// FragmentationLargest the share that the largest of these shapes cannot use; both over time.
-	Fragmentation        float64 `json:"fragmentation"`
-	FragmentationLargest float64 `json:"fragmentation_largest"`
+	// Fragmentation is the share of free accelerators that no waiting job can use, over time.
+	Fragmentation float64 `json:"fragmentation"`
 	// Utilisation is the share of the present accelerators on which work was done and kept.
-	Utilisation float64 `json:"utilisation"`
-	// WorkDone is the share of what the present accelerators could do at their speeds that was done and kept.
-	WorkDone float64 `json:"work_done"`
-
+	Utilisation           float64 `json:"utilisation"`
 	Preemptions           int     `json:"preemptions"`
-	Moves                 int     `json:"moves"`
 	LostToPreemptionHours float64 `json:"lost_to_preemption_hours"`
-	LostToMovesHours      float64 `json:"lost_to_moves_hours"`
 	LostToFailuresHours   float64 `json:"lost_to_failures_hours"`
 
 	UrgentStartP99Millis int64 `json:"urgent_start_p99_ms"`
 	UrgentStartMaxMillis int64 `json:"urgent_start_max_ms"`
-	UrgentLate           int   `json:"urgent_late"`
 
 	// StartsChecked and ClaimsChecked count what the invariants were checked on.
-	StartsChecked       int `json:"starts_checked"`
-	ClaimsChecked       int `json:"claims_checked"`
-	GuaranteeViolations int `json:"guarantee_violations"`
-	PartialGangs        int `json:"partial_gangs"`
-	Overlaps            int `json:"overlaps"`
-	QuotaViolations     int `json:"quota_violations"`
-	OtherViolations     int `json:"other_violations"`
-	Decisions           int `json:"decisions"`
-	// Violations are the first ones, at most MaxViolations.
-	Violations []Violation `json:"violations,omitempty"`
+	StartsChecked int `json:"starts_checked"`
+	ClaimsChecked int `json:"claims_checked"`
+	// Broken counts the violations of each invariant; Violations are the first ones, at most MaxViolations.
+	Broken     map[Invariant]int `json:"broken,omitempty"`
+	Violations []Violation       `json:"violations,omitempty"`
 }
 
 // MaxViolations bounds the violations that a result tells one by one.
 const MaxViolations = 20
 
+// AllClasses is the name of the line over all classes.
+const AllClasses = "all"
+
+var classNames = map[apiv1.WorkClass]string{
+	apiv1.WorkClass_WORK_CLASS_URGENT: "urgent", apiv1.WorkClass_WORK_CLASS_ORDINARY: "ordinary", apiv1.WorkClass_WORK_CLASS_PATIENT: "patient",
+}
+
 // Class returns the result of the class of that name.
-func (r *PolicyResult) Class(name string) ClassResult {
+func (r *PlanResult) Class(name string) ClassResult {
 	for _, class := range r.Classes {
 		if class.Class == name {
 			return class
@@ -105,27 +92,13 @@
 	return ClassResult{Class: name}
 }
 
-// AllClasses is the name of the line over all classes.
-const AllClasses = "all"
-
-func className(class policy.Class) string {
-	switch class {
-	case policy.Urgent:
-		return "urgent"
-	case policy.Ordinary:
-		return "ordinary"
-	default:
-		return "patient"
-	}
-}
-
 // totals gathers the data centres of one replay.
 type totals struct {
 	measured   window
 	slowdowns  map[string][]float64
 	waits      []int64
 	completion int64
-	sum        PolicyResult
+	sum        PlanResult
 	meter      meter
 	violations []Violation
 }
@@ -135,27 +108,33 @@
 }
 
 func (t *totals) add(d *domain) {
-	t.meter.add(d.meter)
-	t.sum.StartsChecked += d.checker.checks
-	t.sum.ClaimsChecked += d.claims.met
-	t.violations = append(t.violations, d.checker.violations...)
-	for _, ended := range d.order {
-		t.addJob(d, ended)
+	m := &d.meter
+	t.meter.freeTime += m.freeTime
+	t.meter.unusableTime += m.unusableTime
+	t.meter.presentTime += m.presentTime
+	t.meter.usedTime += m.usedTime
+	t.meter.lostToPreemption += m.lostToPreemption
+	t.meter.lostToFailures += m.lostToFailures
+	t.meter.preemptions += m.preemptions
+	t.sum.StartsChecked += d.check.starts
+	t.sum.ClaimsChecked += d.check.claims
+	t.violations = append(t.violations, d.check.violations...)
+	for _, each := range d.order {
+		t.addJob(d, each)
 	}
 }
 
 func (t *totals) addJob(d *domain, ended *job) {
-	t.sum.LastEndMillis = max(t.sum.LastEndMillis, ended.endMillis)
-	if ended.spec.SubmittedMillis < t.measured.from {
+	if ended.spec.GetAcceptedUnixMs() < t.measured.from {
 		return
 	}
-	switch ended.outcome {
+	switch ended.phase {
 	case finished:
 		t.sum.Finished++
 		t.addFinished(ended)
 	case failed:
 		t.sum.Failed++
-		if !ended.fails {
+		if !ended.trace.GetFails() {
 			t.sum.WronglyFailed++
 		}
 	case cancelled:
@@ -164,67 +143,30 @@
 	default:
 		t.sum.Unfinished++
 	}
-	t.addDeadline(ended)
-	t.addUrgent(d, ended)
+	if ended.spec.GetPriority() == 0 {
+		start := ended.firstStart
+		if start == 0 {
+			start = d.now
+		}
+		t.waits = append(t.waits, start-ended.spec.GetAcceptedUnixMs())
+	}
 }
 
 func (t *totals) addFinished(ended *job) {
 	if !ended.steady {
 		return
 	}
-	took := ended.endMillis - ended.spec.SubmittedMillis
+	took := ended.end - ended.spec.GetAcceptedUnixMs()
 	t.completion += took
-	slowdown := max(1, float64(took)/float64(max(ended.idealMillis, SlowdownFloorMillis)))
-	name := className(ended.spec.Class)
+	slowdown := max(1, float64(took)/float64(max(ended.ideal, SlowdownFloorMillis)))
+	name := classNames[ended.trace.GetSpec().GetWorkClass()]
 	t.slowdowns[name] = append(t.slowdowns[name], slowdown)
 	t.slowdowns[AllClasses] = append(t.slowdowns[AllClasses], slowdown)
 }
 
-func (t *totals) addDeadline(ended *job) {
-	deadline := ended.spec.DeadlineMillis
-	if deadline == 0 || !ended.steady {
-		return
-	}
-	t.sum.Deadlines++
-	if ended.outcome != finished || ended.endMillis > deadline {
-		t.sum.LateJobs++
-	}
-}
-
-func (t *totals) addUrgent(d *domain, ended *job) {
-	if ended.spec.Class != policy.Urgent {
-		return
-	}
-	start := ended.firstStartMillis
-	if start == 0 {
-		start = d.nowMillis
-	}
-	waited := start - ended.spec.SubmittedMillis
-	t.waits = append(t.waits, waited)
-	if waited > MaxReclaimMillis {
-		t.sum.UrgentLate++
-	}
-}
-
-func (m *meter) add(other *meter) {
-	m.freeTime += other.freeTime
-	m.unusableTime += other.unusableTime
-	m.unusableLargestTime += other.unusableLargestTime
-	m.presentTime += other.presentTime
-	m.usedTime += other.usedTime
-	m.speedTime += other.speedTime
-	m.workedTime += other.workedTime
-	m.lostToPreemption += other.lostToPreemption
-	m.lostToMoves += other.lostToMoves
-	m.lostToFailures += other.lostToFailures
-	m.preemptions += other.preemptions
-	m.moves += other.moves
-	m.decisions += other.decisions
-}
-
-func (t *totals) result(name string) PolicyResult {
+func (t *totals) result(name string) PlanResult {
 	r := t.sum
-	r.Policy = name
+	r.Planner = name
 	for _, class := range []string{"urgent", "ordinary", "patient", AllClasses} {
 		r.Classes = append(r.Classes, classResult(class, t.slowdowns[class]))
 	}
@@ -232,70 +174,36 @@
 		r.MeanCompletionMillis = t.completion / int64(counted)
 	}
 	r.Fragmentation = share(t.meter.unusableTime, t.meter.freeTime)
-	r.FragmentationLargest = share(t.meter.unusableLargestTime, t.meter.freeTime)
 	r.Utilisation = share(t.meter.usedTime, t.meter.presentTime)
-	r.WorkDone = share(t.meter.workedTime, t.meter.speedTime)
-	r.Preemptions, r.Moves, r.Decisions = t.meter.preemptions, t.meter.moves, t.meter.decisions
-	r.LostToPreemptionHours = hours(t.meter.lostToPreemption)
-	r.LostToMovesHours = hours(t.meter.lostToMoves)
-	r.LostToFailuresHours = hours(t.meter.lostToFailures)
+	r.Preemptions = t.meter.preemptions
+	r.LostToPreemptionHours, r.LostToFailuresHours = hours(t.meter.lostToPreemption), hours(t.meter.lostToFailures)
 	slices.Sort(t.waits)
-	r.UrgentStartP99Millis = quantile(t.waits, 99)
-	r.UrgentStartMaxMillis = quantile(t.waits, 100)
-	t.countViolations(&r)
-	return r
-}
-
-func (t *totals) countViolations(r *PolicyResult) {
-	slices.SortStableFunc(t.violations, func(a, b Violation) int {
-		return cmp.Compare(a.TimeMillis, b.TimeMillis)
-	})
+	r.UrgentStartP99Millis, r.UrgentStartMaxMillis = quantile(t.waits, 99), quantile(t.waits, 100)
+	slices.SortStableFunc(t.violations, func(a, b Violation) int { return cmp.Compare(a.TimeMillis, b.TimeMillis) })
+	r.Broken = map[Invariant]int{}
 	for _, violation := range t.violations {
-		switch violation.Invariant {
-		case GuaranteeMissed:
-			r.GuaranteeViolations++
-		case PartialGang:
-			r.PartialGangs++
-		case Overlap:
-			r.Overlaps++
-		case QuotaExceeded:
-			r.QuotaViolations++
-		case UrgentLate:
-			// Counted by job, started or not.
-		default:
-			r.OtherViolations++
-		}
+		r.Broken[violation.Invariant]++
 	}
 	r.Violations = t.violations[:min(len(t.violations), MaxViolations)]
+	return r
 }
 
 func classResult(name string, slowdowns []float64) ClassResult {
 	slices.Sort(slowdowns)
-	sum := 0.0
+	result := ClassResult{Class: name, Jobs: len(slowdowns), P95Slowdown: quantile(slowdowns, 95), P99Slowdown: quantile(slowdowns, 99)}
 	for _, slowdown := range slowdowns {
-		sum += slowdown
-	}
-	result := ClassResult{
-		Class:       name,
-		Jobs:        len(slowdowns),
-		P95Slowdown: quantile(slowdowns, 95),
-		P99Slowdown: quantile(slowdowns, 99),
-	}
-	if len(slowdowns) > 0 {
-		result.MeanSlowdown = sum / float64(len(slowdowns))
+		result.MeanSlowdown += slowdown / float64(len(slowdowns))
 	}
 	return result
 }
 
-// quantile is the nearest-rank percentile of sorted values; zero of none.
-func quantile[V any](sorted []V, percent int) V {
-	var none V
+// quantile returns the value below which percent of the sorted values are; 0 of none.
+func quantile[V int64 | float64](sorted []V, percent int) V {
+	const whole = 100
 	if len(sorted) == 0 {
-		return none
+		return 0
 	}
-	const whole = 100
-	rank := (len(sorted)*percent + whole - 1) / whole
-	return sorted[max(rank, 1)-1]
+	return sorted[max(0, (len(sorted)*percent+whole-1)/whole-1)]
 }
 
 func share(part, whole int64) float64 {
@@ -306,6 +214,6 @@
 }
 
 func hours(millis int64) float64 {
-	const millisPerHour = 3_600_000
-	return float64(millis) / millisPerHour
+	const hour = 60 * 60 * 1000
+	return float64(millis) / hour
 }
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -1,205 +1,196 @@
 package replay
 
 import (
-	"fmt"
+	"math"
 	"slices"
+	"time"
 
-	"github.com/dotterelgauge/dotterelgauge/internal/policy"
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 )
 
-const million = 1_000_000
+// remoteSlowdown is how much longer a gang takes that should share a rack and doesn't.
+const remoteSlowdown = 3
 
-// start applies a Start decision; one that breaks an invariant is counted and refused.
-func (d *domain) start(decision *policy.Start) {
-	target := d.jobs[decision.JobID]
-	if target == nil || target.phase != waiting {
-		d.checker.violate(InvalidDecision, decision.JobID, "start of a job that does not wait", d.nowMillis)
-		return
-	}
-	if broken := d.checker.checkStart(target, decision.Members, d.nowMillis); broken {
-		d.policy.StartRefused(target.spec.ID)
+// unitSpeed is a worker's speed in the trace that counts as 1.
+const unitSpeed = 1000
+
+func (j *job) on(worker string) bool { return slices.Contains(j.workers, worker) }
+
+// accelerators is how many a job holds.
+func (j *job) accelerators() int64 {
+	return int64(j.step.GetCount() * j.step.GetNeed().GetAccelerators())
+}
+
+// start applies a decision; one that breaks an invariant is counted and refused.
+func (d *domain) start(target *job, workers []string) {
+	if !d.check.start(d, target, workers) {
 		return
 	}
-	target.phase = starting
-	target.restored = false
+	target.phase, target.workers = starting, workers
 	target.run++
-	target.members = slices.Clone(decision.Members)
-	d.checker.take(target)
-	d.changed = true
-	d.push(target, startDue, d.options.StartMillis)
+	d.use(target, 1)
+	d.push(target, startDue, startMillis)
 }
 
-// started begins the run of a gang whose members all hold.
+// use takes a job's room on its workers, or gives it back with a factor of -1.
+func (d *domain) use(target *job, factor int) {
+	room := assign.RoomOf(target.step)
+	if factor < 0 {
+		room = assign.Room{}.Sub(room)
+	}
+	for _, name := range target.workers {
+		d.hosts[name].used = d.hosts[name].used.Add(room)
+	}
+}
+
+// started begins the run of a gang whose members are all there.
 func (d *domain) started(target *job) {
-	target.phase = running
-	target.startedMillis = d.nowMillis
-	target.keptAtStart = target.keptMillis
-	target.speedPermille = d.checker.slowest(target.members)
-	if target.firstStartMillis == 0 {
-		target.firstStartMillis = d.nowMillis
-		d.checkUrgent(target)
-	}
-	d.claims.runs(target)
-	d.policy.Started(target.spec.ID, d.nowMillis)
-	if target.fails || d.checker.failingMember(target) != "" {
-		d.push(target, failDue, d.options.FailMillis)
+	target.phase, target.started, target.keptAtStart, target.speed = running, d.now, target.kept, d.speedOf(target)
+	if target.firstStart == 0 {
+		target.firstStart = d.now
+		d.check.firstStart(d, target)
+	}
+	if target.trace.GetFails() || d.culprit(target) != "" {
+		d.push(target, failDue, failMillis)
 		return
 	}
-	d.push(target, finishDue, scaled(target.workMillis-target.keptMillis, target.speedPermille))
-	d.pushCheckpoint(target)
+	d.push(target, finishDue, int64(math.Ceil(float64(target.trace.GetRunMs()-target.kept)/target.speed)))
 }
 
-func (d *domain) checkUrgent(target *job) {
-	waited := d.nowMillis - target.spec.SubmittedMillis
-	if target.spec.Class == policy.Urgent && waited > MaxReclaimMillis {
-		d.checker.violate(UrgentLate, target.spec.ID, fmt.Sprintf("started after %d ms", waited), d.nowMillis)
+// speedOf is the speed of the slowest member, less on several racks where the gang should share one.
+func (d *domain) speedOf(target *job) float64 {
+	speed, racks := math.Inf(1), map[string]bool{}
+	for _, name := range target.workers {
+		speed = min(speed, float64(d.hosts[name].GetSpeedPermille())/unitSpeed)
+		racks[d.hosts[name].GetRack()] = true
 	}
+	if target.step.GetSameRack() && len(racks) > 1 {
+		return speed / remoteSlowdown
+	}
+	return speed
 }
 
-func (d *domain) pushCheckpoint(target *job) {
-	if target.checkpointEvery > 0 {
-		d.push(target, checkpointDue, target.checkpointEvery)
+// culprit is the first worker of a job that fails what it starts; empty when none does.
+func (d *domain) culprit(target *job) string {
+	for _, name := range target.workers {
+		if d.hosts[name].condition == apiv1.TraceCondition_TRACE_CONDITION_FAILING {
+			return name
+		}
 	}
+	return ""
 }
 
-func (d *domain) checkpoint(target *job) {
-	if target.phase != running {
-		return
+// done is the work done so far, kept or not.
+func (d *domain) done(target *job) int64 {
+	if target.phase != running && target.phase != stopping {
+		return target.kept
 	}
-	target.keptMillis = d.done(target)
-	d.policy.Checkpointed(target.spec.ID, d.ppm(target), d.nowMillis)
-	d.pushCheckpoint(target)
+	return min(target.trace.GetRunMs(), target.keptAtStart+int64(float64(d.now-target.started)*target.speed))
 }
 
-// stop applies a Stop decision: a checkpoint if there is time for one, else a stop at the bound.
-func (d *domain) stop(decision *policy.Stop) {
-	target := d.jobs[decision.JobID]
-	if target != nil && target.phase == stopping && target.restored {
-		// The owner before has ordered the stop already.
-		return
+// checkpointed is the work that the last periodic checkpoint kept.
+func (d *domain) checkpointed(target *job) int64 {
+	every := target.trace.GetCheckpointEveryMs()
+	if every == 0 || (target.phase != running && target.phase != stopping) {
+		return target.kept
 	}
-	if target == nil || target.phase != running {
-		d.checker.violate(InvalidDecision, decision.JobID, "stop of a job that does not run", d.nowMillis)
+	whole := (d.now - target.started) / every * every
+	return max(target.kept, min(target.trace.GetRunMs(), target.keptAtStart+int64(float64(whole)*target.speed)))
+}
+
+// stop lets a run give way: it is saved if there is time for it, else it goes back to its last checkpoint.
+func (d *domain) stop(target *job) {
+	if target.phase != running && target.phase != starting {
+		d.check.violate(InvalidDecision, target, d.now, "stop of a job that does not run")
 		return
 	}
+	takes := target.trace.GetCheckpointMs()
+	target.saves = target.phase == running && takes <= stopMillis && !target.trace.GetFails()
 	target.phase = stopping
-	target.stopReason = decision.Reason
-	takes := target.checkpointTakes
-	target.stopKeeps = takes <= decision.WithinMillis && !target.fails
-	if !target.stopKeeps {
-		takes = decision.WithinMillis
-	}
-	if target.stopKeeps {
-		target.keptMillis = d.done(target)
-	}
-	d.push(target, stopDue, takes)
+	target.run++ // what was to come of the run is void
+	d.push(target, stopDue, min(takes, stopMillis))
 }
 
 func (d *domain) stopped(target *job) {
-	lost := d.lostTime(target)
-	if target.stopReason == policy.Moved {
-		d.meter.moves++
-		d.meter.lostToMoves += lost
-		d.end(target, policy.MovedEnd, target.keptMillis)
-		return
+	kept := d.checkpointed(target)
+	if target.saves {
+		kept = d.done(target)
 	}
 	d.meter.preemptions++
-	d.meter.lostToPreemption += lost
-	d.end(target, policy.PreemptedEnd, target.keptMillis)
+	d.meter.lostToPreemption += d.lostTime(target, kept)
+	d.endRun(target, kept)
 }
 
-// lostTime is the accelerator time of the current run that no checkpoint keeps, milliseconds.
-func (d *domain) lostTime(target *job) int64 {
-	kept := scaled(target.keptMillis-target.keptAtStart, target.speedPermille)
-	return max(0, d.nowMillis-target.startedMillis-kept) * int64(target.accelerators())
+// lost ends a run whose worker went.
+func (d *domain) lost(target *job) {
+	kept := d.checkpointed(target)
+	d.meter.lostToFailures += d.lostTime(target, kept)
+	d.endRun(target, kept)
 }
 
-func (d *domain) failRun(target *job) {
-	culprit := d.checker.failingMember(target)
+// lostTime is the accelerator time of the current run that isn't kept, milliseconds.
+func (d *domain) lostTime(target *job, kept int64) int64 {
+	if target.started == 0 || target.speed == 0 {
+		return 0
+	}
+	return max(0, d.now-target.started-int64(float64(kept-target.keptAtStart)/target.speed)) * target.accelerators()
+}
+
+func (d *domain) failed(target *job) {
+	culprit := d.culprit(target)
 	if culprit == "" {
-		culprit = target.members[0].Worker
+		culprit = target.workers[0]
 	}
 	target.failures++
-	if !slices.Contains(target.spec.FailedWorkers, culprit) {
-		target.spec.FailedWorkers = append(slices.Clone(target.spec.FailedWorkers), culprit)
-	}
-	if told, ok := d.policy.(failureObserver); ok {
-		told.StartFailed(target.spec.ID, culprit, d.nowMillis)
-	}
-	d.end(target, policy.Failed, target.keptMillis)
-	if d.evidence == nil && d.health.failed(culprit, target.spec.ID) {
-		d.mark(culprit, policy.Quarantined)
-		d.queue.push(event{timeMillis: d.nowMillis + quarantineMillis, kind: probeDue, worker: culprit})
+	target.avoid[culprit] = true
+	d.hosts[culprit].health.Strike(d.time())
+	kept := d.checkpointed(target)
+	d.meter.lostToFailures += d.lostTime(target, kept)
+	d.endRun(target, kept)
+	if target.failures >= maxFailures {
+		d.close(target, failed)
 	}
-	if target.failures >= d.options.MaxFailures {
-		d.giveUp(target)
-	}
-}
-
-// failureObserver is implemented by policies that keep a job away from workers that failed it.
-type failureObserver interface {
-	StartFailed(jobID, worker string, nowMillis int64)
-}
-
-// giveUp ends a waiting job that failed too often.
-func (d *domain) giveUp(target *job) {
-	d.policy.Ended(target.spec.ID, policy.Cancelled, d.ppm(target), d.nowMillis)
-	d.close(target, failed)
 }
 
-// end ends a run with the work kept.
-func (d *domain) end(target *job, result policy.EndResult, keptMillis int64) {
-	target.keptMillis = keptMillis
-	d.meter.ran(target, result, d.nowMillis)
-	if result == policy.LostEnd || result == policy.Failed {
-		d.meter.lostToFailures += d.lostTime(target)
-	}
-	d.policy.Ended(target.spec.ID, result, d.ppm(target), d.nowMillis)
-	d.free(target)
-	switch result {
-	case policy.Finished:
-		d.close(target, finished)
-	case policy.Cancelled:
-		d.close(target, cancelled)
-	default:
-		d.backToQueue(target)
+func (d *domain) finish(target *job) {
+	took := time.Duration(d.now-target.started) * time.Millisecond
+	share := float64(target.trace.GetRunMs()-target.keptAtStart) / float64(target.trace.GetRunMs())
+	for _, name := range target.workers {
+		d.hosts[name].health.Clear()
+		d.hosts[name].speed.Add(share, assign.Estimate(target.step), took)
 	}
+	d.endRun(target, target.trace.GetRunMs())
+	d.close(target, finished)
 }
 
-func (d *domain) backToQueue(target *job) {
-	target.phase = waiting
-	d.claims.waits(target)
+func (d *domain) cancel(target *job) {
+	if target.phase.over() {
+		return
+	}
+	d.endRun(target, target.kept)
+	d.close(target, cancelled)
 }
 
-func (d *domain) free(target *job) {
-	d.checker.give(target)
-	d.changed = true
-	d.claims.gone(target)
-	target.members = nil
+// endRun frees a job's room and lets it wait.
+func (d *domain) endRun(target *job, kept int64) {
+	if target.phase != waiting {
+		d.meter.ran(target, kept, d.now)
+		d.use(target, -1)
+	}
+	target.phase, target.workers, target.kept, target.since, target.saves = waiting, nil, kept, d.now, false
 	target.run++
 }
 
-func (d *domain) close(target *job, how outcome) {
-	d.claims.gone(target)
-	d.changed = true
-	target.phase = ended
-	target.outcome = how
-	target.endMillis = d.nowMillis
-}
-
-func (d *domain) push(target *job, kind eventKind, afterMillis int64) {
-	d.queue.push(event{timeMillis: d.nowMillis + afterMillis, kind: kind, job: target, run: target.run})
-}
-
-// done is the work done so far, kept or not.
-func (d *domain) done(target *job) int64 {
-	const unit = 1000
-	worked := (d.nowMillis - target.startedMillis) * int64(target.speedPermille) / unit
-	return min(target.keptAtStart+worked, target.workMillis)
+func (d *domain) close(target *job, how phase) {
+	target.phase, target.end = how, d.now
+	d.open = slices.DeleteFunc(d.open, func(each *job) bool { return each == target })
+	d.check.closed(d, target)
 }
 
-func (d *domain) ppm(target *job) int {
-	return int(target.keptMillis * million / target.workMillis)
+func (d *domain) push(target *job, kind eventKind, after int64) {
+	d.queue.push(event{at: d.now + after, kind: kind, job: target, run: target.run})
 }
 
-func (j *job) accelerators() int { return j.spec.Shape.Members * j.spec.Shape.Accelerators }
+// time is now as the planner knows it.
+func (d *domain) time() time.Time { return time.UnixMilli(d.now) }
--- /dev/null
+++ b/internal/replay/snapshot.go
@@ -0,0 +1,154 @@
+package replay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+)
+
+// view returns what a decision depends on, as the owner of the data centre knows it.
+func (d *domain) view() View {
+	var out View
+	out.Snapshot = &assign.Snapshot{Now: d.time(), Urgent: map[string]float64{d.site.name: d.need.Most()}}
+	freeing := d.freeing()
+	for _, h := range d.hostOrder {
+		out.Workers = append(out.Workers, assign.Worker{
+			ID: h.GetName(), Service: d.site.name, Rack: h.GetRack(), Free: h.capacity.Sub(h.used), Freeing: freeing[h.GetName()],
+			Capacity: h.capacity, Speed: h.speed.Value(), Usable: d.usable(h), Trial: h.health.OnTrial(),
+		})
+	}
+	mean, needed := d.meanWork(), d.neededByUrgent()
+	for _, each := range d.open {
+		unit := each.unit(mean)
+		unit.Claimed = unit.Priority == 0 && needed[unit.Account] <= d.guaranteed.accelerators[unit.Account]
+		switch each.phase {
+		case waiting:
+			unit.Reserved = d.reservations[unit.Task]
+			out.Waiting = append(out.Waiting, unit)
+		case starting, running:
+			out.Ends = append(out.Ends, time.UnixMilli(max(each.started, each.since)).Add(unit.Left))
+			out.Running = append(out.Running, assign.Running{
+				Task: unit.Task, Account: unit.Account, Priority: unit.Priority, Claimed: unit.Claimed, Step: each.step,
+				Workers: each.workers, Lost: d.lostCores(each), Density: assign.Density(&unit, d.time()),
+			})
+		}
+	}
+	return out
+}
+
+// usable tells whether a worker gets something new: one on trial has one task at a time.
+func (d *domain) usable(h *host) bool {
+	sound := h.condition == apiv1.TraceCondition_TRACE_CONDITION_HEALTHY || h.condition == apiv1.TraceCondition_TRACE_CONDITION_FAILING
+	return sound && !h.health.Quarantined(d.time()) && (!h.health.OnTrial() || h.used == assign.Room{})
+}
+
+// freeing is the room of stopping runs on each worker.
+func (d *domain) freeing() map[string]assign.Room {
+	freeing := map[string]assign.Room{}
+	for _, each := range d.open {
+		if each.phase == stopping {
+			for _, name := range each.workers {
+				freeing[name] = freeing[name].Add(assign.RoomOf(each.step))
+			}
+		}
+	}
+	return freeing
+}
+
+// meanWork is the mean work of the jobs of each priority so far.
+func (d *domain) meanWork() map[uint32]float64 {
+	mean := map[uint32]float64{}
+	for priority, count := range d.submitted {
+		mean[priority] = d.work[priority] / count
+	}
+	return mean
+}
+
+// neededByUrgent are the accelerators that each account's urgent jobs need.
+func (d *domain) neededByUrgent() map[string]uint32 {
+	needed := map[string]uint32{}
+	for _, each := range d.open {
+		if each.spec.GetPriority() == 0 {
+			needed[each.spec.GetAccount()] += uint32(each.accelerators()) //nolint:gosec // few hundred.
+		}
+	}
+	return needed
+}
+
+// unit is what a job is to the planner.
+func (j *job) unit(mean map[uint32]float64) assign.Unit {
+	accepted := time.UnixMilli(j.spec.GetAcceptedUnixMs())
+	left := 1 - float64(j.kept)/float64(j.trace.GetRunMs())
+	return assign.Unit{
+		Task: j.task(), Account: j.spec.GetAccount(), Service: j.spec.GetService(), Step: j.step, Priority: j.spec.GetPriority(),
+		Accepted: accepted, LastAttempt: j.failures+1 >= maxFailures, Waiting: time.UnixMilli(j.since),
+		Objective: accepted.Add(j.span), Late: accepted.Add(assign.LateTimes * j.span),
+		Left: time.Duration(left * float64(assign.Estimate(j.step))), Credit: assign.Credit(j.spec, mean[j.spec.GetPriority()]),
+		Work: left * j.work, Avoid: j.avoid,
+	}
+}
+
+func (j *job) task() replica.Task {
+	if j.step.GetGang() {
+		return replica.Task{Job: j.spec.GetId(), Index: replica.GangIndex}
+	}
+	return replica.Task{Job: j.spec.GetId()}
+}
+
+// lostCores is the work that stopping a run throws away, in core-seconds.
+func (d *domain) lostCores(target *job) float64 {
+	if target.phase != running {
+		return 0
+	}
+	took := d.now - target.started
+	if target.trace.GetCheckpointMs() <= stopMillis {
+		took = min(took, stopMillis)
+	}
+	return float64(took) / unitSpeed * float64(target.step.GetCount()) * assign.RoomOf(target.step).Cores()
+}
+
+func capacityOf(worker *apiv1.Worker) assign.Room {
+	const millicores = 1000
+	return assign.CapacityOf(&storev1.Resources{
+		CpuMillicores: worker.GetCores() * millicores, MemoryMb: worker.GetMemoryMib(), Accelerators: worker.GetAccelerators(),
+	})
+}
+
+// fastest is the speed of a job alone on the fastest of the empty workers; 0 when it doesn't fit.
+func (s *site) fastest(submitted *apiv1.TraceJob) float64 {
+	step := jobOf(submitted, s.name, 0).GetSteps()[0]
+	racks := map[string][]*apiv1.Worker{}
+	for _, worker := range s.workers {
+		group := ""
+		if step.GetSameRack() {
+			group = worker.GetRack()
+		}
+		racks[group] = append(racks[group], worker)
+	}
+	best := 0.0
+	for _, workers := range racks {
+		best = max(best, fastestOf(workers, int(step.GetCount()), assign.RoomOf(step)))
+	}
+	return best
+}
+
+// fastestOf is the speed of the slowest worker that some members need, the fastest workers first.
+func fastestOf(workers []*apiv1.Worker, members int, need assign.Room) float64 {
+	sorted := slices.SortedStableFunc(slices.Values(workers), func(a, b *apiv1.Worker) int {
+		return cmp.Compare(b.GetSpeedPermille(), a.GetSpeedPermille())
+	})
+	for _, worker := range sorted {
+		for room := capacityOf(worker); room.Fits(need) && members > 0; members-- {
+			room = room.Sub(need)
+		}
+		if members <= 0 {
+			return float64(worker.GetSpeedPermille()) / unitSpeed
+		}
+	}
+	return 0
+}
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -9,15 +9,12 @@
 	"github.com/go-faster/errors"
 )
 
-// Text writes the result as tables for people: policies across, figures down.
+// Text writes the result as a table for people: planners across, figures down.
 func (r *Result) Text(writer io.Writer) error {
-	if _, err := fmt.Fprintf(writer, "trace %s, seed %d\n", r.Trace, r.Seed); err != nil {
-		return errors.Wrap(err, "write the table")
-	}
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', tabwriter.AlignRight)
-	r.row(table, "", func(run *PolicyResult) string { return run.Policy })
+	r.row(table, fmt.Sprintf("trace %s, seed %d", r.Trace, r.Seed), func(run *PlanResult) string { return run.Planner })
 	for _, class := range []string{"urgent", "ordinary", "patient", AllClasses} {
-		r.row(table, class+" slowdown mean/p95/p99", func(run *PolicyResult) string {
+		r.row(table, class+" slowdown mean/p95/p99", func(run *PlanResult) string {
 			c := run.Class(class)
 			return fmt.Sprintf("%.2f/%.2f/%.2f", c.MeanSlowdown, c.P95Slowdown, c.P99Slowdown)
 		})
@@ -28,15 +25,11 @@
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "write the table")
 	}
-	if _, err := fmt.Fprintf(writer, "lower bound: mean completion %s (alone) or %s (capacity)\n",
-		duration(r.Bound.MeanIdealMillis), duration(r.Bound.MeanCapacityMillis)); err != nil {
-		return errors.Wrap(err, "write the table")
-	}
 	return nil
 }
 
-func (r *Result) row(table io.Writer, name string, value func(*PolicyResult) string) {
-	_, _ = fmt.Fprintf(table, "%s\t", name)
+func (r *Result) row(table io.Writer, name string, value func(*PlanResult) string) {
+	_, _ = fmt.Fprintf(table, "%s\t", name) // Flush tells
 	for at := range r.Runs {
 		_, _ = fmt.Fprintf(table, "%s\t", value(&r.Runs[at]))
 	}
@@ -45,43 +38,34 @@
 
 type tableLine struct {
 	name  string
-	value func(*PolicyResult) string
+	value func(*PlanResult) string
 }
 
 var tableLines = []tableLine{
-	{"finished/failed/cancelled/unfinished", func(r *PolicyResult) string {
+	{"finished/failed/cancelled/unfinished", func(r *PlanResult) string {
 		return fmt.Sprintf("%d/%d/%d/%d", r.Finished, r.Failed, r.Cancelled, r.Unfinished)
 	}},
-	{"wrongly failed", func(r *PolicyResult) string { return fmt.Sprint(r.WronglyFailed) }},
-	{"mean completion", func(r *PolicyResult) string { return duration(r.MeanCompletionMillis) }},
-	{"late jobs", func(r *PolicyResult) string { return fmt.Sprintf("%d of %d", r.LateJobs, r.Deadlines) }},
-	{"fragmentation", func(r *PolicyResult) string { return percent(r.Fragmentation) }},
-	{"fragmentation, largest shape", func(r *PolicyResult) string { return percent(r.FragmentationLargest) }},
-	{"utilisation", func(r *PolicyResult) string { return percent(r.Utilisation) }},
-	{"work done of capacity by speed", func(r *PolicyResult) string { return percent(r.WorkDone) }},
-	{"preemptions/moves", func(r *PolicyResult) string { return fmt.Sprintf("%d/%d", r.Preemptions, r.Moves) }},
-	{"lost to preemption/moves/failures, accelerator hours", func(r *PolicyResult) string {
-		return fmt.Sprintf("%.1f/%.1f/%.1f", r.LostToPreemptionHours, r.LostToMovesHours, r.LostToFailuresHours)
+	{"wrongly failed", func(r *PlanResult) string { return fmt.Sprint(r.WronglyFailed) }},
+	{"mean completion", func(r *PlanResult) string {
+		return (time.Duration(r.MeanCompletionMillis) * time.Millisecond).Round(time.Second).String()
 	}},
-	{"urgent start p99/max ms", func(r *PolicyResult) string {
-		return fmt.Sprintf("%d/%d", r.UrgentStartP99Millis, r.UrgentStartMaxMillis)
+	{"fragmentation", func(r *PlanResult) string { return percent(r.Fragmentation) }},
+	{"utilisation", func(r *PlanResult) string { return percent(r.Utilisation) }},
+	{"preemptions", func(r *PlanResult) string { return fmt.Sprint(r.Preemptions) }},
+	{"lost to preemption/failures, accelerator hours", func(r *PlanResult) string {
+		return fmt.Sprintf("%.1f/%.1f", r.LostToPreemptionHours, r.LostToFailuresHours)
 	}},
-	{"urgent starts late", func(r *PolicyResult) string { return fmt.Sprint(r.UrgentLate) }},
-	{"guarantee violations of claims", func(r *PolicyResult) string {
-		return fmt.Sprintf("%d of %d", r.GuaranteeViolations, r.ClaimsChecked)
+	{"urgent start p99/max ms", func(r *PlanResult) string {
+		return fmt.Sprintf("%d/%d", r.UrgentStartP99Millis, r.UrgentStartMaxMillis)
 	}},
-	{"partial gangs of starts", func(r *PolicyResult) string {
-		return fmt.Sprintf("%d of %d", r.PartialGangs, r.StartsChecked)
+	{"urgent starts late, guarantees missed of claims", func(r *PlanResult) string {
+		return fmt.Sprintf("%d, %d of %d", r.Broken[UrgentLate], r.Broken[GuaranteeMissed], r.ClaimsChecked)
 	}},
-	{"overlaps/quota/other violations", func(r *PolicyResult) string {
-		return fmt.Sprintf("%d/%d/%d", r.Overlaps, r.QuotaViolations, r.OtherViolations)
+	{"partial gangs, overlaps, invalid of starts", func(r *PlanResult) string {
+		return fmt.Sprintf("%d, %d, %d of %d", r.Broken[PartialGang], r.Broken[Overlap], r.Broken[InvalidDecision], r.StartsChecked)
 	}},
 }
 
-func duration(millis int64) string {
-	return (time.Duration(millis) * time.Millisecond).Round(time.Second).String()
-}
-
 func percent(value float64) string {
 	const whole = 100
 	return fmt.Sprintf("%.2f%%", value*whole)
--- a/internal/replay/trace_check.go
+++ b/internal/replay/trace_check.go
@@ -5,11 +5,13 @@
 	"math/bits"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/policy"
 )
 
-// maxAccelerators bounds the accelerators of a worker: the bits of a member's mask.
-const maxAccelerators = 32
+// maxAccelerators bounds the accelerators of a worker, maxMembers the members of a gang.
+const (
+	maxAccelerators = 32
+	maxMembers      = 64
+)
 
 type lineFault struct {
 	reason string
@@ -106,7 +108,7 @@
 		return &lineFault{fmt.Sprintf("job %q has no run time", job.GetId()), "set runMs, the true run time at speed 1000"}
 	case job.GetSpec().GetAccount() == "":
 		return &lineFault{fmt.Sprintf("job %q has no account", job.GetId()), "set spec.account"}
-	case shape.GetMembers() == 0 || shape.GetMembers() > policy.MaxMembers:
+	case shape.GetMembers() == 0 || shape.GetMembers() > maxMembers:
 		return &lineFault{fmt.Sprintf("job %q has %d members", job.GetId(), shape.GetMembers()), "give 1 to 64"}
 	case accelerators != 0 && bits.OnesCount32(accelerators) != 1:
 		return &lineFault{fmt.Sprintf("job %q has members of %d accelerators", job.GetId(), accelerators), "give 0 or a power of two"}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -91,6 +91,11 @@
 	Cancelled
 )
 
+// String is the word that callers see.
+func (s State) String() string {
+	return [...]string{Unknown: "unknown", Queued: "queued", Running: "running", Completed: "completed", Failed: "failed", Cancelled: "cancelled"}[s]
+}
+
 // Final tells that the state doesn't change any more.
 func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
 
@@ -153,7 +158,7 @@
 			delete(r.offsets, record.Key)
 		}
 		if err := r.fold(record); err != nil {
-			r.events.Log(events.LedgerStopped, "key", record.Key, "offset", record.Offset, "error", err)
+			r.events.Log(events.RecordNotUnderstood, "key", record.Key, "offset", record.Offset, "error", err)
 		}
 	}
 	close(r.changed)
@@ -213,6 +218,19 @@
 	return job.state(), job.Job
 }
 
+// States counts the jobs by their state.
+func (r *Replica) States() map[string]uint32 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	counts := map[string]uint32{}
+	for _, job := range r.jobs {
+		if job.Job != nil {
+			counts[job.state().String()]++
+		}
+	}
+	return counts
+}
+
 // Pending returns the number of a queue's jobs for which nothing has started.
 func (r *Replica) Pending(queue string) int {
 	r.mu.RLock()
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -243,7 +243,7 @@
 	f.answered, f.end = now, end
 	f.mu.Unlock()
 	if back {
-		f.events.Log(events.LogReached, "records", f.options.Name, "end", end)
+		f.events.Log(events.StoreReached, "records", f.options.Name, "end", end)
 	}
 }
 
@@ -253,6 +253,6 @@
 	f.since = time.Time{}
 	f.mu.Unlock()
 	if lost {
-		f.events.Log(events.LogUnreachable, "records", f.options.Name, "error", err)
+		f.events.Log(events.StoreUnreachable, "records", f.options.Name, "error", err)
 	}
 }
