dispatch: orders wait their turn, starts that nobody wants are never given, plans wait for starts

Ruled out: the planner's time (17 ms for 350 workers), the store. Now at most 48 orders are under way, stops before starts; a start whose run was stopped, or whose worker fell silent, before its turn is never given; the next plan waits until fewer than 96 starts wait. An instance whose own timer was late by 250 ms does not count workers as silent. Workers are asked every 2 s instead of 1.5 s. TestOrdersUnderWayAreBounded and TestStartsThatNobodyWantsAreNotGiven fail without it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,10 @@
 	registryEvery = 400 * time.Millisecond
 	// settleTime is how long a new owner waits for workers to tell what they run before it plans without the rest.
 	settleTime = 400 * time.Millisecond
+	// lateTick is how late a tick shows that this instance is too busy to judge others, and busyTime for how long it does:
+	// until calls of that time have ended.
+	lateTick = 250 * time.Millisecond
+	busyTime = holdWait + holdSlack
 	// retireEvery spaces the searches for jobs that nobody asks for any more.
 	retireEvery = 10 * time.Second
 )
@@ -100,10 +104,13 @@
 // session is the state of one term. Only the loop touches it; everything else posts actions.
 type session struct {
 	Parts
-	ctx   context.Context
-	term  leadership.Term
-	inbox inbox
-	now   time.Time
+	ctx    context.Context
+	term   leadership.Term
+	inbox  inbox
+	now    time.Time
+	orders orders
+	// ticked is when time was last looked at, and lateAt when that was last late.
+	ticked, lateAt time.Time
 
 	jobs    map[string]*job
 	workers map[string]*host
@@ -157,7 +164,7 @@
 			s.now = time.Now()
 			s.tick()
 		}
-		if s.dirty && s.hasSettled() {
+		if s.dirty && s.hasSettled() && len(s.orders.starts) < backlogMost {
 			s.dirty = false
 			s.plan()
 			s.askAdvice()
@@ -179,8 +186,15 @@
 	return s.settled
 }
 
+// busy tells that this instance was lately too busy to take answers in time.
+func (s *session) busy() bool { return s.now.Sub(s.lateAt) < busyTime }
+
 // tick looks at what time alone changes.
 func (s *session) tick() {
+	if !s.ticked.IsZero() && s.now.Sub(s.ticked) > tick+lateTick {
+		s.lateAt = s.now
+	}
+	s.ticked = s.now
 	for _, job := range s.jobs {
 		s.openDue(job)
 	}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -52,11 +52,10 @@
 		s.replaced(h)
 		return
 	case err != nil:
-		h.nextHold = s.now.Add(holdAgain)
 		if !h.doubted {
 			s.doubt(h)
-			h.nextHold = s.now.Add(holdAgain)
 		}
+		h.nextHold = s.now.Add(holdAgain)
 		return
 	}
 	s.heard(h, report.Reply)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -24,7 +24,7 @@
 	// for the tasks of a silent worker wait it out.
 	leaseTerm = 6 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers; each answer renews the lease.
-	holdWait = 1500 * time.Millisecond
+	holdWait = 2 * time.Second
 	// holdSlack is how much longer the answer may take.
 	holdSlack = 500 * time.Millisecond
 	// holdAgain spaces holds after one without an answer, and while ends are being stored.
@@ -152,24 +152,6 @@
 	return free, freeing
 }
 
-// call gives an order in the background and handles the answer in the loop.
-func (s *session) call(h *host, order func(worker.Target) (worker.Reply, error), answered func(err error)) {
-	target := worker.Target{ID: h.id, Address: h.entry.Address}
-	if target.Address == "" {
-		return
-	}
-	go func() {
-		reply, err := order(target)
-		s.post(func() {
-			if err == nil || refusalOf(err) != 0 {
-				s.heard(h, reply)
-			}
-			answered(err)
-			s.dirty = true
-		})
-	}()
-}
-
 func (s *session) orderContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(s.ctx, orderTimeout)
 }
@@ -190,9 +172,10 @@
 	}
 }
 
-// doubt keeps new tasks from a worker that didn't answer, until it does.
+// doubt keeps new tasks from a worker that didn't answer, until it does. An answer that this instance was too busy to take
+// in time says nothing of the worker.
 func (s *session) doubt(h *host) {
-	if !h.doubted {
+	if !h.doubted && !s.busy() {
 		h.doubted = true
 		s.Events.Log(events.WorkerSilent, "worker", h.id, "members", len(h.members), "lease_left_ms", h.leaseEnd.Sub(s.now).Milliseconds())
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -48,8 +48,10 @@
 	phase phase
 	// sure is when the worker was first known to have the task.
 	sure time.Time
-	// attempts counts start orders without an answer.
+	// attempts counts start orders without an answer; given tells that one was given, and order is the newest.
 	attempts int
+	given    bool
+	order    worker.Start
 	// stopSent and stopAnswered are when the worker was told to stop it, and when it said that it does.
 	stopSent, stopAnswered time.Time
 	// missing is since when its worker's reports have not listed it.
@@ -122,19 +124,37 @@
 	s.newRun(u, u.number, workers, unknown)
 }
 
-// start orders a member to run.
+// start orders a member to run. A start that has not had its turn when its run is stopped, or when its worker falls silent,
+// is never given.
 func (s *session) start(m *member) {
-	h := m.host
 	m.phase = starting
-	order := worker.Start{
+	s.callToStart(order{
+		host: m.host,
+		give: func(target worker.Target) (worker.Reply, error) {
+			ctx, cancel := s.orderContext()
+			defer cancel()
+			return s.Client.Start(ctx, target, m.order)
+		},
+		answered: func(err error) { s.startAnswered(m, err) },
+		wanted:   func() bool { return s.startWanted(m) },
+	})
+}
+
+// startWanted tells whether a start whose turn has come is given, and makes the order then: the lease counts from now.
+func (s *session) startWanted(m *member) bool {
+	if m.phase != starting {
+		return false
+	}
+	if m.attempts == 0 && (m.run.stopping != "" || m.host.doubted) {
+		s.resolve(m, worker.Stopped)
+		return false
+	}
+	m.given = true
+	m.order = worker.Start{
 		Task: m.name, Run: m.run.number, Spec: m.run.unit.step.job.spec.GetSpec(), Checkpoint: m.run.unit.checkpoint,
-		Fence: s.term.Epoch, LeaseEndMs: s.grant(h), Ticket: m.run.unit.step.tickets[h.id].value,
+		Fence: s.term.Epoch, LeaseEndMs: s.grant(m.host), Ticket: m.run.unit.step.tickets[m.host.id].value,
 	}
-	s.call(h, func(target worker.Target) (worker.Reply, error) {
-		ctx, cancel := s.orderContext()
-		defer cancel()
-		return s.Client.Start(ctx, target, order)
-	}, func(err error) { s.startAnswered(m, err) })
+	return true
 }
 
 // startAnswered handles the answer to a start order.
@@ -220,6 +240,10 @@
 
 // stopMember tells one member to stop. A run that was never ordered is over at once.
 func (s *session) stopMember(m *member) {
+	if m.phase == starting && !m.given {
+		s.resolve(m, worker.Stopped)
+		return
+	}
 	if m.phase == gone || m.phase == recording || !m.stopAnswered.IsZero() || s.now.Sub(m.stopSent) < stopAgain {
 		return
 	}
--- a/internal/mock/orders.go
+++ b/internal/mock/orders.go
@@ -128,6 +128,8 @@
 
 // Start implements worker.Client.
 func (w *Workers) Start(ctx context.Context, target worker.Target, order worker.Start) (worker.Reply, error) {
+	w.count(1)
+	defer w.count(-1)
 	host := w.reach(ctx, target.ID)
 	if host == nil {
 		w.carryOutUnheard(order, target.ID)
@@ -150,6 +152,14 @@
 	return host.reply(), w.begin(host, order)
 }
 
+// count counts the starts under way.
+func (w *Workers) count(change int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starting += change
+	w.most = max(w.most, w.starting)
+}
+
 // carryOutUnheard carries out a start whose answer gets lost.
 func (w *Workers) carryOutUnheard(order worker.Start, id string) {
 	w.mu.Lock()
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -26,6 +26,8 @@
 	found  []string
 	starts map[string]int
 	done   map[string]bool
+	// starting counts the starts under way, and most the most at once.
+	starting, most int
 	// newest is the newest run of each task that started.
 	newest map[string]uint32
 	// StopTime is how long a worker takes to stop a task.
@@ -209,6 +211,13 @@
 	return tasks
 }
 
+// MostStarting is how many starts were under way together at most.
+func (w *Workers) MostStarting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.most
+}
+
 // Runs counts what runs on a worker.
 func (w *Workers) Runs(id string) int {
 	w.mu.Lock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -406,3 +406,44 @@
 		}
 	})
 }
+
+// Many tasks that start at once must not flood the instance that orders them.
+func TestOrdersUnderWayAreBounded(t *testing.T) {
+	const workers, bound = 40, 48
+	run(t, 1, workers, func(c *cluster) {
+		for _, entry := range c.workers.Entries() {
+			c.workers.Slow(entry.ID, 200*time.Millisecond)
+		}
+		mustSubmit(c, c.submit(1, 2, "i0", tasks(8*workers, 1, 20*time.Second)))
+		time.Sleep(5 * time.Second)
+		if most := c.workers.MostStarting(); most > bound {
+			t.Errorf("%d starts were under way at once, want at most %d", most, bound)
+		}
+		running := 0
+		for _, entry := range c.workers.Entries() {
+			running += c.workers.Runs(entry.ID)
+		}
+		if running != 8*workers {
+			t.Errorf("%d tasks run, want %d", running, 8*workers)
+		}
+	})
+}
+
+// A start that waits for its turn is not given when its job is cancelled.
+func TestStartsThatNobodyWantsAreNotGiven(t *testing.T) {
+	const workers, bound = 40, 48
+	run(t, 1, workers, func(c *cluster) {
+		for _, entry := range c.workers.Entries() {
+			c.workers.Slow(entry.ID, 300*time.Millisecond)
+		}
+		mustSubmit(c, c.submit(1, 2, "i0", tasks(8*workers, 1, 20*time.Second)))
+		time.Sleep(150 * time.Millisecond)
+		admitted, gate := c.call(1, 2, "i0")
+		mustSubmit(c, gate.Cancel(context.Background(), admitted))
+		c.await(1, 2, replica.Cancelled, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		if started := len(c.workers.Started()); started > bound {
+			t.Errorf("%d of %d tasks started although the job was cancelled before their turn, want at most %d", started, 8*workers, bound)
+		}
+	})
+}
