assign: urgent jobs count as hurried up to a slack of ten stops

Cause: with five stops (2 s on the lounge's workers) urgent jobs of more than 3.5 s were left out of what workers are kept for, though estimates are off by half and others wait for the same stops.

--- a/internal/assign/worth.go
+++ b/internal/assign/worth.go
@@ -13,7 +13,7 @@
 	baseCredit = 0.3
 	// hurriedStops is the slack of a job, in times that a run takes to give way, below which it can't wait for one: besides
 	// the stop there are the start, rough estimates and other jobs that wait for the same.
-	hurriedStops = 5
+	hurriedStops = 10
 	// LateTimes is how much later than the objective a job still earns something.
 	LateTimes = 3
 )
