dispatch: a job starts whatever the owner's clock says; recorded runs count before their time

The clock of the instance that took over had gone back by 3.3 s, so a job that another instance had accepted 0.9 s before was not yet due to it: the occurrence wasn't open, the end that its worker listed belonged to no task that the owner knew, and was acknowledged; 0.1 s later the job opened and ran again (log: ownership at 16.44 s, second run at 18.95 s). What ran of such jobs was not counted against the worker's room either. Ruled out: the claim's reading (the replica had the job), lost appends (the first owner never acknowledged the end). Now a job without a schedule may start at once, and what is recorded is taken over whether or not its time has come.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -24,6 +24,8 @@
 type occurrence struct {
 	number int
 	due    time.Time
+	// isDue tells that its time has come by this instance's clock.
+	isDue bool
 	// began tells that a run of it was at work in this term.
 	began bool
 	steps []*step
@@ -135,6 +137,8 @@
 	if added.over() {
 		return
 	}
+	// What is recorded may be on workers, also if its time has not come by this instance's clock.
+	s.openRecorded(added)
 	s.openDue(added)
 	if added.cancelled {
 		s.cancel(added.spec.GetId())
@@ -148,9 +152,20 @@
 	if j.over() || j.cancelled {
 		return
 	}
-	for number := len(j.occurrences); number < times(j.spec) && !dueAt(j.spec, number).After(s.now); number++ {
+	for number := len(j.occurrences); number < times(j.spec) && s.due(j.spec, number); number++ {
 		s.open(j, number)
 	}
+	for _, o := range j.occurrences {
+		if !o.isDue {
+			s.activate(o)
+		}
+	}
+}
+
+// due tells whether the time of an occurrence has come. A job without a schedule may always start: its time is from the
+// clock of the instance that accepted it.
+func (s *session) due(spec *storev1.Job, number int) bool {
+	return spec.GetSchedule().GetTimes() == 0 || !dueAt(spec, number).After(s.now)
 }
 
 // open opens one occurrence and takes over its recorded runs.
@@ -202,8 +217,12 @@
 	return added
 }
 
-// activate lets the steps run whose predecessors are done.
+// activate lets the steps run whose predecessors are done, once the occurrence's time has come.
 func (s *session) activate(o *occurrence) {
+	o.isDue = o.isDue || s.due(o.steps[0].job.spec, o.number)
+	if !o.isDue {
+		return
+	}
 	for _, step := range o.steps {
 		if !step.since.IsZero() {
 			continue
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/gateway"
 	"github.com/dotterelgauge/dotterelgauge/internal/mock"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
 // submitAll hands in jobs of several forms through all instances and fails the test if one isn't accepted.
@@ -447,3 +449,57 @@
 		}
 	})
 }
+
+// put stores a job, and runs of it, as other instances may have.
+func (c *cluster) put(n int, job *storev1.Job, runs map[replica.Task]*storev1.Run) {
+	c.t.Helper()
+	job.Id, job.Queue, job.Account, job.Service, job.Priority, job.MaxAttempts = id(n), "q2", "acme", "s", 2, 2
+	c.mu.Lock()
+	c.jobs[id(n)] = job
+	c.mu.Unlock()
+	record, err := replica.JobRecord(job)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for task, run := range runs {
+		recorded, err := replica.RunRecord(task, run)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.store.Put(recorded.Key, recorded.Value)
+	}
+	c.store.Put(record.Key, record.Value)
+}
+
+// The clock of the instance that accepted a job may be ahead of the owner's: the job starts all the same.
+func TestJobAcceptedByAClockAheadStartsAtOnce(t *testing.T) {
+	run(t, 2, 2, func(c *cluster) {
+		c.put(1, &storev1.Job{
+			Spec: "spec", Steps: []*storev1.Step{tasks(1, 1, time.Second)}, AcceptedUnixMs: time.Now().Add(5 * time.Second).UnixMilli(),
+		}, nil)
+		c.await(1, 2, replica.Completed, 3*time.Second)
+	})
+}
+
+// A recorded run may be on its worker although its time has not come by the new owner's clock: its end counts, and its
+// room is taken.
+func TestRecordedRunsCountBeforeTheirTime(t *testing.T) {
+	run(t, 2, 1, func(c *cluster) {
+		c.kill(c.owner())
+		task := replica.Task{Job: id(1)}
+		c.put(1, &storev1.Job{
+			Spec: "spec", Steps: []*storev1.Step{tasks(1, 8, 4*time.Second)},
+			Schedule: &storev1.Schedule{StartUnixMs: time.Now().Add(20 * time.Second).UnixMilli(), IntervalMs: 1000, Times: 1},
+		}, map[replica.Task]*storev1.Run{task: {Phase: storev1.RunPhase_RUN_PHASE_OPEN, Number: 1, Workers: []string{"w00"}}})
+		order := worker.Start{Task: task.String(), Run: 1, Spec: "spec", Fence: 1, LeaseEndMs: time.Hour.Milliseconds()}
+		if _, err := c.workers.Start(context.Background(), worker.Target{ID: "w00"}, order); err != nil {
+			t.Fatal(err)
+		}
+		mustSubmit(c, c.submit(2, 2, c.any(), tasks(1, 8, time.Second)))
+		c.await(1, 2, replica.Completed, 15*time.Second)
+		c.await(2, 2, replica.Completed, 15*time.Second)
+		if starts := c.workers.Starts(task.String()); starts != 1 {
+			t.Errorf("the task started %d times, want 1", starts)
+		}
+	})
+}
