Log what a job asks for, why a step waits, and how a service's workers are used

Three events:

- 420 job queued: the owner's reading of a new job.
- 421 step waiting: 1 s after a step became ready and then after each doubling, the reason from the plan itself, with the number of members that fit now and those that would without runs of lower priority. 6 lines for a step that waits a minute.
- 422 state of a service's workers: one line a second and service while jobs wait.

MakePlan states the reasons of the units that ask for it (Unit.Explain); Explain uses the same code, so 'job show' and the log agree. No decision changes.

--- a/internal/assign/explain.go
+++ b/internal/assign/explain.go
@@ -15,43 +15,72 @@
 	if index < 0 {
 		return "it is not waiting: it is running, or not due yet"
 	}
-	unit := &snapshot.Waiting[index]
-	ahead := 0
-	for _, other := range rank(snapshot) {
-		if other == unit {
-			break
-		}
-		ahead++
-	}
+	snapshot.Waiting[index].Explain = true
 	plan := MakePlan(snapshot)
 	for _, start := range plan.Starts {
 		if start.Task == task {
-			return "it starts now on " + strings.Join(slices.Compact(slices.Sorted(slices.Values(start.Workers))), ", ")
+			return "it starts now on " + joinIDs(start.Workers)
+		}
+	}
+	return plan.Waits[task]
+}
+
+// joinIDs returns the distinct ids in their order, separated by commas.
+func joinIDs(ids []string) string {
+	return strings.Join(slices.Compact(slices.Sorted(slices.Values(ids))), ", ")
+}
+
+// explainWaits adds to the plan why units wait.
+func (s *planState) explainWaits() {
+	started := map[replica.Task]bool{}
+	for _, start := range s.plan.Starts {
+		started[start.Task] = true
+	}
+	for i := range s.Waiting {
+		if unit := &s.Waiting[i]; unit.Explain && !started[unit.Task] {
+			s.plan.Waits[unit.Task] = s.explainWait(unit)
 		}
 	}
-	if workers, known := plan.Reservations[task]; known {
-		return "it waits for resources that are being freed on " +
-			strings.Join(slices.Compact(slices.Sorted(slices.Values(workers))), ", ")
+}
+
+// explainWait returns why a unit that the plan doesn't start waits.
+func (s *planState) explainWait(unit *Unit) string {
+	if workers, known := s.plan.Reservations[unit.Task]; known {
+		return "it waits for resources that are being freed on " + joinIDs(workers)
 	}
-	allowed, holds := newPlanState(snapshot).countCapacity(unit)
-	switch {
-	case allowed == 0:
+	capacity := func(worker *Worker) Resources { return worker.Capacity }
+	allowed, holds := s.countCapacity(unit, capacity)
+	if allowed == 0 {
 		return "no usable worker of its service has the required label and a ticket for it"
-	case holds < unit.Members():
+	}
+	if holds < unit.Members() {
 		return fmt.Sprintf("the %d workers that it may use hold at most %d of its %d members", allowed, holds, unit.Members())
-	default:
-		return fmt.Sprintf("there are not enough free resources for its %d members; %d units are served before it",
-			unit.Members(), ahead)
 	}
+	_, fitting := s.countCapacity(unit, freeNow)
+	_, withoutLower := s.countCapacity(unit, func(worker *Worker) Resources { return s.freeWithoutLower(unit, worker) })
+	return fmt.Sprintf("there are not enough free resources for its %d members: %d fit now, %d without runs of lower priority; "+
+		"%d units are served before it", unit.Members(), fitting, withoutLower, unit.ahead)
 }
 
-// countCapacity returns how many workers a unit may use, and how many of its members they hold together when empty.
-func (s *planState) countCapacity(unit *Unit) (allowed, holds int) {
+// countCapacity returns how many workers a unit may use, and how many of its members they hold together within the resources
+// of view.
+func (s *planState) countCapacity(unit *Unit, view resourceView) (allowed, holds int) {
 	for _, worker := range s.poolOf(unit).workers {
 		if s.allowed(unit, worker) {
 			allowed++
-			holds += countFitting(unit, worker, worker.Capacity)
+			holds += countFitting(unit, worker, view(worker))
 		}
 	}
 	return allowed, holds
 }
+
+// freeWithoutLower returns the resources of a worker that would be free without runs of a lower priority than the unit's.
+func (s *planState) freeWithoutLower(unit *Unit, worker *Worker) Resources {
+	free := freeNow(worker)
+	for _, run := range s.runsOn(worker) {
+		if run.Priority > unit.Priority && !s.victims[run] {
+			free = free.Add(run.resourcesOn(worker.ID))
+		}
+	}
+	return free
+}
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -29,7 +29,13 @@
 	s := newPlanState(snapshot)
 	s.relaxAvoid()
 	s.markUrgentOnly()
-	units := s.resumeReserved(rank(snapshot))
+	s.serve(s.resumeReserved(rank(snapshot)))
+	s.explainWaits()
+	return s.plan
+}
+
+// serve decides on the units in their order.
+func (s *planState) serve(units []*Unit) {
 	// The units of a step are identical: if one of them can't be placed, the others can't either.
 	blocked := map[replica.Task]bool{}
 	for _, unit := range units {
@@ -47,7 +53,6 @@
 			blocked[stepKey] = true
 		}
 	}
-	return s.plan
 }
 
 // placement is a choice of workers for a unit.
--- a/internal/assign/rank.go
+++ b/internal/assign/rank.go
@@ -16,7 +16,7 @@
 )
 
 // rank returns the waiting units in the order in which they are served: first those with a claim, the oldest first, then the
-// others by decreasing density. It sets their density.
+// others by decreasing density. It sets their density and position.
 func rank(snapshot *Snapshot) []*Unit {
 	units := make([]*Unit, len(snapshot.Waiting))
 	for i := range snapshot.Waiting {
@@ -24,6 +24,9 @@
 		units[i].density = Density(units[i], snapshot.Now)
 	}
 	slices.SortStableFunc(units, compareUnits)
+	for i, unit := range units {
+		unit.ahead = i
+	}
 	return units
 }
 
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -113,8 +113,11 @@
 	// TasksPerWorker counts the running tasks of the step by worker id. All units of the step share the map, and a plan adds
 	// the tasks that it starts. It is nil if the step has no limit per worker.
 	TasksPerWorker map[string]int
-	// density is the result of Density; rank sets it.
+	// Explain is true if the plan should state why the unit waits, unless it starts.
+	Explain bool
+	// density is the result of Density, and ahead the number of units that are served before this one; rank sets them.
 	density float64
+	ahead   int
 	// needsUrgentOnly is true if the unit fits only with workers that are kept for urgent units.
 	needsUrgentOnly bool
 }
@@ -175,4 +178,6 @@
 	// Reservations has the ids of the workers on which units wait for resources that are being freed, one for each member. The
 	// caller must pass them to the next plan in Unit.Reserved.
 	Reservations map[replica.Task][]string
+	// Waits states why the units wait that have Unit.Explain set and don't start.
+	Waits map[replica.Task]string
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -136,6 +136,7 @@
 	// adviceInFlight is true while a call to the advisor is in flight.
 	adviceInFlight bool
 	lastRetirement time.Time
+	lastPoolReport time.Time
 	// lastSpeedsCheck is when the speeds were last compared with those recorded, and recordedSpeedSamples the number of
 	// samples behind the recorded ones.
 	lastSpeedsCheck      time.Time
@@ -220,6 +221,7 @@
 	for _, job := range s.jobs {
 		if !job.hasEnded() && job.hasWaitingUnits() {
 			s.dirty = true
+			s.logPoolStates()
 			return
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -40,8 +40,8 @@
 	units      []*unit
 	// remaining is the number of units that are not done.
 	remaining int
-	// readyAt is when the step became ready to run; zero before.
-	readyAt time.Time
+	// readyAt is when the step became ready to run; zero before. nextWaitReport is when the log states again why it waits.
+	readyAt, nextWaitReport time.Time
 	// tickets allow the step to run on workers, by their id, if its queue needs advice; nextAdviceAt is the earliest time
 	// of the next call to the advisor.
 	tickets      map[string]ticket
@@ -110,6 +110,7 @@
 func (w watcher) JobAccepted(accepted *storev1.Job) {
 	w.s.post(func() {
 		if _, known := w.s.jobs[accepted.GetId()]; !known {
+			w.s.logQueued(accepted)
 			w.s.addJob(&job{spec: accepted})
 		}
 	})
@@ -233,7 +234,7 @@
 			ready = ready && o.steps[after].remaining == 0
 		}
 		if ready {
-			step.readyAt = s.now
+			step.readyAt, step.nextWaitReport = s.now, s.now.Add(firstWaitReport)
 			s.dirty = true
 		}
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -16,6 +16,7 @@
 	plan := assign.MakePlan(s.snapshot())
 	s.Stages.Plan.Observe(time.Since(startedAt))
 	s.reservations = plan.Reservations
+	s.logWaits(plan.Waits)
 	for _, preemption := range plan.Preemptions {
 		u := s.unitByTask(preemption.Task)
 		s.Events.Log(events.JobPreempted, "task", preemption.Task, "for", preemption.For, "percent", u.run.maxPercent,
--- /dev/null
+++ b/internal/dispatch/report.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+)
+
+const (
+	// firstWaitReport is how long a step waits before the log states why. Each later statement follows after twice the time.
+	firstWaitReport = time.Second
+	// poolReportInterval is the interval between two lines on the state of a service's workers while jobs wait.
+	poolReportInterval = time.Second
+)
+
+// logQueued logs what a job asks for.
+func (s *session) logQueued(spec *storev1.Job) {
+	first := spec.GetSteps()[0]
+	s.Events.Log(events.JobQueued, "job", spec.GetId(), "queue", spec.GetQueue(), "account", spec.GetAccount(),
+		"priority", spec.GetPriority(), "steps", len(spec.GetSteps()), "times", occurrenceCount(spec), "tasks", first.GetCount(),
+		"gang", first.GetGang(), "same_rack", first.GetSameRack(), "data_rack", first.GetDataRack(),
+		"accelerators", first.GetNeed().GetAccelerators(), "checkpointing", first.GetCheckpointing(),
+		"core_s", int(assign.JobWork(spec)), "objective_ms", assign.TimeToObjective(spec).Milliseconds())
+}
+
+// logWaits logs why steps wait.
+func (s *session) logWaits(waits map[replica.Task]string) {
+	for task, reason := range waits {
+		u := s.unitByTask(task)
+		waited := s.now.Sub(u.step.readyAt)
+		u.step.nextWaitReport = s.now.Add(waited)
+		waiting := 0
+		for _, other := range u.step.units {
+			if !other.done && other.run == nil {
+				waiting++
+			}
+		}
+		s.Events.Log(events.StepWaiting, "task", task, "queue", u.step.job.spec.GetQueue(),
+			"priority", u.step.job.spec.GetPriority(), "ready_ms", waited.Milliseconds(), "units", waiting, "reason", reason)
+	}
+}
+
+// poolState sums up the workers of a service and the accelerators that its jobs use and wait for.
+type poolState struct {
+	workers, usable, quarantined, onTrial, unresponsive, draining int
+	capacity, free, freeing                                       int
+	running, waiting                                              acceleratorCounts
+}
+
+// acceleratorCounts are numbers of accelerators by priority; the last element includes all lower priorities.
+type acceleratorCounts [4]int
+
+func (c *acceleratorCounts) add(priority uint32, accelerators int) {
+	c[min(int(priority), len(c)-1)] += accelerators
+}
+
+// logPoolStates logs the state of each service's workers, at most once in poolReportInterval.
+func (s *session) logPoolStates() {
+	if s.now.Sub(s.lastPoolReport) < poolReportInterval {
+		return
+	}
+	s.lastPoolReport = s.now
+	states := map[string]*poolState{}
+	stateOf := func(service string) *poolState {
+		if states[service] == nil {
+			states[service] = &poolState{}
+		}
+		return states[service]
+	}
+	for _, ws := range s.workers {
+		if ws.listed {
+			stateOf(ws.entry.Service).addWorker(s, ws)
+		}
+	}
+	for _, j := range s.jobs {
+		if !j.hasEnded() && !j.cancelled {
+			stateOf(s.serviceOf(j.spec)).addJob(j)
+		}
+	}
+	for service, state := range states {
+		s.Events.Log(events.PoolState, "service", service, "workers", state.workers, "usable", state.usable,
+			"quarantined", state.quarantined, "on_trial", state.onTrial, "unresponsive", state.unresponsive,
+			"draining", state.draining, "accelerators", state.capacity, "free", state.free, "freeing", state.freeing,
+			"running_by_priority", fmt.Sprint(state.running), "waiting_by_priority", fmt.Sprint(state.waiting),
+			"queued_starts", len(s.orders.starts), "overloaded", s.overloaded())
+	}
+}
+
+// addWorker adds a listed worker. Free and freeing accelerators count on usable workers only.
+func (p *poolState) addWorker(s *session, ws *workerState) {
+	p.workers++
+	switch {
+	case ws.entry.Draining:
+		p.draining++
+	case ws.unresponsive || !ws.confirmed:
+		p.unresponsive++
+	case ws.health.Quarantined(s.now):
+		p.quarantined++
+	case ws.health.OnTrial():
+		p.onTrial++
+	}
+	p.capacity += int(ws.entry.Capacity.GetAccelerators())
+	if s.usable(ws) {
+		free, freeing := ws.free()
+		p.usable++
+		p.free += free.Accelerators
+		p.freeing += freeing.Accelerators
+	}
+}
+
+// addJob adds the accelerators that the ready steps of a job use and wait for.
+func (p *poolState) addJob(j *job) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if st.readyAt.IsZero() {
+				continue
+			}
+			for _, u := range st.units {
+				accelerators := memberCount(u) * u.resources().Accelerators
+				switch {
+				case u.done:
+				case u.run == nil:
+					p.waiting.add(j.spec.GetPriority(), accelerators)
+				default:
+					p.running.add(j.spec.GetPriority(), accelerators)
+				}
+			}
+		}
+	}
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -61,6 +61,9 @@
 	UpkeepOrdered       = Event{417, log.InfoLevel, "upkeep ordered", "nothing; a failed order is repeated"}
 	WaveStateChanged    = Event{418, log.InfoLevel, "state of a wave of upkeep changed", actionNone}
 	MachinesUnreachable = Event{419, log.WarnLevel, "machines unreachable", "check the platform's machine service"}
+	JobQueued           = Event{420, log.InfoLevel, "job queued", actionNone}
+	StepWaiting         = Event{421, log.InfoLevel, "step waiting", "read the reason in the line if jobs of its queue are late"}
+	PoolState           = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
 )
 
 // Events of calls: 5xx.
@@ -81,7 +84,7 @@
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
-		UpkeepOrdered, WaveStateChanged, MachinesUnreachable,
+		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
