The state of a service's workers states starts, stops and the time that plans take

Runs that start, run and stop count apart, with the queued orders and the plans since the last line.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -14,7 +14,9 @@
 func (s *session) plan() {
 	startedAt := time.Now()
 	plan := assign.MakePlan(s.snapshot())
-	s.Stages.Plan.Observe(time.Since(startedAt))
+	took := time.Since(startedAt)
+	s.Stages.Plan.Observe(took)
+	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
 	s.reservations = plan.Reservations
 	s.logWaits(plan.Waits)
 	for _, preemption := range plan.Preemptions {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -48,7 +48,13 @@
 type poolState struct {
 	workers, usable, quarantined, onTrial, unresponsive, draining int
 	capacity, free, freeing                                       int
-	running, waiting                                              acceleratorCounts
+	starting, running, stopping, waiting                          acceleratorCounts
+}
+
+// planning counts the plans since the last report, and the time that they took.
+type planning struct {
+	count int
+	took  time.Duration
 }
 
 // acceleratorCounts are numbers of accelerators by priority; the last element includes all lower priorities.
@@ -85,9 +91,12 @@
 		s.Events.Log(events.PoolState, "service", service, "workers", state.workers, "usable", state.usable,
 			"quarantined", state.quarantined, "on_trial", state.onTrial, "unresponsive", state.unresponsive,
 			"draining", state.draining, "accelerators", state.capacity, "free", state.free, "freeing", state.freeing,
-			"running_by_priority", fmt.Sprint(state.running), "waiting_by_priority", fmt.Sprint(state.waiting),
-			"queued_starts", len(s.orders.starts), "overloaded", s.overloaded())
+			"starting_by_priority", fmt.Sprint(state.starting), "running_by_priority", fmt.Sprint(state.running),
+			"stopping_by_priority", fmt.Sprint(state.stopping), "waiting_by_priority", fmt.Sprint(state.waiting),
+			"queued_starts", len(s.orders.starts), "queued_orders", len(s.orders.others), "orders_in_flight", s.orders.inFlight,
+			"plans", s.planning.count, "planning_ms", s.planning.took.Milliseconds(), "overloaded", s.overloaded())
 	}
+	s.planning = planning{}
 }
 
 // addWorker adds a listed worker. Free and freeing accelerators count on usable workers only.
@@ -125,6 +134,10 @@
 				case u.done:
 				case u.run == nil:
 					p.waiting.add(j.spec.GetPriority(), accelerators)
+				case u.run.stopReason != "":
+					p.stopping.add(j.spec.GetPriority(), accelerators)
+				case u.run.startedAt.IsZero():
+					p.starting.add(j.spec.GetPriority(), accelerators)
 				default:
 					p.running.add(j.spec.GetPriority(), accelerators)
 				}
