--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
@@ -75,8 +76,10 @@
 	Registry         storelog.Partition
 	// DecodeWorker decodes a worker's registry entry; false if the entry is invalid or the worker can't be used.
 	DecodeWorker func(storelog.Record) (worker.RegistryEntry, bool)
-	Events       *events.Logger
-	Stages       *metrics.Stages
+	// Plan makes the plans; see assign.MakePlan.
+	Plan   func(*assign.Snapshot) assign.Plan
+	Events *events.Logger
+	Stages *metrics.Stages
 }
 
 // Dispatcher runs jobs on workers.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
@@ -13,7 +12,7 @@
 // plan makes a plan, preempts runs and launches others.
 func (s *session) plan() {
 	startedAt := time.Now()
-	plan := assign.MakePlan(s.snapshot())
+	plan := s.Plan(s.snapshot())
 	took := time.Since(startedAt)
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/gateway"
@@ -42,6 +43,8 @@
 	waves    []config.Wave
 	// upkeepStatus holds the state of the waves.
 	upkeepStatus *mock.Store
+	// planner, if set, makes the plans of the instances that start after it was set.
+	planner func(*assign.Snapshot) assign.Plan
 	// cores are the instances' numbers of processor cores; 0 for unknown.
 	cores map[string]float64
 	// down are the instances that get no answer from the store.
@@ -156,13 +159,21 @@
 			}
 			return operatorReader{holder}
 		},
-	}, events.Discard())
+	}, events.Discard(), c.options()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.nodes[name], c.cancels[name] = started, cancel
 	c.setDown(name, false)
 	go started.RunBackground(ctx, ctx)
 }
 
+// options returns the options of the instances.
+func (c *cluster) options() []node.Option {
+	if c.planner == nil {
+		return nil
+	}
+	return []node.Option{node.WithPlanner(c.planner)}
+}
+
 // entry returns a worker's entry in the registry; false if there is no such worker.
 func (c *cluster) entry(id string) (worker.RegistryEntry, bool) {
 	for _, entry := range c.workers.Entries() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/dispatch"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
@@ -98,15 +99,27 @@
 	appender   *storelog.Appender
 	candidate  *leadership.Candidate
 	gateway    *gateway.Gateway
+	plan       func(*assign.Snapshot) assign.Plan
 	stages     metrics.Stages
 	draining   atomic.Bool
 	// wasReady is the readiness that was last reported.
 	wasReady atomic.Bool
 }
 
+// Option changes how an instance works.
+type Option func(*Node)
+
+// WithPlanner makes an owner use the planner instead of assign.MakePlan.
+func WithPlanner(plan func(*assign.Snapshot) assign.Plan) Option {
+	return func(n *Node) { n.plan = plan }
+}
+
 // New returns an instance; Run starts it.
-func New(settings Settings, platform Platform, logger *events.Logger) *Node {
-	n := &Node{settings: settings, platform: platform, events: logger}
+func New(settings Settings, platform Platform, logger *events.Logger, options ...Option) *Node {
+	n := &Node{settings: settings, platform: platform, events: logger, plan: assign.MakePlan}
+	for _, apply := range options {
+		apply(n)
+	}
 	n.configs = config.NewHolder(logger)
 	waves := config.NewWaves()
 	n.replica = replica.New(logger)
@@ -125,7 +138,7 @@
 		},
 		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves,
 		UpkeepStatus: platform.UpkeepStatus, EncodeWaveStatus: platform.EncodeWaveStatus, Configs: n.configs,
-		Replica: n.replica, Stages: &n.stages,
+		Replica: n.replica, Plan: n.plan, Stages: &n.stages,
 		Registry: platform.Registry, DecodeWorker: platform.DecodeWorker, Events: logger,
 	})
 	n.candidate = leadership.New(
