Poll for the end of a stop instead of waiting for its time limit

Callers saw: jobs that preempt others start late.

Cause, from the log of a failed run: a task that is being stopped is in neither list of a report. After a report during the stop, the owner sent no poll until the longest time that a stop may take had passed, though the end was listed earlier. On a worker with several tasks, each of which ends with a report, that is the rule: when eight tasks of one accelerator are preempted for one of eight, the third end at the latest triggers it.

Now the poll waits for an end up to that time, and the next one decides as before. Ruled out: the stop order (accepted at once) and the plan (the urgent unit held its reservation).

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -15,6 +15,8 @@
 	fullReportLength = 500
 	// fullPercent is the progress of a task that is done, or of a long-running one that serves; as a pace, full speed.
 	fullPercent = 100
+	// pollResolution is the resolution of the time that a poll waits.
+	pollResolution = time.Millisecond
 )
 
 // poll renews a worker's lease, acknowledges finished tasks, and asks what the worker runs.
@@ -27,8 +29,9 @@
 	if ws.confirmed && !ws.unresponsive && ws.pendingStores == 0 && ws.clockMs > 0 {
 		poll.Wait = pollWait
 	}
-	if !ws.earliestMissing().IsZero() {
-		poll.Wait = 0
+	if missing := ws.earliestMissing(); !missing.IsZero() {
+		// The end of a missing task is listed by then, or the next poll shows that the task has ended without it.
+		poll.Wait = min(poll.Wait, max(0, missing.Add(s.Options.StopDuration+pollResolution).Sub(s.now)).Truncate(pollResolution))
 	}
 	ws.polling = true
 	target, sentAt := worker.Target{ID: ws.id, Address: ws.entry.Address}, s.now
@@ -73,10 +76,6 @@
 		ws.nextPoll = s.now.Add(pollRetryDelay)
 		return
 	}
-	if missing := ws.earliestMissing(); !missing.IsZero() && s.now.Sub(missing) <= s.Options.StopDuration {
-		ws.nextPoll = missing.Add(s.Options.StopDuration + time.Millisecond)
-		return
-	}
 	s.pollSoon(ws)
 }
 
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -269,7 +269,7 @@
 		case <-ctx.Done():
 			return worker.Report{}, worker.ErrNoAnswer
 		case <-wait:
-		case <-time.After(min(w.StopDuration, time.Until(deadline))):
+		case <-time.After(min(checkInterval, time.Until(deadline))):
 		}
 	}
 }
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -15,6 +15,9 @@
 // defaultStopDuration is the default of Workers.StopDuration.
 const defaultStopDuration = 100 * time.Millisecond
 
+// checkInterval is the interval at which a waiting poll checks for finished tasks.
+const checkInterval = 25 * time.Millisecond
+
 // gangWait is how long a member of a gang waits for the other members to start before it ends with worker.GangIncomplete.
 const gangWait = 3 * time.Second
 
@@ -31,7 +34,7 @@
 	activeStarts, maxActiveStarts int
 	// latestRuns has the number of the latest run of each task that started.
 	latestRuns map[string]uint32
-	// StopDuration is how long a worker takes to stop a task. Waiting polls check for finished tasks at least this often.
+	// StopDuration is how long a worker takes to stop a task.
 	StopDuration time.Duration
 	// dropStarts and dropPolls make all workers drop starts or polls.
 	dropStarts, dropPolls bool
--- a/internal/node/workloads_test.go
+++ b/internal/node/workloads_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// Guards against noticing the end of a stopped task late, after a report during the stop has listed neither the task nor its
+// end: here the reports about the ends of two short tasks.
+func TestEndOfStopIsNoticedAtOnce(t *testing.T) {
+	run(t, 1, 1, func(c *cluster) {
+		c.workers.StopDuration = 600 * time.Millisecond
+		for n := range 2 {
+			requireOK(c, c.submit(n, 2, "i0", tasks(1, 1, 3*time.Second+time.Duration(n)*100*time.Millisecond)))
+		}
+		stopped := tasks(1, 6, time.Minute)
+		stopped.LongRunning, stopped.MayMiss = true, 1
+		requireOK(c, c.submit(3, 2, "i0", stopped))
+		time.Sleep(2900 * time.Millisecond)
+		requireOK(c, c.submit(4, 0, "i0", gang(1, 6, time.Second)))
+		time.Sleep(800 * time.Millisecond)
+		if c.workers.StartCount(id(4)+".0.0.0") != 1 {
+			t.Error("the urgent task has not started 800 ms after it was submitted; the stop took 600 ms")
+		}
+	})
+}
+
 func TestFillingTasksAreThrottledBesideServingTasks(t *testing.T) {
 	run(t, 1, 1, func(c *cluster) {
 		serving := tasks(1, 2, time.Second)
