Answer calls that ask why a job waits from the next plan

Each call of 'job show' on the owner made a plan for each waiting step of the job, up to eight, in the owner's loop. A client that asks often takes the owner's time from orders, as plans after every change did.

Now a call marks the steps and waits for the next plan, which comes after the usual pause and states the reasons of all steps; Plan.Reasons replaces Plan.Waits and assign.Explain. A job whose steps have all started has no lines; the case 'not waiting' of the test of assign.Explain is checked in TestExplanationsLeaveTimeForOrders, through the node.

That test couldn't run on the old code, whose explanations bypassed the node's planner.

--- a/internal/assign/explain.go
+++ b/internal/assign/explain.go
@@ -8,38 +8,27 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-// Explain returns a sentence that says why a unit waits, or on which workers a plan on the snapshot starts it. Like MakePlan
-// it modifies the snapshot.
-func Explain(snapshot *Snapshot, task replica.Task) string {
-	index := slices.IndexFunc(snapshot.Waiting, func(unit Unit) bool { return unit.Task == task })
-	if index < 0 {
-		return "it is not waiting: it is running, or not due yet"
-	}
-	snapshot.Waiting[index].Explain = true
-	plan := MakePlan(snapshot)
-	for _, start := range plan.Starts {
-		if start.Task == task {
-			return "it starts now on " + joinIDs(start.Workers)
-		}
-	}
-	return plan.Waits[task]
-}
-
 // joinIDs returns the distinct ids in their order, separated by commas.
 func joinIDs(ids []string) string {
 	return strings.Join(slices.Compact(slices.Sorted(slices.Values(ids))), ", ")
 }
 
-// explainWaits adds to the plan why units wait.
-func (s *planState) explainWaits() {
-	started := map[replica.Task]bool{}
+// explain adds to the plan why units wait or where they start.
+func (s *planState) explain() {
+	starts := map[replica.Task][]string{}
 	for _, start := range s.plan.Starts {
-		started[start.Task] = true
+		starts[start.Task] = start.Workers
 	}
 	for i := range s.Waiting {
-		if unit := &s.Waiting[i]; unit.Explain && !started[unit.Task] {
-			s.plan.Waits[unit.Task] = s.explainWait(unit)
+		unit := &s.Waiting[i]
+		if !unit.Explain {
+			continue
+		}
+		reason := Reason{Text: s.explainWait(unit)}
+		if workers, starting := starts[unit.Task]; starting {
+			reason = Reason{Starts: true, Text: "it starts now on " + joinIDs(workers)}
 		}
+		s.plan.Reasons[unit.Task] = reason
 	}
 }
 
--- a/internal/assign/explain_test.go
+++ b/internal/assign/explain_test.go
@@ -8,7 +8,7 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-func TestExplainReturnsWhyAUnitWaits(t *testing.T) {
+func TestPlanHasReasonsForUnitsThatAskForThem(t *testing.T) {
 	labelled, large := step(1, 1), step(3, 8)
 	labelled.RequiredLabel = "none has it"
 	large.Gang = true
@@ -29,11 +29,13 @@
 			"preemption", newScene().workers(1, 1).running("b", 1, step(1, 8), 50, "w00").waiting("a", 0, step(1, 8), claimed), 0,
 			"being freed on w00",
 		},
-		{"not waiting", newScene().workers(1, 1), 0, "it is running"},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			got := assign.Explain(&test.scene.snapshot, replica.Task{Job: "a", Index: test.index})
+			for i := range test.scene.snapshot.Waiting {
+				test.scene.snapshot.Waiting[i].Explain = true
+			}
+			got := assign.MakePlan(&test.scene.snapshot).Reasons[replica.Task{Job: "a", Index: test.index}].Text
 			if !strings.Contains(got, test.want) {
 				t.Errorf("the explanation is %q, want it to contain %q", got, test.want)
 			}
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -30,7 +30,7 @@
 	s.relaxAvoid()
 	s.markUrgentOnly()
 	s.serve(s.resumeReserved(rank(snapshot)))
-	s.explainWaits()
+	s.explain()
 	return s.plan
 }
 
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -37,7 +37,7 @@
 func newPlanState(snapshot *Snapshot) *planState {
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
-		victims: map[*RunningUnit]bool{}, plan: Plan{Reservations: map[replica.Task][]string{}, Waits: map[replica.Task]string{}},
+		victims: map[*RunningUnit]bool{}, plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
 	}
 	for i := range snapshot.Workers {
 		worker := &snapshot.Workers[i]
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -113,7 +113,7 @@
 	// TasksPerWorker counts the running tasks of the step by worker id. All units of the step share the map, and a plan adds
 	// the tasks that it starts. It is nil if the step has no limit per worker.
 	TasksPerWorker map[string]int
-	// Explain is true if the plan should state why the unit waits, unless it starts.
+	// Explain is true if the plan should have a reason for what it does with the unit.
 	Explain bool
 	// density is the result of Density, and ahead the number of units that are served before this one; rank sets them.
 	density float64
@@ -178,6 +178,13 @@
 	// Reservations has the ids of the workers on which units wait for resources that are being freed, one for each member. The
 	// caller must pass them to the next plan in Unit.Reserved.
 	Reservations map[replica.Task][]string
-	// Waits states why the units wait that have Unit.Explain set and don't start.
-	Waits map[replica.Task]string
+	// Reasons has a reason for each unit with Unit.Explain set.
+	Reasons map[replica.Task]Reason
+}
+
+// Reason says why a unit waits, or where it starts.
+type Reason struct {
+	Starts bool
+	// Text is a sentence.
+	Text string
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -142,7 +142,9 @@
 	adviceInFlight bool
 	lastRetirement time.Time
 	lastPoolReport time.Time
-	planning       planning
+	// questions are those that the next plan answers.
+	questions []question
+	planning  planning
 	// lastSpeedsCheck is when the speeds were last compared with those recorded, and recordedSpeedSamples the number of
 	// samples behind the recorded ones.
 	lastSpeedsCheck      time.Time
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -8,6 +8,7 @@
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
 // maxExplainedSteps limits the steps of a job that are explained.
@@ -34,44 +35,76 @@
 	return false
 }
 
-// Explain returns a line for each waiting step of a job, up to maxExplainedSteps, that says why it waits. It returns none
-// on an instance that isn't the owner.
+// Explain returns a line for each waiting step of a job, up to maxExplainedSteps, that says why it waits. The next plan gives
+// the reasons; a plan for each call would take the owner's time. It returns none on an instance that isn't the owner, or if ctx
+// ends before the plan.
 func (d *Dispatcher) Explain(ctx context.Context, id string) []string {
-	var lines []string
-	if !d.query(ctx, func(s *session) { lines = s.explain(id) }) {
+	s := d.current.Load()
+	if s == nil {
 		return nil
 	}
-	return lines
+	lines := make(chan []string, 1)
+	s.post(func() {
+		s.questions = append(s.questions, question{job: id, answer: lines})
+		for _, st := range s.explainableSteps(id) {
+			st.asked = true
+		}
+		s.dirty = true
+	})
+	select {
+	case answer := <-lines:
+		return answer
+	case <-ctx.Done():
+	case <-s.ctx.Done():
+	}
+	return nil
+}
+
+// question asks why the steps of a job wait. The channel has room for the answer.
+type question struct {
+	job    string
+	answer chan<- []string
+}
+
+// answerQuestions answers all questions with the reasons of a plan.
+func (s *session) answerQuestions(reasons map[replica.Task]assign.Reason) {
+	for _, q := range s.questions {
+		lines := []string{}
+		for _, st := range s.explainableSteps(q.job) {
+			st.asked = false
+			if reason := st.reason(reasons); reason != "" && len(lines) < maxExplainedSteps {
+				lines = append(lines, fmt.Sprintf("occurrence %d, step %d: %s", st.occurrence.number, st.index, reason))
+			}
+		}
+		q.answer <- lines
+	}
+	s.questions = nil
 }
 
-func (s *session) explain(id string) []string {
+// explainableSteps returns the steps of a job that may wait.
+func (s *session) explainableSteps(id string) []*step {
 	j, known := s.jobs[id]
 	if !known || j.hasEnded() || j.cancelled {
 		return nil
 	}
-	var lines []string
+	var steps []*step
 	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if line := s.explainStep(o, st); line != "" && len(lines) < maxExplainedSteps {
-				lines = append(lines, line)
-			}
-		}
+		steps = append(steps, o.steps...)
 	}
-	return lines
+	return steps
 }
 
-// explainStep returns why the first waiting unit of a step waits; empty if none waits.
-func (s *session) explainStep(o *occurrence, st *step) string {
-	waiting := slices.IndexFunc(st.units, func(u *unit) bool { return !u.done && u.run == nil })
-	switch {
-	case waiting < 0:
-		return ""
-	case st.readyAt.IsZero():
-		return fmt.Sprintf("occurrence %d, step %d: waits for the steps before it", o.number, st.index)
-	default:
-		reason := assign.Explain(s.snapshot(), st.units[waiting].task)
-		return fmt.Sprintf("occurrence %d, step %d: %s", o.number, st.index, reason)
+// reason returns why the first waiting unit of a step waits; empty if none waited when the plan was made.
+func (st *step) reason(reasons map[replica.Task]assign.Reason) string {
+	if st.readyAt.IsZero() {
+		return "waits for the steps before it"
+	}
+	for _, u := range st.units {
+		if reason, known := reasons[u.task]; known {
+			return reason.Text
+		}
 	}
+	return ""
 }
 
 // Workers returns the owner's view of each worker, sorted by id. It returns none on an instance that isn't the owner.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -42,6 +42,8 @@
 	remaining int
 	// readyAt is when the step became ready to run; zero before. nextWaitReport is when the log states again why it waits.
 	readyAt, nextWaitReport time.Time
+	// asked is true while a question asks why the step waits.
+	asked bool
 	// tickets allow the step to run on workers, by their id, if its queue needs advice; nextAdviceAt is the earliest time
 	// of the next call to the advisor.
 	tickets      map[string]ticket
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -26,7 +26,8 @@
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
 	s.reservations = plan.Reservations
-	s.logWaits(plan.Waits)
+	s.logWaits(plan.Reasons)
+	s.answerQuestions(plan.Reasons)
 	for _, preemption := range plan.Preemptions {
 		u := s.unitByTask(preemption.Task)
 		s.Events.Log(events.JobPreempted, "task", preemption.Task, "for", preemption.For, "percent", u.run.maxPercent,
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -28,9 +28,12 @@
 }
 
 // logWaits logs why steps wait.
-func (s *session) logWaits(waits map[replica.Task]string) {
-	for task, reason := range waits {
+func (s *session) logWaits(reasons map[replica.Task]assign.Reason) {
+	for task, reason := range reasons {
 		u := s.unitByTask(task)
+		if reason.Starts || s.now.Before(u.step.nextWaitReport) {
+			continue
+		}
 		waited := s.now.Sub(u.step.readyAt)
 		u.step.nextWaitReport = s.now.Add(waited)
 		waiting := 0
@@ -40,7 +43,7 @@
 			}
 		}
 		s.Events.Log(events.StepWaiting, "task", task, "queue", u.step.job.spec.GetQueue(),
-			"priority", u.step.job.spec.GetPriority(), "ready_ms", waited.Milliseconds(), "units", waiting, "reason", reason)
+			"priority", u.step.job.spec.GetPriority(), "ready_ms", waited.Milliseconds(), "units", waiting, "reason", reason.Text)
 	}
 }
 
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -55,7 +55,7 @@
 // addStep adds the units of a step; common holds what they have in common.
 func (s *session) addStep(out *assign.Snapshot, st *step, common assign.Unit) {
 	maxAttempts, stoppable := s.maxAttempts(st.job.spec), st.stoppableCount()
-	explain := !s.now.Before(st.nextWaitReport)
+	explain := st.asked || !s.now.Before(st.nextWaitReport)
 	for _, u := range st.units {
 		unit := common
 		unit.Task = u.task
--- a/internal/node/planning_test.go
+++ b/internal/node/planning_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,36 +10,73 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
+// slowPlanner makes plans that take planTime each, and counts them.
+type slowPlanner struct{ plans atomic.Int64 }
+
+const (
+	planTime = 25 * time.Millisecond
+	// maxPlanningShare is the share of an owner's time that docs/CAPACITY.md allows for plans.
+	maxPlanningShare = 0.25
+)
+
+func (p *slowPlanner) plan(snapshot *assign.Snapshot) assign.Plan {
+	p.plans.Add(1)
+	time.Sleep(planTime)
+	return assign.MakePlan(snapshot)
+}
+
+// checkShare fails the test if the plans during action took more than maxPlanningShare of its time.
+func (p *slowPlanner) checkShare(t *testing.T, action func()) {
+	t.Helper()
+	p.plans.Store(0)
+	started := time.Now()
+	action()
+	plans, elapsed := p.plans.Load(), time.Since(started)
+	if share := float64(plans) * float64(planTime) / float64(elapsed); share > maxPlanningShare {
+		t.Errorf("%d plans took %.2f of %v, want at most %.2f", plans, share, elapsed, maxPlanningShare)
+	}
+}
+
 // Guards against an owner that plans after every change and so has no time for orders and answers, when plans take long and
 // more jobs wait than fit.
 func TestPlanningLeavesTimeForOrders(t *testing.T) {
-	const (
-		planTime = 25 * time.Millisecond
-		// maxPlanningShare is the share of an owner's time that docs/CAPACITY.md allows for plans.
-		maxPlanningShare = 0.25
-		jobs             = 120
-	)
+	const jobs = 120
 	run(t, 0, 48, func(c *cluster) {
-		var plans atomic.Int64
-		c.planner = func(snapshot *assign.Snapshot) assign.Plan {
-			plans.Add(1)
-			time.Sleep(planTime)
-			return assign.MakePlan(snapshot)
-		}
+		planner := &slowPlanner{}
+		c.planner = planner.plan
 		c.startNode("i0")
 		time.Sleep(3 * time.Second)
 		for n := range jobs {
 			// Different durations spread the ends of tasks, each of which is a change, over time.
 			requireOK(c, c.submit(n, 2, "i0", tasks(20, 1, time.Second+time.Duration(n)*7*time.Millisecond)))
 		}
-		plans.Store(0)
-		started := time.Now()
-		for n := range jobs {
-			c.await(n, 2, replica.Completed, time.Minute)
-		}
-		elapsed := time.Since(started)
-		if share := float64(plans.Load()) * float64(planTime) / float64(elapsed); share > maxPlanningShare {
-			t.Errorf("%d plans took %.2f of %v, want at most %.2f", plans.Load(), share, elapsed, maxPlanningShare)
+		planner.checkShare(t, func() {
+			for n := range jobs {
+				c.await(n, 2, replica.Completed, time.Minute)
+			}
+		})
+	})
+}
+
+// Guards against an owner whose time goes into plans for calls that ask why a job waits.
+func TestExplanationsLeaveTimeForOrders(t *testing.T) {
+	run(t, 0, 1, func(c *cluster) {
+		planner := &slowPlanner{}
+		c.planner = planner.plan
+		c.startNode("i0")
+		time.Sleep(3 * time.Second)
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		requireOK(c, c.submit(2, 2, "i0", tasks(1, 8, time.Second)))
+		time.Sleep(time.Second)
+		planner.checkShare(t, func() {
+			for range 50 {
+				if lines := c.nodes["i0"].Explain(context.Background(), id(2)); len(lines) != 1 {
+					t.Fatalf("the explanation is %v, want one line", lines)
+				}
+			}
+		})
+		if lines := c.nodes["i0"].Explain(context.Background(), id(1)); len(lines) != 0 {
+			t.Errorf("the explanation of a job that runs is %v, want none", lines)
 		}
 	})
 }
