--- a/internal/assign/rank.go
+++ b/internal/assign/rank.go
@@ -16,7 +16,7 @@
 )
 
 // rank returns the waiting units in the order in which they are served: first those with a claim, the oldest first, then the
-// others by decreasing density. It sets their density and position.
+// others by decreasing density. It sets their density and ahead.
 func rank(snapshot *Snapshot) []*Unit {
 	units := make([]*Unit, len(snapshot.Waiting))
 	for i := range snapshot.Waiting {
