Claim the ownership only over the owner's record that made the claim due

Callers saw: rarely, two takeovers in a row, each with a pause in starts.

Cause: an instance decided by the owner's record that a claim was due, and read the record to compare with only when it began to claim. If another instance's claim arrived in between, it compared that claim with itself and claimed over a live owner.

Now the record by which it decided is passed on. Ruled out: the order by age (none of the two had been restarted).

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -125,10 +125,11 @@
 // Run claims the ownership and runs terms until ctx ends, and then releases an ownership that the instance has.
 func (c *Candidate) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.waitUntilDue(ctx) {
+		replaced, due := c.waitUntilDue(ctx)
+		if !due {
 			return
 		}
-		claim, ok := c.claim(ctx)
+		claim, ok := c.claim(ctx, replaced)
 		if !ok {
 			continue
 		}
@@ -136,23 +137,25 @@
 	}
 }
 
-// waitUntilDue returns true once this instance should claim the ownership, and false when ctx ends.
-func (c *Candidate) waitUntilDue(ctx context.Context) bool {
+// waitUntilDue returns the owner's record that this instance should replace by a claim, nil if there is none, once it
+// should. It returns false when ctx ends.
+func (c *Candidate) waitUntilDue(ctx context.Context) (*storev1.Owner, bool) {
 	jitter := rand.N(maxClaimJitter)
 	for {
 		changed := c.replica.Changed()
-		if c.claimDue(time.Now(), jitter) {
-			return true
+		owner := c.replica.Owner()
+		if c.claimDue(owner, time.Now(), jitter) {
+			return owner.Owner, true
 		}
 		pause := checkInterval
-		if c.replica.Owner().Owner.GetReleased() {
+		if owner.Owner.GetReleased() {
 			pause = releasedCheckInterval
 		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return false
+			return nil, false
 		case <-changed:
 			timer.Stop()
 		case <-timer.C:
@@ -160,9 +163,9 @@
 	}
 }
 
-// claimDue reports whether this instance should claim the ownership now. Time during which the store failed to answer
+// claimDue reports whether this instance should replace the owner's record by a claim now. Time during which the store failed to answer
 // doesn't count as the owner's silence.
-func (c *Candidate) claimDue(now time.Time, jitter time.Duration) bool {
+func (c *Candidate) claimDue(owner replica.Ownership, now time.Time, jitter time.Duration) bool {
 	if !c.replica.IsReady() || now.Before(c.claimAfter) {
 		return false
 	}
@@ -170,7 +173,6 @@
 	if since.IsZero() {
 		return false
 	}
-	owner := c.replica.Owner()
 	if owner.Owner == nil {
 		return now.Sub(since) > jitter+c.cpuDelay(initialCPUDelay)
 	}
@@ -204,16 +206,15 @@
 	at       time.Time
 }
 
-// claim appends a claim and returns it with true once the replica has read it as the latest one. It returns false if
-// the partition has grown beyond what the instance has read, or if the claim was not stored.
-func (c *Candidate) claim(ctx context.Context) (appendedClaim, bool) {
+// claim appends a claim and returns it with true once the replica has read it as the latest one. It returns false if the
+// owner's record is no longer the one to replace, the partition has grown beyond what the instance has read, or the claim was
+// not stored.
+func (c *Candidate) claim(ctx context.Context, replaced *storev1.Owner) (appendedClaim, bool) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	before := c.replica.Owner().Owner
 	c.follower.Refresh(call)
 	latest := c.replica.Owner().Owner
-	if latest != before {
-		// The owner's record that made the claim due has been replaced.
+	if latest != replaced {
 		return appendedClaim{}, false
 	}
 	end := c.follower.End()
