Acknowledge the reports of a gang only once its result is stored

Callers saw: a job run twice.

Cause: one end represents a whole gang. The first report of it records the result and waits for the store; the reports of the other members found the unit done or the job ended, and were acknowledged at once. The store had been silent since 31.0 s, the gang ended between 31.0 and 31.1 s, and the result was lost with the owner. All workers but one had forgotten the ends, so the next owner, unless it reached that one, ran the gang again. The same held for further reports of a job that had just failed, and of a run whose failure was being counted.

Now each report waits for the pending record that covers it.

TestReportsOfGangAreKeptUntilItsResultIsStored failed 5 of 5 times and passes.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -15,6 +15,8 @@
 	// endedAt is when the job got its outcome; zero before.
 	endedAt time.Time
 	state   storev1.JobState
+	// outcome is the record of the outcome; nil if there is none yet or an earlier owner stored it.
+	outcome *storing
 	// occurrences are those that are due or have recorded runs, in their order.
 	occurrences  []*occurrence
 	recordedRuns map[replica.Task]*storev1.Run
@@ -64,6 +66,8 @@
 	checkpointRun     uint32
 	checkpointPercent float64
 	done              bool
+	// record is the latest record of the unit's runs in this term; nil if there is none.
+	record *storing
 	// lastRunEndedAt is when the last run ended.
 	lastRunEndedAt time.Time
 	// run is the run that may be on workers; nil if there is none.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -13,8 +13,12 @@
 // completeUnit marks a unit as done and records that.
 func (s *session) completeUnit(u *unit, onStored func()) {
 	job := u.step.job
-	if u.done || job.hasEnded() {
-		callIfSet(onStored)
+	if job.hasEnded() {
+		job.outcome.then(onStored)
+		return
+	}
+	if u.done {
+		u.record.then(onStored)
 		return
 	}
 	if u.step.spec.GetLongRunning() {
@@ -71,16 +75,18 @@
 		s.term.StepDown(err.Error())
 		return
 	}
-	s.appendRecords(onStored, record)
+	u.record = &storing{}
+	u.record.then(onStored)
+	s.appendRecords(u.record.complete, record)
 }
 
 // endJob gives a job its outcome and stops its runs.
 func (s *session) endJob(j *job, state storev1.JobState, reason string, onStored func()) {
 	if j.hasEnded() {
-		callIfSet(onStored)
+		j.outcome.then(onStored)
 		return
 	}
-	j.endedAt, j.state = s.now, state
+	j.endedAt, j.state, j.outcome = s.now, state, &storing{}
 	outcome, err := replica.OutcomeRecord(j.spec.GetId(), &storev1.Outcome{
 		State: state, EndedUnixMs: s.now.UnixMilli(), Reason: reason,
 	})
@@ -101,7 +107,8 @@
 		s.Stages.End.Observe(s.now.Sub(time.UnixMilli(j.spec.GetAcceptedUnixMs())))
 	}
 	s.dirty = true
-	s.appendRecords(onStored, records...)
+	j.outcome.then(onStored)
+	s.appendRecords(j.outcome.complete, records...)
 }
 
 // units returns all units of the occurrences that were opened.
@@ -147,9 +154,16 @@
 
 // countFailure counts a failed run of a unit. The job fails when one of its units has no attempt left.
 func (s *session) countFailure(u *unit, number uint32, onStored func()) {
-	if u.step.spec.GetLongRunning() || u.done || u.step.job.hasEnded() || number <= u.lastFailedRun {
+	switch {
+	case u.step.spec.GetLongRunning():
 		callIfSet(onStored)
 		return
+	case u.step.job.hasEnded():
+		u.step.job.outcome.then(onStored)
+		return
+	case u.done || number <= u.lastFailedRun:
+		u.record.then(onStored)
+		return
 	}
 	u.lastFailedRun = number
 	u.failures++
--- a/internal/node/workloads_test.go
+++ b/internal/node/workloads_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/gateway"
+	"github.com/dotterelgauge/dotterelgauge/internal/mock"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -40,6 +41,28 @@
 	})
 }
 
+// Guards against letting workers discard their reports of a finished gang before its result is stored: the result is lost with
+// the owner, and the worker that reported first with its report.
+func TestReportsOfGangAreKeptUntilItsResultIsStored(t *testing.T) {
+	run(t, 2, 3, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, c.runningInstance(), gang(3, 8, 2*time.Second)))
+		time.Sleep(1500 * time.Millisecond)
+		c.workers.SetExtraLatency("w01", 100*time.Millisecond)
+		c.workers.SetExtraLatency("w02", 100*time.Millisecond)
+		c.inject(func(_, call string) mock.Fault {
+			if call == "append" {
+				return mock.DropRequest
+			}
+			return mock.None
+		})
+		time.Sleep(1500 * time.Millisecond)
+		c.kill(c.owner())
+		c.workers.SetUnreachable("w00", true)
+		c.inject(nil)
+		c.await(1, 2, replica.Completed, 30*time.Second)
+	})
+}
+
 func TestTaskOnDrainingWorkerIsCheckpointed(t *testing.T) {
 	run(t, 1, 2, func(c *cluster) {
 		step := tasks(1, 8, 10*time.Second)
