Leave the state of a forgotten worker alone, and keep it while a result is being stored

Callers saw: workers with more tasks than they hold, and jobs that are stopped and started again without end.

The store was away, so the worker's entry lapsed, and the owner forgot the worker although a result from it was being stored. The entry returned and a second state was created. Once the store answered, the first state was polled again: it stopped the runs of the second one as unknown, and, being unlisted, deleted the second one's entry in the table, after which a third had all resources free.

Now a worker is kept while a result is being stored, and a state that is not the one in the table does nothing.

TestWorkerReturnsWhileItsResultIsStored failed, one task started 34 times; it passes.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -226,8 +226,12 @@
 }
 
 // checkWorker polls a worker if that is due, finishes the members of an unresponsive or unconfirmed worker whose lease has
-// expired, and forgets an unlisted worker that has nothing left.
+// expired, and forgets an unlisted worker that has nothing left. It does nothing with the state of a forgotten worker, which
+// may have returned under the same id.
 func (s *session) checkWorker(ws *workerState) {
+	if s.workers[ws.id] != ws {
+		return
+	}
 	if !ws.polling && ws.needsPoll() && !s.now.Before(ws.nextPoll) {
 		s.poll(ws)
 	}
@@ -235,7 +239,7 @@
 		s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members))
 		s.expireMembers(ws)
 	}
-	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.lastAcked >= ws.lastStored {
+	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 && ws.lastAcked >= ws.lastStored {
 		delete(s.workers, ws.id)
 	}
 }
--- a/internal/node/workloads_test.go
+++ b/internal/node/workloads_test.go
@@ -63,6 +63,44 @@
 	})
 }
 
+// Guards against two states of one worker that leaves the registry while a result from it is being stored, and returns: the
+// older state stops the runs that the newer one starts.
+func TestWorkerReturnsWhileItsResultIsStored(t *testing.T) {
+	run(t, 1, 2, func(c *cluster) {
+		for n := range 2 {
+			requireOK(c, c.submit(n, 2, "i0", tasks(1, 8, 2*time.Second)))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		c.inject(func(_, call string) mock.Fault {
+			if call == "append" {
+				return mock.DropRequest
+			}
+			return mock.None
+		})
+		time.Sleep(1500 * time.Millisecond)
+		for _, id := range []string{"w00", "w01"} {
+			c.registry.Put(id, nil)
+		}
+		time.Sleep(time.Second)
+		for _, id := range []string{"w00", "w01"} {
+			c.registry.Put(id, []byte(id))
+		}
+		time.Sleep(time.Second)
+		c.inject(nil)
+		time.Sleep(time.Second)
+		const last = 6
+		for n := 2; n <= last; n++ {
+			requireOK(c, c.submit(n, 2, "i0", tasks(1, 2, time.Second+time.Duration(n)*200*time.Millisecond)))
+		}
+		for n := 2; n <= last; n++ {
+			c.await(n, 2, replica.Completed, time.Minute)
+			if starts := c.workers.StartCount(id(n) + ".0.0.0"); starts != 1 {
+				t.Errorf("the task of job %d started %d times, want once", n, starts)
+			}
+		}
+	})
+}
+
 func TestTaskOnDrainingWorkerIsCheckpointed(t *testing.T) {
 	run(t, 1, 2, func(c *cluster) {
 		step := tasks(1, 8, 10*time.Second)
