--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// claimDue reports whether this instance should replace the owner's record by a claim now. Time during which the store failed to answer
-// doesn't count as the owner's silence.
+// claimDue reports whether this instance should replace the owner's record by a claim now. Time during which the store failed
+// to answer doesn't count as the owner's silence.
 func (c *Candidate) claimDue(owner replica.Ownership, now time.Time, jitter time.Duration) bool {
 	if !c.replica.IsReady() || now.Before(c.claimAfter) {
 		return false
