Log the offset, time, bytes and number of failed reads of the store

Event 201 named only the first failure after an answer. Event 201 now gives the offset and the time of the read, and the error the bytes of the answer that had arrived. Further failures are logged when their number is a power of two, so that an outage of minutes writes about ten lines per follower. Event 202 gives the number of failures.

Instances with 10 Mbit/s log "took_ms=601 from=181, context deadline exceeded after 655276 bytes" and after 16 failures "671660 bytes" from the same offset: the page is being received when the read is abandoned. No status and no silence after 12.0 s on those instances.

--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"sync"
 	"time"
 
@@ -48,7 +49,9 @@
 	// lastAnswer is when the store last answered a read; answeringSince is when it started to answer every read, and
 	// zero after a failure.
 	lastAnswer, answeringSince time.Time
-	end                        int64
+	// failures is the number of reads that have failed since the last answer.
+	failures int
+	end      int64
 	// paused is true during a pause between reads. Closing resume ends the pause; refreshed is closed after the next read.
 	paused            bool
 	resume, refreshed chan struct{}
@@ -75,6 +78,7 @@
 	next, ok := f.loadLatest(ctx)
 	wait, delay := f.options.Wait, readRetryDelay
 	for ok && ctx.Err() == nil {
+		sentAt := time.Now()
 		page, err := f.read(ctx, next, wait)
 		switch {
 		case err == nil:
@@ -92,7 +96,7 @@
 		case errors.Is(err, ErrTrimmed):
 			next, ok = f.loadLatest(ctx)
 		default:
-			f.recordFailure(err)
+			f.recordFailure(err, next, time.Since(sentAt))
 			ok = sleep(ctx, delay)
 			wait, delay = 0, min(2*delay, maxReadRetryDelay)
 		}
@@ -213,11 +217,12 @@
 func (f *Follower) loadLatest(ctx context.Context) (int64, bool) {
 	after, next, first := "", int64(0), true
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		call, cancel := context.WithTimeout(ctx, readLatestTimeout)
 		page, err := f.partition.ReadLatest(call, after)
 		cancel()
 		if err != nil {
-			f.recordFailure(err)
+			f.recordFailure(err, next, time.Since(sentAt))
 			if !sleep(ctx, readRetryDelay) {
 				return 0, false
 			}
@@ -245,20 +250,24 @@
 	if recovered {
 		f.answeringSince = now
 	}
-	f.lastAnswer, f.end = now, end
+	failures := f.failures
+	f.lastAnswer, f.end, f.failures = now, end, 0
 	f.mu.Unlock()
 	if recovered {
-		f.events.Log(events.StoreReachable, "records", f.options.Name, "end", end)
+		f.events.Log(events.StoreReachable, "records", f.options.Name, "end", end, "failures", failures)
 	}
 }
 
-// recordFailure records a failed read. It logs the first failure after an answer, and each one before the first answer.
-func (f *Follower) recordFailure(err error) {
+// recordFailure records a failed read from an offset on. It logs the first failure after an answer, and then each one whose
+// number is a power of two.
+func (f *Follower) recordFailure(err error, from int64, took time.Duration) {
 	f.mu.Lock()
-	report := !f.answeringSince.IsZero() || f.lastAnswer.IsZero()
 	f.answeringSince = time.Time{}
+	f.failures++
+	failures := f.failures
 	f.mu.Unlock()
-	if report {
-		f.events.Log(events.StoreUnreachable, "records", f.options.Name, "error", err)
+	if bits.OnesCount(uint(failures)) == 1 { //nolint:gosec // a count is not negative.
+		f.events.Log(events.StoreUnreachable, "records", f.options.Name, "failures", failures, "from", from,
+			"took_ms", took.Milliseconds(), "error", err)
 	}
 }
