Let a read of the store take as long as its answer keeps arriving

Cause: an operation with a fixed deadline, whose work grows with the time since it last succeeded. A read after a failure was abandoned 600 ms after it was sent. It asks for up to 1 MB, which takes over 800 ms at 10 Mbit/s; the next read started at the same offset and the page had grown.

A read is now abandoned once nothing of its answer has arrived for 600 ms, as before for an answer that never starts. Reads of jobs, of the configuration and of the registry share the code.

TestFollowerCatchesUpOverSlowLink failed before: "4s after the outage, the reader has the configuration of, want at least that of".

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -218,8 +218,8 @@
 		return appendedClaim{}, false
 	}
 	end := c.follower.End()
-	page, err := c.partition.Read(call, end, 0)
-	if err != nil || len(page.Records) > 0 {
+	storedEnd, err := c.partition.ReadEnd(call, end)
+	if err != nil || storedEnd > end {
 		return appendedClaim{}, false
 	}
 	owner := &storev1.Owner{Instance: c.instance, Epoch: latest.GetEpoch() + 1, Claim: uuid.NewString()}
--- a/internal/mock/store.go
+++ b/internal/mock/store.go
@@ -48,6 +48,8 @@
 	faultMu sync.Mutex
 	fault   func(instance, call string) Fault
 	appends int
+	// bandwidth is the speed of each instance's link in bytes per second; 0 is unlimited.
+	bandwidth int
 }
 
 // producerState is the state of one producer in its current epoch.
@@ -82,6 +84,14 @@
 	return fault(instance, call)
 }
 
+// LimitBandwidth sets the speed of each instance's link to the store in bytes per second; 0 is unlimited. The calls of one
+// instance use its link one after the other.
+func (s *Store) LimitBandwidth(bytesPerSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bandwidth = bytesPerSecond
+}
+
 // Trim trims all records written so far: Read returns storelog.ErrTrimmed for them. ReadLatest is unaffected.
 func (s *Store) Trim() {
 	s.mu.Lock()
@@ -112,7 +122,7 @@
 
 // ForInstance returns the partition whose calls are made by the given instance. Faults can depend on the instance.
 func (s *Store) ForInstance(instance string) storelog.Partition {
-	return &instancePartition{store: s, instance: instance}
+	return &instancePartition{store: s, instance: instance, link: make(chan struct{}, 1)}
 }
 
 func (s *Store) add(records []storelog.Record) int64 {
@@ -159,6 +169,55 @@
 type instancePartition struct {
 	store    *Store
 	instance string
+	// link holds a value while a call uses the link.
+	link chan struct{}
+}
+
+// transfer waits until records have passed the instance's link. It returns an error if ctx ends before.
+func (p *instancePartition) transfer(ctx context.Context, records []storelog.Record) error {
+	p.store.mu.Lock()
+	bandwidth := p.store.bandwidth
+	p.store.mu.Unlock()
+	if bandwidth == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return errDropped
+	case p.link <- struct{}{}:
+	}
+	defer func() { <-p.link }()
+	size := 0
+	for _, record := range records {
+		size += recordBytes(record)
+	}
+	select {
+	case <-ctx.Done():
+		return errDropped
+	case <-time.After(time.Duration(size) * time.Second / time.Duration(bandwidth)):
+		return nil
+	}
+}
+
+func recordBytes(record storelog.Record) int { return len(record.Key) + len(record.Value) }
+
+// maxPageBytes is the maximum size of the records of one read; a page has at least one record.
+const maxPageBytes = 1 << 20
+
+// firstPage returns the records at the front that fit into one page.
+func firstPage(records []storelog.Record, maxBytes int) []storelog.Record {
+	size := 0
+	for i, record := range records {
+		if size += recordBytes(record); size > maxBytes && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
+// silentCall returns the context of a read: a call whose answer is lost ends when the store is silent for too long.
+func silentCall(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, wait+storelog.MaxSilence)
 }
 
 // callFault waits for the latency of a call and returns its fault, with an error if the call has no effect.
@@ -185,6 +244,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := p.transfer(ctx, batch.Records); err != nil {
+		return 0, err
+	}
 	offset, err := p.store.append(batch)
 	if fault == DropResponse {
 		<-ctx.Done()
@@ -195,7 +257,9 @@
 
 // Read implements storelog.Partition.
 func (p *instancePartition) Read(ctx context.Context, from int64, wait time.Duration) (storelog.Page, error) {
-	if _, err := p.callFault(ctx, "read"); err != nil {
+	call, cancel := silentCall(ctx, wait)
+	defer cancel()
+	if _, err := p.callFault(call, "read"); err != nil {
 		return storelog.Page{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -212,7 +276,8 @@
 		case from < first:
 			return storelog.Page{}, storelog.ErrTrimmed
 		case len(records) > 0:
-			return storelog.Page{Records: records, End: end}, nil
+			records = firstPage(records, maxPageBytes)
+			return storelog.Page{Records: records, End: end}, p.transfer(ctx, records)
 		}
 		select {
 		case <-ctx.Done():
@@ -224,14 +289,34 @@
 	}
 }
 
+// ReadEnd implements storelog.Partition.
+func (p *instancePartition) ReadEnd(ctx context.Context, _ int64) (int64, error) {
+	call, cancel := silentCall(ctx, 0)
+	defer cancel()
+	if _, err := p.callFault(call, "read"); err != nil {
+		return 0, err
+	}
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	return int64(len(p.store.records)), nil
+}
+
 // latestPageSize is the number of records on a page of ReadLatest. It is small so that tests read several pages.
 const latestPageSize = 50
 
 // ReadLatest implements storelog.Partition.
 func (p *instancePartition) ReadLatest(ctx context.Context, after string) (storelog.Page, error) {
-	if _, err := p.callFault(ctx, "newest"); err != nil {
+	call, cancel := silentCall(ctx, 0)
+	defer cancel()
+	if _, err := p.callFault(call, "newest"); err != nil {
 		return storelog.Page{}, err
 	}
+	page := p.latestPage(after)
+	return page, p.transfer(ctx, page.Records)
+}
+
+// latestPage returns a page of the latest record of each key after the given one.
+func (p *instancePartition) latestPage(after string) storelog.Page {
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	latest := map[string]storelog.Record{}
@@ -249,5 +334,5 @@
 	for _, key := range keys[:min(len(keys), latestPageSize)] {
 		page.Records = append(page.Records, latest[key])
 	}
-	return page, nil
+	return page
 }
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// readMargin is how long a read may take beyond its wait before its connection counts as silent and the read is
-	// abandoned. On slow days the store takes about 400 ms to answer.
-	readMargin = 600 * time.Millisecond
 	// readRetryDelay is the delay before the first retry of a failed read; it doubles up to maxReadRetryDelay.
 	readRetryDelay    = 100 * time.Millisecond
 	maxReadRetryDelay = 400 * time.Millisecond
@@ -23,8 +20,6 @@
 	checkTimeout = 600 * time.Millisecond
 	// catchUpInterval is how often CatchUp checks whether the reader has applied the records that it waits for.
 	catchUpInterval = 5 * time.Millisecond
-	// readLatestTimeout limits the read of one page of the latest records.
-	readLatestTimeout = 2 * time.Second
 )
 
 // Reader receives the records of a partition in order.
@@ -79,7 +74,7 @@
 	wait, delay := f.options.Wait, readRetryDelay
 	for ok && ctx.Err() == nil {
 		sentAt := time.Now()
-		page, err := f.read(ctx, next, wait)
+		page, err := f.partition.Read(ctx, next, wait)
 		switch {
 		case err == nil:
 			next += int64(len(page.Records))
@@ -154,13 +149,6 @@
 	}
 }
 
-// read reads the records from an offset on and abandons the call readMargin after the wait.
-func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
-	call, cancel := context.WithTimeout(ctx, wait+readMargin)
-	defer cancel()
-	return f.partition.Read(call, from, wait)
-}
-
 // CheckStore returns nil if the store has answered within the given time or answers a read now. Concurrent calls share
 // one read.
 func (f *Follower) CheckStore(ctx context.Context, within time.Duration) error {
@@ -170,7 +158,7 @@
 	_, err, _ := f.checks.Do("", func() (any, error) {
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 		defer cancel()
-		_, err := f.partition.Read(call, f.End(), 0)
+		_, err := f.partition.ReadEnd(call, f.End())
 		return nil, err
 	})
 	return err
@@ -181,13 +169,13 @@
 func (f *Follower) CatchUp(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	page, err := f.partition.Read(call, f.End(), 0)
+	end, err := f.partition.ReadEnd(call, f.End())
 	if err != nil {
 		return err
 	}
 	ticker := time.NewTicker(catchUpInterval)
 	defer ticker.Stop()
-	for f.End() < page.End {
+	for f.End() < end {
 		f.Refresh(call)
 		select {
 		case <-call.Done():
@@ -218,9 +206,7 @@
 	after, next, first := "", int64(0), true
 	for ctx.Err() == nil {
 		sentAt := time.Now()
-		call, cancel := context.WithTimeout(ctx, readLatestTimeout)
-		page, err := f.partition.ReadLatest(call, after)
-		cancel()
+		page, err := f.partition.ReadLatest(ctx, after)
 		if err != nil {
 			f.recordFailure(err, next, time.Since(sentAt))
 			if !sleep(ctx, readRetryDelay) {
--- a/internal/storelog/follower_test.go
+++ b/internal/storelog/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -94,6 +96,30 @@
 	})
 }
 
+// Over a link of 10 Mbit/s, the records of an outage don't arrive within the time in which the store answers: each read was
+// abandoned and started again at the same offset, and the configuration of the instance never changed again.
+func TestFollowerCatchesUpOverSlowLink(t *testing.T) {
+	const bytesPerSecond, outage, inForce = 10_000_000 / 8, 6 * time.Second, 2 * time.Second
+	withFollower(t, time.Second, func(store *mock.Store, reader *collector) {
+		store.LimitBandwidth(bytesPerSecond)
+		store.InjectFaults(func(string, string) mock.Fault { return mock.Refuse })
+		write := func(d time.Duration) (last string) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				last = strconv.FormatInt(time.Now().UnixMilli(), 10)
+				store.Put("config", []byte(last+strings.Repeat(" ", 10<<10)))
+			}
+			return last
+		}
+		write(outage)
+		store.InjectFaults(nil)
+		want := write(inForce)
+		write(inForce)
+		if got := strings.TrimSpace(reader.value("config")); got < want {
+			t.Errorf("%v after the outage, the reader has the configuration of %q, want at least that of %s", 2*inForce, got, want)
+		}
+	})
+}
+
 func TestTrimmedHistoryIsReadAsLatestOfEachKey(t *testing.T) {
 	withFollower(t, time.Second, func(store *mock.Store, reader *collector) {
 		store.InjectFaults(func(_, call string) mock.Fault {
--- a/internal/storelog/store.go
+++ b/internal/storelog/store.go
@@ -60,12 +60,23 @@
 	More bool
 }
 
+// MaxSilence is how long nothing of the answer to a read may arrive before its connection counts as silent. On slow days the
+// store takes about 400 ms to answer.
+const MaxSilence = 600 * time.Millisecond
+
 // Partition is one partition of a keyed topic of the platform's store.
+//
+// Read and ReadLatest end with ErrNoAnswer once nothing of the answer has arrived for MaxSilence, in addition to the time that
+// the store may wait or work before it answers. An answer that keeps arriving may take any time, because its size depends
+// on what was written since the last read.
 type Partition interface {
 	// Append returns the offset of the first record.
 	Append(ctx context.Context, batch Batch) (int64, error)
 	// Read returns the records from an offset on and waits up to the given time for the first one.
 	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
+	// ReadEnd returns the offset after the last record; from is an offset that the store still has. The answer is small
+	// however many records follow from.
+	ReadEnd(ctx context.Context, from int64) (int64, error)
 	// ReadLatest returns a page of the latest record of each key, sorted by key, for the keys after the given one.
 	ReadLatest(ctx context.Context, after string) (Page, error)
 }
