Skip older versions of the configuration that an instance has not read

An instance whose link carries less than the operator writes falls behind without end, although it needs only the latest version. After a page that doesn't reach the end of the partition, the follower of the operator's records now loads the latest record of each key. Followers of jobs and of the registry don't: the first is told of each record, the second of removals, which the latest records don't show.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,7 @@
 	}, logger)
 	n.operator = storelog.NewFollower(platform.Operator, platform.NewOperatorReader(n.configs, waves), storelog.FollowOptions{
 		Name: "configuration", Wait: time.Duration(configReadShare * float64(settings.ConfigApplyTime)),
+		LatestOnly: true,
 	}, logger)
 	n.appender = storelog.NewAppender(platform.Jobs, settings.Name+"-"+uuid.NewString(), 1, 0)
 	n.dispatcher = dispatch.New(dispatch.Dependencies{
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -58,6 +58,9 @@
 	Name string
 	// Wait is how long a read waits for the first record.
 	Wait time.Duration
+	// LatestOnly is true if the reader needs only the latest record of each key. After a page that doesn't reach the end of the
+	// partition, the follower then skips the older records.
+	LatestOnly bool
 	// ReadInterval, if set, returns how long to pause between reads. Fewer reads cost less, because the records of a
 	// pause are read together.
 	ReadInterval func() time.Duration
@@ -84,6 +87,10 @@
 			}
 			f.recordAnswer(next) // after Apply, because CatchUp relies on all records before the end being applied
 			wait, delay = f.options.Wait, readRetryDelay
+			if f.options.LatestOnly && next < page.End {
+				next, ok = f.loadLatest(ctx)
+				continue
+			}
 			var refresh bool
 			if refresh, ok = f.pause(ctx); refresh {
 				wait = 0
--- a/internal/storelog/follower_test.go
+++ b/internal/storelog/follower_test.go
@@ -45,6 +45,12 @@
 
 // withFollower calls test with a store of 120 keys and the collector of a follower that has run for a second.
 func withFollower(t *testing.T, wait time.Duration, test func(store *mock.Store, reader *collector)) {
+	t.Helper()
+	withOptions(t, storelog.FollowOptions{Name: "test", Wait: wait}, test)
+}
+
+// withOptions is withFollower for a follower with the options.
+func withOptions(t *testing.T, options storelog.FollowOptions, test func(store *mock.Store, reader *collector)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		store, reader := mock.NewStore(), &collector{values: map[string]string{}}
@@ -52,9 +58,7 @@
 			store.Put(fmt.Sprintf("early %03d", i), []byte("v"))
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		follower := storelog.NewFollower(
-			store.ForInstance("i"), reader, storelog.FollowOptions{Name: "test", Wait: wait}, events.Discard(),
-		)
+		follower := storelog.NewFollower(store.ForInstance("i"), reader, options, events.Discard())
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
 		test(store, reader)
@@ -103,23 +107,40 @@
 	withFollower(t, time.Second, func(store *mock.Store, reader *collector) {
 		store.LimitBandwidth(bytesPerSecond)
 		store.InjectFaults(func(string, string) mock.Fault { return mock.Refuse })
-		write := func(d time.Duration) (last string) {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				last = strconv.FormatInt(time.Now().UnixMilli(), 10)
-				store.Put("config", []byte(last+strings.Repeat(" ", 10<<10)))
-			}
-			return last
-		}
-		write(outage)
+		putConfigs(store, outage, 10<<10)
 		store.InjectFaults(nil)
-		want := write(inForce)
-		write(inForce)
+		want := putConfigs(store, inForce, 10<<10)
+		putConfigs(store, inForce, 10<<10)
 		if got := strings.TrimSpace(reader.value("config")); got < want {
 			t.Errorf("%v after the outage, the reader has the configuration of %q, want at least that of %s", 2*inForce, got, want)
 		}
 	})
 }
 
+// Versions of a large configuration that are written faster than a link carries them came into force later and later.
+func TestLatestConfigurationIsReadAheadOfOlderOnes(t *testing.T) {
+	const bytesPerSecond, inForce = 10_000_000 / 8, 2 * time.Second
+	options := storelog.FollowOptions{Name: "test", Wait: time.Second, LatestOnly: true}
+	withOptions(t, options, func(store *mock.Store, reader *collector) {
+		store.LimitBandwidth(bytesPerSecond)
+		putConfigs(store, 20*time.Second, 100<<10)
+		want := putConfigs(store, time.Second, 100<<10)
+		putConfigs(store, inForce, 100<<10)
+		if got := strings.TrimSpace(reader.value("config")); got < want {
+			t.Errorf("%v later the reader has the configuration of %s, want at least that of %s", inForce, got, want)
+		}
+	})
+}
+
+// putConfigs writes a configuration of the given size every 50 ms and returns the last one, which is the time of its write.
+func putConfigs(store *mock.Store, duration time.Duration, size int) (last string) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		last = strconv.FormatInt(time.Now().UnixMilli(), 10)
+		store.Put("config", []byte(last+strings.Repeat(" ", size)))
+	}
+	return last
+}
+
 func TestTrimmedHistoryIsReadAsLatestOfEachKey(t *testing.T) {
 	withFollower(t, time.Second, func(store *mock.Store, reader *collector) {
 		store.InjectFaults(func(_, call string) mock.Fault {
