Reject no call by a configuration that may be obsolete

Callers of an instance that couldn't read the operator's records got 404 for routes that had been added and 401 for keys that had been added, as final answers, for as long as that lasted; the instance reported itself ready. Node.Fresh asked for the age of the jobs' records only, so that a failure of the one read left the other's staleness unnoticed.

The follower now records when its reader last had everything that was stored. If that is longer ago than ConfigApplyTime, in which a new version has to be in force, the instance reports not ready; it answers submissions, cancellations, and calls whose queue or key it doesn't know with 503 and Retry-After, and none of them has run. States are still answered from the jobs' records. Below that age a rejection is right, because a version that the instance doesn't know isn't due yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 	maxSpecBytes = 4000
 )
 
+// obsoleteConfig is the reason for not handling a call while a newer configuration may be in force.
+const obsoleteConfig = "the configuration could not be read lately and may be obsolete"
+
 // Result is the kind of an answer.
 type Result int
 
@@ -91,6 +94,8 @@
 type Health interface {
 	// Fresh reports whether the replica and the configuration are complete and recent.
 	Fresh() bool
+	// ConfigCurrent reports whether the configuration holds everything that must be in force by now.
+	ConfigCurrent() bool
 	// Refresh reads the records that were stored since the last read.
 	Refresh(ctx context.Context)
 	// CatchUp returns nil once the replica has all records that were stored before the call.
@@ -130,7 +135,7 @@
 	}
 	queue, known := current.QueueForPath(call.Host, call.Path)
 	if !known {
-		return AdmittedCall{}, g.reject(call, Answer{
+		return AdmittedCall{}, g.rejectByConfig(call, Answer{
 			Result: NoQueue, Detail: "no queue has this host and path: check the configuration",
 		})
 	}
@@ -145,12 +150,21 @@
 	}
 	queue, known := current.Queue(name)
 	if !known {
-		return AdmittedCall{}, g.reject(call, Answer{Result: NoQueue, Detail: "no queue has this name: check the configuration"})
+		return AdmittedCall{}, g.rejectByConfig(call, Answer{Result: NoQueue, Detail: "no queue has this name: check the configuration"})
 	}
 	return g.admit(current, queue, id, call)
 }
 
-// reject logs and counts a call that the configuration doesn't allow, and returns its answer.
+// rejectByConfig rejects a call that the configuration doesn't allow. If the configuration may be obsolete, the answer is NotRun,
+// because the latest one may allow the call.
+func (g *Gateway) rejectByConfig(call Call, answer Answer) Answer {
+	if !g.health.ConfigCurrent() {
+		answer = notRun(obsoleteConfig)
+	}
+	return g.reject(call, answer)
+}
+
+// reject logs and counts a call that isn't admitted, and returns its answer.
 func (g *Gateway) reject(call Call, answer Answer) Answer {
 	g.counters.count("call", answer.Result)
 	version := int64(0)
@@ -165,7 +179,7 @@
 func (g *Gateway) admit(current *config.Configuration, queue config.Queue, id string, call Call) (AdmittedCall, Answer) {
 	account, known := current.AccountOf(call.Key)
 	if !known && !queue.Public {
-		return AdmittedCall{}, g.reject(call, Answer{
+		return AdmittedCall{}, g.rejectByConfig(call, Answer{
 			Result: Unauthorized, Detail: "the key is unknown: send one of the client account's keys",
 		})
 	}
@@ -232,6 +246,9 @@
 
 // Cancel stores the cancellation of a job. For a job that has ended or is cancelled it stores nothing and returns OK.
 func (g *Gateway) Cancel(ctx context.Context, call AdmittedCall) Answer {
+	if !g.health.ConfigCurrent() {
+		return g.recordAnswer(call, "cancel", notRun(obsoleteConfig))
+	}
 	state, job := g.awaitJob(ctx, call.ID)
 	if job == nil {
 		var answer Answer
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -40,6 +40,8 @@
 
 func (instance) Fresh() bool { return true }
 
+func (instance) ConfigCurrent() bool { return true }
+
 func (i instance) Refresh(ctx context.Context) { i.jobs.Refresh(ctx) }
 
 func (i instance) CatchUp(ctx context.Context) error { return i.jobs.CatchUp(ctx) }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -31,6 +31,7 @@
 	t        *testing.T
 	store    *mock.Store
 	registry *mock.Store
+	operator *mock.Store
 	workers  *mock.Workers
 	nodes    map[string]*node.Node
 	cancels  map[string]context.CancelFunc
@@ -71,7 +72,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
-			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(),
+			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
 			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: advisor,
 			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, jobs: map[string]*storev1.Job{},
 		}
@@ -137,7 +138,7 @@
 		StopDuration: time.Second, GangWait: 3 * time.Second, RestoreDuration: 250 * time.Millisecond,
 		Retention: time.Minute, GracePeriod: 6 * time.Second,
 	}, node.Platform{
-		Jobs: c.store.ForInstance(name), Operator: mock.NewStore().ForInstance(name), Registry: c.registry.ForInstance(name),
+		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
 		Workers: c.workers, Advisor: c.advisor,
 		DecodeWorker: func(record storelog.Record) (worker.RegistryEntry, bool) {
 			id, remaining, draining := strings.Cut(string(record.Value), " leaves in ")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,9 +153,17 @@
 // Fresh implements gateway.Health.
 func (n *Node) Fresh() bool {
 	answered, _ := n.jobs.AnswerTimes()
-	return n.replica.IsReady() && n.configs.Current() != nil && time.Since(answered) < maxReplicaAge
+	return n.replica.IsReady() && n.ConfigCurrent() && time.Since(answered) < maxReplicaAge
 }
 
+// ConfigCurrent implements gateway.Health.
+func (n *Node) ConfigCurrent() bool {
+	return n.configs.Current() != nil && n.configAge() < n.settings.ConfigApplyTime
+}
+
+// configAge returns the time for which the configuration may have been obsolete.
+func (n *Node) configAge() time.Duration { return time.Since(n.operator.CompleteAt()) }
+
 // CheckStore implements gateway.Health.
 func (n *Node) CheckStore(ctx context.Context) error {
 	return n.jobs.CheckStore(ctx, storeCheckValidity)
@@ -257,7 +265,7 @@
 	}
 	answered, _ := n.jobs.AnswerTimes()
 	n.events.Log(events.InstanceNotReady, "leaving", n.draining.Load(), "jobs_read", n.replica.IsReady(),
-		"configured", n.configs.Current() != nil, "store_answered_ms_ago", time.Since(answered).Milliseconds())
+		"configured", n.configs.Current() != nil, "configuration_age_ms", n.configAge().Milliseconds(), "store_answered_ms_ago", time.Since(answered).Milliseconds())
 	return false
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -229,6 +229,42 @@
 	})
 }
 
+// An instance that could not read the configuration for half a minute rejected calls for new routes and keys for good.
+func TestOldConfigurationRejectsNoCall(t *testing.T) {
+	run(t, 2, 2, func(c *cluster) {
+		c.operator.InjectFaults(func(instance, _ string) mock.Fault {
+			if instance == "i0" {
+				return mock.Refuse
+			}
+			return mock.None
+		})
+		time.Sleep(4 * time.Second)
+		for _, call := range []gateway.Call{{Host: "h", Path: "/new/" + id(1), Key: "key"}, {Host: "h", Path: "/q2/" + id(1), Key: "new"}} {
+			if _, answer := c.nodes["i0"].Gateway().Admit(call); answer.Result != gateway.NotRun || answer.RetryAfter == 0 {
+				t.Errorf("%s with %s: %+v, want NotRun with RetryAfter", call.Path, call.Key, answer)
+			}
+			if _, answer := c.nodes["i1"].Gateway().Admit(call); answer.Result != gateway.NoQueue && answer.Result != gateway.Unauthorized {
+				t.Errorf("%s with %s at an instance that reads the configuration: %+v", call.Path, call.Key, answer)
+			}
+		}
+		admitted, gw := c.admit(1, 2, "i0")
+		if answer := gw.Submit(context.Background(), admitted, &storev1.Job{Steps: []*storev1.Step{tasks(1, 1, time.Second)}}); answer.Result != gateway.NotRun {
+			t.Errorf("submission under a configuration that may be obsolete: %+v, want NotRun", answer)
+		}
+		if answer := gw.Cancel(context.Background(), admitted); answer.Result != gateway.NotRun {
+			t.Errorf("cancellation under a configuration that may be obsolete: %+v, want NotRun", answer)
+		}
+		if c.nodes["i0"].Fresh() || !c.nodes["i1"].Fresh() {
+			t.Error("the load balancer must send calls only to the instance that reads the configuration")
+		}
+		c.operator.InjectFaults(nil)
+		time.Sleep(time.Second)
+		if answer := c.submit(1, 2, "i0", tasks(1, 1, time.Second)); answer.Result != gateway.OK {
+			t.Errorf("after the configuration was read again: %+v", answer)
+		}
+	})
+}
+
 func TestAccountsCannotAccessEachOthersJobs(t *testing.T) {
 	run(t, 1, 2, func(c *cluster) {
 		if answer := c.submit(1, 2, "i0", tasks(1, 1, time.Second)); answer.Result != gateway.OK {
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -44,6 +44,8 @@
 	// lastAnswer is when the store last answered a read; answeringSince is when it started to answer every read, and
 	// zero after a failure.
 	lastAnswer, answeringSince time.Time
+	// completeAt is when the reader last had all records that the store had.
+	completeAt time.Time
 	// failures is the number of reads that have failed since the last answer.
 	failures int
 	end      int64
@@ -86,6 +88,9 @@
 				f.reader.Ready()
 			}
 			f.recordAnswer(next) // after Apply, because CatchUp relies on all records before the end being applied
+			if next >= page.End {
+				f.recordComplete(time.Now())
+			}
 			wait, delay = f.options.Wait, readRetryDelay
 			if f.options.LatestOnly && next < page.End {
 				next, ok = f.loadLatest(ctx)
@@ -200,6 +205,19 @@
 	return f.lastAnswer, f.answeringSince
 }
 
+// CompleteAt returns the time at which the reader last had all records that the store had; zero before the first.
+func (f *Follower) CompleteAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.completeAt
+}
+
+func (f *Follower) recordComplete(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.completeAt = at
+}
+
 // End returns the offset after the last applied record.
 func (f *Follower) End() int64 {
 	f.mu.Lock()
@@ -210,9 +228,12 @@
 // loadLatest applies the latest record of each key and returns the offset from which to read on. The pages are not a
 // consistent snapshot, so this offset is the end of the partition at the first page and later records are read again.
 func (f *Follower) loadLatest(ctx context.Context) (int64, bool) {
-	after, next, first := "", int64(0), true
+	after, next, first, startedAt := "", int64(0), true, time.Now()
 	for ctx.Err() == nil {
 		sentAt := time.Now()
+		if first {
+			startedAt = sentAt
+		}
 		page, err := f.partition.ReadLatest(ctx, after)
 		if err != nil {
 			f.recordFailure(err, next, time.Since(sentAt))
@@ -227,6 +248,7 @@
 		f.reader.Apply(page.Records)
 		if !page.More || len(page.Records) == 0 {
 			f.recordAnswer(next)
+			f.recordComplete(startedAt)
 			f.reader.Ready()
 			return next, true
 		}
