Limit a batch of records to what a slow link sends before it is repeated

Records that queue up during an outage are appended in batches of up to 1 MB; an attempt may take 1.2 s and is repeated in parallel after 150 ms. Over 10 Mbit/s the batch alone takes 0.84 s, and with its repeats none of the attempts ends in time. Accepted jobs, ends of tasks and the owner's renewal would wait behind it for good.

A batch now has up to 64 KB, 52 ms at 10 Mbit/s, which is sent before its first repeat; more batches follow only while there is a backlog.

--- a/internal/mock/store.go
+++ b/internal/mock/store.go
@@ -85,7 +85,7 @@
 }
 
 // LimitBandwidth sets the speed of each instance's link to the store in bytes per second; 0 is unlimited. The calls of one
-// instance use its link one after the other.
+// instance share its link.
 func (s *Store) LimitBandwidth(bytesPerSecond int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -181,24 +181,25 @@
 	if bandwidth == 0 {
 		return nil
 	}
-	select {
-	case <-ctx.Done():
-		return errDropped
-	case p.link <- struct{}{}:
-	}
-	defer func() { <-p.link }()
 	size := 0
 	for _, record := range records {
 		size += recordBytes(record)
 	}
-	select {
-	case <-ctx.Done():
-		return errDropped
-	case <-time.After(time.Duration(size) * time.Second / time.Duration(bandwidth)):
-		return nil
+	for ; size > 0; size -= chunkBytes {
+		select {
+		case <-ctx.Done():
+			return errDropped
+		case p.link <- struct{}{}:
+		}
+		time.Sleep(time.Duration(min(size, chunkBytes)) * time.Second / time.Duration(bandwidth))
+		<-p.link
 	}
+	return nil
 }
 
+// chunkBytes is how much of a transfer uses the link before another one gets its turn.
+const chunkBytes = 16 << 10
+
 func recordBytes(record storelog.Record) int { return len(record.Key) + len(record.Value) }
 
 // maxPageBytes is the maximum size of the records of one read; a page has at least one record.
--- a/internal/storelog/appender.go
+++ b/internal/storelog/appender.go
@@ -24,9 +24,10 @@
 	// retryDelay is the delay before the first retry of a refused append; it doubles up to maxRetryDelay.
 	retryDelay    = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
-	// maxBatchRecords and maxBatchBytes limit one append; the store accepts at most 2 MiB per call.
+	// maxBatchRecords and maxBatchBytes limit one append, unless its first group is larger. A batch must pass the slowest link
+	// before it is repeated; the store accepts at most 2 MiB per call.
 	maxBatchRecords = 512
-	maxBatchBytes   = 1 << 20
+	maxBatchBytes   = 64 << 10
 )
 
 // Appender appends records in submission order, each exactly once, for one producer and epoch.
--- a/internal/storelog/appender_test.go
+++ b/internal/storelog/appender_test.go
@@ -85,6 +85,33 @@
 	})
 }
 
+// Over a link of 10 Mbit/s, a batch of 1 MB and its repeats took longer than an attempt may, and records that had queued up during
+// an outage were never stored.
+func TestBacklogIsStoredOverSlowLink(t *testing.T) {
+	const bytesPerSecond, count, size = 10_000_000 / 8, 1000, 4 << 10
+	var refuse atomic.Bool
+	refuse.Store(true)
+	withAppender(t, func(string) mock.Fault {
+		if refuse.Load() {
+			return mock.Refuse
+		}
+		return mock.None
+	}, func(store *mock.Store, appender *storelog.Appender) {
+		store.LimitBandwidth(bytesPerSecond)
+		var last *storelog.PendingAppend
+		for range count {
+			last = appender.Submit(storelog.Record{Key: "k", Value: make([]byte, size)})
+		}
+		time.Sleep(time.Second)
+		refuse.Store(false)
+		select {
+		case <-last.Done():
+		case <-time.After(3 * count * size * time.Second / bytesPerSecond):
+			t.Errorf("%d of %d records are stored after three times the time that the link needs", len(store.Records()), count)
+		}
+	})
+}
+
 func TestUnansweredRecordsCannotBeWithdrawn(t *testing.T) {
 	withAppender(t, func(string) mock.Fault { return mock.DropRequest }, func(_ *mock.Store, appender *storelog.Appender) {
 		pending := submit(appender, "a")
