Give up jobs whose tasks crash the workers that start them

Cause: of the ways in which a run can end only "failed" counts, which a worker must live to report. The log showed it: "failures=0" for all twelve runs of a task under one owner; a lost count after a takeover and a maximum that is too high are ruled out by that.

A crash (another incarnation answers, or an unlisted worker's lease has expired) now counts against the units that had started within the last second, or if there were none, against all on the worker. Suspects run on probation: alone if there are empty workers, and nothing joins them until they have lasted a second. A job is given up after three crashes under a unit if the last worker ran nothing else and fell silent promptly, or after four. The count is in the records of runs, with the time by which a new owner tells a crash that it didn't see. Crashes of an announced departure, and of a worker that is merely out of reach, don't count.

TestTaskThatCrashesWorkersIsGivenUp, TestCrashesCountAcrossTakeovers and TestTasksBesideCrashingOnesComplete failed before: tasks had crashed workers up to 989 times. On the final code they pass 40 times in a row, TestCrashesOfWorkersDoNotFailJobs too.

--- /dev/null
+++ b/internal/assign/alone_test.go
@@ -0,0 +1,31 @@
+package assign_test
+
+import (
+	"testing"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+)
+
+// A unit that may crash its worker must not take others with it: neither those that run there, nor those of the same plan.
+func TestUnitsThatRunAloneShareNoWorker(t *testing.T) {
+	alone := func(unit *assign.Unit) { unit.Alone = true }
+	s := newScene().workers(3, 3).running("other", 2, step(1, 1), 10, "w00").
+		waiting("suspect", 1, step(1, 1), alone).waiting("next", 1, step(4, 1)).waiting("second", 1, step(1, 1), alone)
+	for i := range s.snapshot.Workers {
+		s.snapshot.Workers[i].Empty = s.snapshot.Workers[i].ID != "w00"
+	}
+	users := map[string][]string{"w00": {"other"}}
+	for _, start := range assign.MakePlan(&s.snapshot).Starts {
+		users[start.Workers[0]] = append(users[start.Workers[0]], start.Task.Job)
+	}
+	for id, jobs := range users {
+		for _, job := range jobs {
+			if (job == "suspect" || job == "second") && len(jobs) > 1 {
+				t.Errorf("%s runs %v, want %s alone", id, jobs, job)
+			}
+		}
+	}
+	if len(users["w01"])+len(users["w02"]) < 2 {
+		t.Errorf("%v: the empty workers are not used", users)
+	}
+}
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -116,7 +116,8 @@
 	need := ResourcesOf(unit.Step)
 	for _, id := range workers {
 		worker := s.workers[id]
-		if worker.OnTrial {
+		worker.Empty = false
+		if worker.OnTrial || unit.Alone {
 			worker.Usable = false
 		}
 		if unit.TasksPerWorker != nil {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -74,6 +74,8 @@
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
 	// it then gets one task at a time.
 	Usable, OnTrial bool
+	// Empty is true if nothing runs on the worker.
+	Empty bool
 	// NearLatencyTarget is true if the latency of a serving task on the worker is near its target. The worker then gets no
 	// more tasks of steps that fill.
 	NearLatencyTarget bool
@@ -113,6 +115,8 @@
 	// TasksPerWorker counts the running tasks of the step by worker id. All units of the step share the map, and a plan adds
 	// the tasks that it starts. It is nil if the step has no limit per worker.
 	TasksPerWorker map[string]int
+	// Alone is true if the unit needs workers that run nothing else.
+	Alone bool
 	// Explain is true if the plan should have a reason for what it does with the unit.
 	Explain bool
 	// density is the result of Density, and ahead the number of units that are served before this one; rank sets them.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -66,6 +66,10 @@
 	checkpointRun     uint32
 	checkpointPercent float64
 	done              bool
+	// crashes is the number of runs that ended because a worker crashed, and lastCrashedRun the number of the latest of them.
+	crashes, lastCrashedRun uint32
+	// suspect is true if the unit may have caused a crash.
+	suspect bool
 	// record is the latest record of the unit's runs in this term; nil if there is none.
 	record *storing
 	// lastRunEndedAt is when the last run ended.
@@ -215,12 +219,13 @@
 		return u
 	}
 	u.runNumber, u.failures, u.checkpoint = recorded.GetNumber(), recorded.GetFailures(), recorded.GetCheckpoint()
-	u.lastFailedRun = recorded.GetCounted()
+	u.lastFailedRun, u.crashes = recorded.GetCounted(), recorded.GetCrashes()
+	u.suspect = u.crashes > 0
 	switch recorded.GetPhase() {
 	case storev1.RunPhase_RUN_PHASE_DONE:
 		u.done = !st.spec.GetLongRunning()
 	case storev1.RunPhase_RUN_PHASE_OPEN:
-		s.restoreRun(u, recorded.GetWorkers())
+		s.restoreRun(u, recorded)
 	}
 	return u
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -55,7 +55,7 @@
 			reply, err := next.send(target)
 			s.post(func() {
 				s.orders.inFlight--
-				if err == nil || refusalOf(err) != 0 {
+				if reason := refusalOf(err); err == nil || (reason != 0 && reason != worker.RefusedIncarnation) {
 					s.recordReply(next.worker, reply)
 				}
 				next.onReply(err)
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -67,9 +67,13 @@
 
 // recordRun records the state of a unit's latest run.
 func (s *session) recordRun(u *unit, phase storev1.RunPhase, workers []string, onStored func()) {
+	var openedAtMs int64
+	if u.run != nil {
+		openedAtMs = u.run.recordedAtMs
+	}
 	record, err := replica.RunRecord(u.task, &storev1.Run{
 		Phase: phase, Number: u.runNumber, Workers: workers, Failures: u.failures, Counted: u.lastFailedRun,
-		Checkpoint: u.checkpoint,
+		Checkpoint: u.checkpoint, Crashes: u.crashes, OpenedUnixMs: openedAtMs,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -29,6 +29,9 @@
 	if ws.confirmed && !ws.unresponsive && ws.pendingStores == 0 && ws.clockMs > 0 {
 		poll.Wait = pollWait
 	}
+	if ws.hasProbation() {
+		poll.Wait = min(poll.Wait, promptCrashTime)
+	}
 	if missing := ws.earliestMissing(); !missing.IsZero() {
 		// The end of a missing task is listed by then, or the next poll shows that the task has ended without it.
 		poll.Wait = min(poll.Wait, max(0, missing.Add(s.Options.StopDuration+pollResolution).Sub(s.now)).Truncate(pollResolution))
@@ -61,13 +64,16 @@
 		ws.nextPoll = s.now.Add(pollRetryDelay)
 		return
 	}
-	s.recordReply(ws, report.Reply)
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
 			ws.lastProcessed, ws.lastStored, ws.lastAcked = 0, 0, 0
+			s.countCrash(ws, s.casualties(ws, mayHaveStarted))
+		} else {
+			s.countMissedCrash(ws, report.StartedAtMs)
 		}
 		ws.startedAtMs = report.StartedAtMs
 	}
+	s.recordReply(ws, report.Reply)
 	ws.unresponsive, ws.confirmed = false, true
 	ws.lastAcked = max(ws.lastAcked, poll.Acknowledged)
 	s.handleFinishedTasks(ws, report.Finished)
@@ -156,6 +162,9 @@
 	m.percent, m.latencyMs = reported.Percent, reported.Load
 	r.maxPercent = max(r.maxPercent, reported.Percent)
 	r.unit.saveCheckpoint(m, reported.Checkpoint)
+	if r.passedProbation(s.now) {
+		s.endProbation(r)
+	}
 	if r.stopReason != "" || r.unit.run != r {
 		s.stopMember(m)
 	}
@@ -192,6 +201,9 @@
 			s.Events.Log(events.WorkerRecovered, "worker", ws.id)
 		}
 		ws.health.RecordSuccess()
+		if known {
+			s.endProbation(member.run)
+		}
 		s.completeUnit(u, onStored)
 	case worker.Failed:
 		if !s.failedElsewhere(u, ws) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
@@ -37,6 +38,8 @@
 	openedAt, startedAt time.Time
 	// maxPercent is the highest progress that a member has reported.
 	maxPercent float64
+	// recordedAtMs is when the run was recorded, by the clock of the owner that did, in Unix milliseconds.
+	recordedAtMs int64
 }
 
 // member is one task of a run on its worker.
@@ -53,6 +56,8 @@
 	unansweredStarts int
 	startSent        bool
 	startOrder       worker.Start
+	// startSentAt is when the first start order was sent; zero if an earlier owner sent it.
+	startSentAt time.Time
 	// stopSentAt is when the stop was last ordered, and stopAcceptedAt when the worker accepted it.
 	stopSentAt, stopAcceptedAt time.Time
 	// missingSince is when the worker's reports ceased to list the task; zero while they list it.
@@ -108,7 +113,7 @@
 
 // newRun opens a run of a unit on workers. The members are in the given initial phase.
 func (s *session) newRun(u *unit, number uint32, workers []string, initial phase) *run {
-	r := &run{unit: u, number: number, openedAt: s.now}
+	r := &run{unit: u, number: number, openedAt: s.now, recordedAtMs: s.now.UnixMilli()}
 	for i, id := range workers {
 		m := &member{
 			run: r, name: memberName(u.task, i), worker: s.worker(id), resources: u.resources(), phase: initial,
@@ -122,11 +127,11 @@
 }
 
 // restoreRun opens a run that an earlier owner recorded.
-func (s *session) restoreRun(u *unit, workers []string) {
-	if len(workers) == 0 {
+func (s *session) restoreRun(u *unit, recorded *storev1.Run) {
+	if len(recorded.GetWorkers()) == 0 {
 		return
 	}
-	s.newRun(u, u.runNumber, workers, unconfirmed)
+	s.newRun(u, u.runNumber, recorded.GetWorkers(), unconfirmed).recordedAtMs = recorded.GetOpenedUnixMs()
 }
 
 // startMember queues the order to start a member. The first order is dropped if the run is stopped, or the worker
@@ -155,7 +160,9 @@
 		s.finishMember(m, worker.Stopped)
 		return false
 	}
-	m.startSent = true
+	if !m.startSent {
+		m.startSent, m.startSentAt = true, s.now
+	}
 	m.startOrder = worker.Start{
 		Task: m.name, Run: m.run.number, Spec: m.run.unit.step.job.spec.GetSpec(), Checkpoint: m.run.unit.checkpoint,
 		Fence: s.term.Epoch, LeaseEndMs: s.extendLease(m.worker), Ticket: m.run.unit.step.tickets[m.worker.id].value,
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -16,7 +16,7 @@
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
 			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws),
-			OnTrial: ws.health.OnTrial(), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
+			OnTrial: ws.health.OnTrial(), Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
 	}
 	withinGuarantee := s.accountsWithinGuarantee()
@@ -55,12 +55,13 @@
 // addStep adds the units of a step; common holds what they have in common.
 func (s *session) addStep(out *assign.Snapshot, st *step, common assign.Unit) {
 	maxAttempts, stoppable := s.maxAttempts(st.job.spec), st.stoppableCount()
+	hold := st.crashesRepeatedly()
 	explain := st.asked || !s.now.Before(st.nextWaitReport)
 	for _, u := range st.units {
 		unit := common
 		unit.Task = u.task
 		switch {
-		case u.done:
+		case u.done, u.run == nil && hold && u.crashes <= 1:
 		case u.run == nil:
 			unit.Avoid, unit.LastAttempt = u.avoid, u.failures+1 >= maxAttempts
 			unit.Reserved = s.reservations[u.task]
@@ -68,6 +69,7 @@
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
+			unit.Alone = u.needsLoneWorkers(s.now.Sub(unit.WaitingSince))
 			out.Waiting = append(out.Waiting, unit)
 		case !st.spec.GetLongRunning():
 			unit.Work += assign.TaskWork(st.spec) * float64(memberCount(u))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -70,8 +70,10 @@
 	// leaseEnd is when, by this instance's clock, everything that was started on the worker has ended, if the worker isn't
 	// reached again.
 	leaseEnd time.Time
-	// unresponsive is true if the last call was not answered.
+	// unresponsive is true if the last call was not answered. silentSince is when the first call since the last answer failed;
+	// zero if none did.
 	unresponsive bool
+	silentSince  time.Time
 	health       learned.Health
 	speed        learned.Speed
 }
@@ -138,9 +140,9 @@
 	return ws.listed && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && !ws.health.Quarantined(s.now)
 }
 
-// usable reports whether a worker gets new tasks: one on trial gets one at a time.
+// usable reports whether a worker gets new tasks: one on trial gets one at a time, and one with a run on probation none.
 func (s *session) usable(ws *workerState) bool {
-	return s.healthy(ws) && (!ws.health.OnTrial() || len(ws.members) == 0)
+	return s.healthy(ws) && (!ws.health.OnTrial() || len(ws.members) == 0) && !ws.hasProbation()
 }
 
 // free returns the resources of a worker that are certainly unused, and those that stopping runs still use.
@@ -170,6 +172,7 @@
 
 // recordReply records the worker's clock from any answer.
 func (s *session) recordReply(ws *workerState, reply worker.Reply) {
+	ws.silentSince = time.Time{}
 	if reply.ClockMs > 0 {
 		ws.clockMs, ws.clockReadAt = reply.ClockMs, s.now
 	}
@@ -178,6 +181,9 @@
 // markUnresponsive keeps new tasks from a worker that didn't answer, until it does. An answer that this instance was too
 // busy to handle in time says nothing about the worker.
 func (s *session) markUnresponsive(ws *workerState) {
+	if ws.silentSince.IsZero() {
+		ws.silentSince = s.now
+	}
 	if !ws.unresponsive && !s.overloaded() {
 		ws.unresponsive = true
 		s.Events.Log(events.WorkerUnresponsive, "worker", ws.id, "members", len(ws.members),
@@ -237,7 +243,13 @@
 	}
 	if s.now.After(ws.leaseEnd) && len(ws.members) > 0 && (ws.unresponsive || !ws.confirmed) {
 		s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members))
+		var lost []casualty
+		if !ws.listed {
+			// A worker that the registry still lists is only out of this instance's reach.
+			lost = s.casualties(ws, mayHaveStarted)
+		}
 		s.expireMembers(ws)
+		s.countCrash(ws, lost)
 	}
 	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 && ws.lastAcked >= ws.lastStored {
 		delete(s.workers, ws.id)
@@ -257,8 +269,10 @@
 // started. Everything that it ran has ended.
 func (s *session) handleNewIncarnation(ws *workerState) {
 	s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members), "reason", "another incarnation answers")
+	lost := s.casualties(ws, mayHaveStarted)
 	ws.listed, ws.confirmed, ws.reserved = false, false, false
 	s.expireMembers(ws)
+	s.countCrash(ws, lost)
 }
 
 // quarantine keeps new tasks from a worker for some time.
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -14,6 +14,7 @@
 	w.mu.Lock()
 	fake := w.byID[id]
 	unreachable := fake == nil || fake.unreachable
+	down := fake != nil && fake.down
 	wait := callLatency
 	if fake != nil {
 		wait += fake.extraLatency
@@ -24,6 +25,9 @@
 		return nil
 	case <-time.After(wait):
 	}
+	if down {
+		return nil
+	}
 	if unreachable {
 		<-ctx.Done()
 		return nil
@@ -143,6 +147,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if fake.replaced {
+		return worker.Reply{}, refusedError(worker.RefusedIncarnation)
+	}
 	if w.dropStarts {
 		return worker.Reply{}, worker.ErrNoAnswer
 	}
@@ -206,6 +213,9 @@
 		w.addViolation("%s starts on %s without a valid ticket", order.Task, fake.entry.ID)
 	}
 	w.startCounts[order.Task]++
+	if w.crashing != nil && w.crashing(order.Task) {
+		time.AfterFunc(w.crashAfter, func() { w.crash(fake) })
+	}
 	w.latestRuns[order.Task] = max(w.latestRuns[order.Task], order.Run)
 	if spec := w.findJob(task.Job).GetSpec(); order.Spec != spec {
 		w.addViolation("%s starts with the spec %q, its job has %q", order.Task, order.Spec, spec)
@@ -241,6 +251,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if fake.replaced {
+		return worker.Reply{}, refusedError(worker.RefusedIncarnation)
+	}
 	w.finishTasks(fake)
 	if fake.fenced(order.Fence) {
 		return fake.reply(), refusedError(worker.RefusedFence)
@@ -285,7 +298,12 @@
 func (w *Workers) report(fake *fakeWorker, order worker.Poll) (worker.Report, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if fake.fenced(order.Fence) {
+	switch {
+	case fake.replaced:
+		return worker.Report{}, nil, refusedError(worker.RefusedIncarnation)
+	case fake.down:
+		return worker.Report{}, nil, worker.ErrNoAnswer
+	case fake.fenced(order.Fence):
 		return worker.Report{Reply: fake.reply()}, nil, refusedError(worker.RefusedFence)
 	}
 	fake.leaseEndMs = max(fake.leaseEndMs, order.LeaseEndMs)
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -40,6 +40,10 @@
 	dropStarts, dropPolls bool
 	// TicketValid, if set, reports whether the ticket of a start is valid for the worker with the given id.
 	TicketValid func(order worker.Start, id string) bool
+	// crashing, crashAfter and returned are the arguments of CrashTasks.
+	crashing   func(task string) bool
+	crashAfter time.Duration
+	returned   func(old, id string)
 }
 
 // fakeWorker is one worker. The fields for faults are described at the methods of Workers that set them.
@@ -52,14 +56,16 @@
 	leaseEndMs int64
 	running    map[string]*fakeTask // by task
 	// finished are the finished tasks that aren't acknowledged, and lastNumber is the number of the last one.
-	finished     []worker.FinishedTask
-	lastNumber   int64
-	unreachable  bool
-	startDelay   time.Duration
-	failing      bool
-	hanging      bool
-	dropReplies  bool
-	extraLatency time.Duration
+	finished    []worker.FinishedTask
+	lastNumber  int64
+	unreachable bool
+	// down is true from a crash until the worker's return. replaced is true if it returned under another id.
+	down, replaced bool
+	startDelay     time.Duration
+	failing        bool
+	hanging        bool
+	dropReplies    bool
+	extraLatency   time.Duration
 	// changed is closed and replaced whenever a task finishes.
 	changed chan struct{}
 	// endedRuns has the highest run of each task that ended or was stopped on the worker. Starts up to it are refused.
@@ -107,12 +113,16 @@
 }
 
 func (w *Workers) add(id, rack string) {
-	w.byID[id] = &fakeWorker{
-		entry: worker.RegistryEntry{
-			ID: id, Service: "s", Address: id + ":1", Rack: rack, Labels: []string{"a", rack},
-			Capacity: &storev1.Resources{CpuMillicores: 32000, MemoryMb: 65536, Accelerators: 8},
-		},
-		startedAt: time.Now(), running: map[string]*fakeTask{}, endedRuns: map[string]uint32{}, changed: make(chan struct{}),
+	w.byID[id] = newWorker(worker.RegistryEntry{
+		ID: id, Service: "s", Address: id + ":1", Rack: rack, Labels: []string{"a", rack},
+		Capacity: &storev1.Resources{CpuMillicores: 32000, MemoryMb: 65536, Accelerators: 8},
+	})
+}
+
+func newWorker(entry worker.RegistryEntry) *fakeWorker {
+	return &fakeWorker{
+		entry: entry, startedAt: time.Now(), running: map[string]*fakeTask{}, endedRuns: map[string]uint32{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -129,7 +139,9 @@
 	defer w.mu.Unlock()
 	var entries []worker.RegistryEntry
 	for _, fake := range w.byID {
-		entries = append(entries, fake.entry)
+		if !fake.replaced {
+			entries = append(entries, fake.entry)
+		}
 	}
 	return entries
 }
--- /dev/null
+++ b/internal/node/crash_test.go
@@ -0,0 +1,166 @@
+package node_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/gateway"
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+)
+
+// maxCrashStarts is how often a task that crashes its workers may start: twice after three workers have crashed.
+const maxCrashStarts = 5
+
+// atOnce is how long after its start a task crashes its worker.
+const atOnce = 10 * time.Millisecond
+
+// crashJobs makes the tasks of the jobs crash their workers some time after their start. The workers return under their ids, or
+// under new ones.
+func (c *cluster) crashJobs(after time.Duration, newIDs bool, jobs ...int) {
+	crashing := func(task string) bool {
+		for _, n := range jobs {
+			if strings.HasPrefix(task, id(n)) {
+				return true
+			}
+		}
+		return false
+	}
+	if !newIDs {
+		c.workers.CrashTasks(crashing, after, nil)
+		return
+	}
+	c.workers.CrashTasks(crashing, after, func(old, id string) {
+		c.registry.Put(old, nil)
+		c.registry.Put(id, []byte(id))
+	})
+}
+
+// checkCrashStarts checks that no task of a crashing job has started too often, and returns the number of all their starts.
+func (c *cluster) checkCrashStarts(jobs ...int) (total int) {
+	c.t.Helper()
+	for _, task := range c.workers.StartedTasks() {
+		for _, n := range jobs {
+			if starts := c.workers.StartCount(task); strings.HasPrefix(task, id(n)) {
+				total += starts
+				if starts > maxCrashStarts {
+					c.t.Errorf("%s crashed its worker %d times, want at most %d", task, starts, maxCrashStarts)
+				}
+			}
+		}
+	}
+	return total
+}
+
+// longRunning returns a step of count tasks without an end.
+func longRunning(count, accelerators uint32) *storev1.Step {
+	step := tasks(count, accelerators, time.Second)
+	step.LongRunning = true
+	return step
+}
+
+// A task that crashes every worker that starts it was started again and again, until it had crashed them all many times.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		newIDs bool
+		after  time.Duration
+		step   *storev1.Step
+	}{
+		"tasks":                  {step: tasks(6, 1, 4*time.Second), after: atOnce},
+		"tasks, new incarnation": {step: tasks(6, 1, 4*time.Second), after: atOnce, newIDs: true},
+		"tasks, late":            {step: tasks(6, 1, 9*time.Second), after: 3 * time.Second, newIDs: true},
+		"whole workers":          {step: tasks(2, 8, 4*time.Second), after: atOnce, newIDs: true},
+		"gang":                   {step: gang(4, 4, 4*time.Second), after: atOnce, newIDs: true},
+		"long-running":           {step: longRunning(2, 4), after: atOnce, newIDs: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, 8, func(c *cluster) {
+				c.crashJobs(test.after, test.newIDs, 1)
+				if answer := c.submit(1, 2, "i0", test.step); answer.Result != gateway.OK {
+					t.Fatal(answer)
+				}
+				c.await(1, 2, replica.Failed, 45*time.Second)
+				time.Sleep(30 * time.Second)
+				c.checkCrashStarts(1)
+			})
+		})
+	}
+}
+
+// The number of workers that crashed under a task must survive the owner.
+func TestCrashesCountAcrossTakeovers(t *testing.T) {
+	run(t, 3, 8, func(c *cluster) {
+		c.crashJobs(atOnce, true, 1)
+		if answer := c.submit(1, 2, "i0", tasks(2, 8, 4*time.Second)); answer.Result != gateway.OK {
+			t.Fatal(answer)
+		}
+		for range 3 {
+			time.Sleep(2 * time.Second)
+			killed := c.owner()
+			c.kill(killed)
+			time.Sleep(4 * time.Second)
+			c.startNode(killed)
+			time.Sleep(time.Second)
+		}
+		c.await(1, 2, replica.Failed, 60*time.Second)
+		c.checkCrashStarts(1)
+	})
+}
+
+// Tasks that merely share a worker with one that crashes it must not be given up, and have to complete.
+func TestTasksBesideCrashingOnesComplete(t *testing.T) {
+	run(t, 2, 8, func(c *cluster) {
+		var crashing []int
+		const jobs = 40
+		for n := range jobs {
+			if n%5 == 0 {
+				crashing = append(crashing, n)
+			}
+		}
+		c.crashJobs(atOnce, true, crashing...)
+		for n := range jobs {
+			step := tasks(2, 1, 4*time.Second)
+			if n%4 == 1 {
+				step = gang(3, 2, 2*time.Second)
+			}
+			if answer := c.submit(n, 2, "i0", step); answer.Result != gateway.OK {
+				t.Fatal(answer)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		for n := range jobs {
+			want := replica.Completed
+			if n%5 == 0 {
+				want = replica.Failed
+			}
+			c.await(n, 2, want, 90*time.Second)
+		}
+		c.checkCrashStarts(crashing...)
+	})
+}
+
+// Workers that crash for a reason of their own must not fail the jobs on them.
+func TestCrashesOfWorkersDoNotFailJobs(t *testing.T) {
+	run(t, 2, 6, func(c *cluster) {
+		const jobs = 6
+		for n := range jobs {
+			step := tasks(2, 2, 7*time.Second)
+			if n%3 == 0 {
+				step = tasks(1, 8, 7*time.Second)
+			}
+			if answer := c.submit(n, 2, "i0", step); answer.Result != gateway.OK {
+				t.Fatal(answer)
+			}
+		}
+		for range 3 {
+			time.Sleep(6 * time.Second)
+			for _, id := range []string{"w00", "w02", "w04"} {
+				c.workers.Crash(id)
+			}
+		}
+		for n := range jobs {
+			c.await(n, 2, replica.Completed, 30*time.Second)
+		}
+	})
+}
