Stop polling a worker that another incarnation has replaced

A worker whose last reports were not acknowledged when it crashed was polled for good, because only an answer to an acknowledgement ends that. The next incarnation at its address refuses all calls for another one. Each poll is priced, takes the owner's time and fills the log. A worker now counts as replaced once another incarnation has answered, until the registry lists it again, and is forgotten.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -50,6 +50,9 @@
 	// listed is true if the registry lists the worker; confirmed is true once it has accepted this epoch and reported
 	// what it runs.
 	listed, confirmed bool
+	// replaced is true once another incarnation has answered at its address, unless the registry has listed the worker since. Then
+	// nobody is left to acknowledge reports to.
+	replaced bool
 	// reserved is true while the worker is being evacuated for the upkeep of its machine.
 	reserved bool
 	// leavesAt is the earliest time at which a draining worker may leave.
@@ -131,7 +134,7 @@
 	if entry.Draining && (!ws.entry.Draining || !ws.listed) {
 		ws.leavesAt = s.now.Add(entry.Remaining)
 	}
-	ws.entry, ws.listed = entry, true
+	ws.entry, ws.listed, ws.replaced = entry, true, false
 	s.checkWorker(ws)
 }
 
@@ -205,7 +208,7 @@
 
 // needsPoll reports whether a worker has to be polled: to learn what it runs, or to acknowledge finished tasks.
 func (ws *workerState) needsPoll() bool {
-	if ws.entry.Address == "" {
+	if ws.entry.Address == "" || ws.replaced {
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
@@ -251,7 +254,8 @@
 		s.expireMembers(ws)
 		s.countCrash(ws, lost)
 	}
-	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 && ws.lastAcked >= ws.lastStored {
+	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
+		(ws.replaced || ws.lastAcked >= ws.lastStored) {
 		delete(s.workers, ws.id)
 	}
 }
@@ -270,7 +274,7 @@
 func (s *session) handleNewIncarnation(ws *workerState) {
 	s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members), "reason", "another incarnation answers")
 	lost := s.casualties(ws, mayHaveStarted)
-	ws.listed, ws.confirmed, ws.reserved = false, false, false
+	ws.listed, ws.confirmed, ws.reserved, ws.replaced = false, false, false, true
 	s.expireMembers(ws)
 	s.countCrash(ws, lost)
 }
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -147,7 +147,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if fake.replaced {
+	if fake.misdirected() {
 		return worker.Reply{}, refusedError(worker.RefusedIncarnation)
 	}
 	if w.dropStarts {
@@ -251,7 +251,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if fake.replaced {
+	if fake.misdirected() {
 		return worker.Reply{}, refusedError(worker.RefusedIncarnation)
 	}
 	w.finishTasks(fake)
@@ -299,7 +299,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case fake.replaced:
+	case fake.misdirected():
 		return worker.Report{}, nil, refusedError(worker.RefusedIncarnation)
 	case fake.down:
 		return worker.Report{}, nil, worker.ErrNoAnswer
--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -54,3 +54,18 @@
 		returned(fake.entry.ID, next.entry.ID)
 	}
 }
+
+// misdirected reports whether another incarnation has replaced the worker, and counts the call then.
+func (f *fakeWorker) misdirected() bool {
+	if f.replaced {
+		f.misdirectedCalls++
+	}
+	return f.replaced
+}
+
+// MisdirectedCalls returns the number of calls for a worker since it returned under another id.
+func (w *Workers) MisdirectedCalls(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.byID[id].misdirectedCalls
+}
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -61,11 +61,13 @@
 	unreachable bool
 	// down is true from a crash until the worker's return. replaced is true if it returned under another id.
 	down, replaced bool
-	startDelay     time.Duration
-	failing        bool
-	hanging        bool
-	dropReplies    bool
-	extraLatency   time.Duration
+	// misdirectedCalls is the number of calls since it returned under another id.
+	misdirectedCalls int
+	startDelay       time.Duration
+	failing          bool
+	hanging          bool
+	dropReplies      bool
+	extraLatency     time.Duration
 	// changed is closed and replaced whenever a task finishes.
 	changed chan struct{}
 	// endedRuns has the highest run of each task that ended or was stopped on the worker. Starts up to it are refused.
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -7,6 +7,7 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/gateway"
+	"github.com/dotterelgauge/dotterelgauge/internal/mock"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
@@ -164,3 +165,32 @@
 		}
 	})
 }
+
+// A worker that crashed before its last report was acknowledged was asked ten times a second, for good, whether it is back.
+func TestReplacedWorkerIsNotPolled(t *testing.T) {
+	run(t, 1, 2, func(c *cluster) {
+		c.crashJobs(atOnce, true)
+		if answer := c.submit(1, 2, "i0", tasks(2, 8, time.Second)); answer.Result != gateway.OK {
+			t.Fatal(answer)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.inject(func(_, call string) mock.Fault {
+			if call == "append" {
+				return mock.Refuse
+			}
+			return mock.None
+		})
+		time.Sleep(time.Second)
+		for _, id := range []string{"w00", "w01"} {
+			c.workers.Crash(id)
+		}
+		time.Sleep(time.Second)
+		c.inject(nil)
+		time.Sleep(20 * time.Second)
+		before := c.workers.MisdirectedCalls("w00") + c.workers.MisdirectedCalls("w01")
+		time.Sleep(10 * time.Second)
+		if after := c.workers.MisdirectedCalls("w00") + c.workers.MisdirectedCalls("w01"); after > before {
+			t.Errorf("%d calls in 10 s for workers that were replaced 20 s ago", after-before)
+		}
+	})
+}
