Drop queued starts on a worker whose capacity has shrunk

New on the users' platform: a worker's capacity may shrink while it runs, and a start that exceeds it breaks LIMIT some seconds later. Plans use the capacity in the registry, but a start that was planned before may wait for its turn for as long as a gang waits, 3 to 4 s, and was sent whatever the registry said by then. A start is now dropped before its first order is sent if what was started on the worker, or is to be, exceeds its capacity; its unit returns to the queue.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -135,7 +135,7 @@
 }
 
 // startMember queues the order to start a member. The first order is dropped if the run is stopped, or the worker
-// becomes unresponsive, before it is sent.
+// becomes unresponsive or shrinks, before it is sent.
 func (s *session) startMember(m *member) {
 	m.phase = starting
 	s.enqueueStart(order{
@@ -156,7 +156,7 @@
 	if m.phase != starting {
 		return false
 	}
-	if m.unansweredStarts == 0 && (m.run.stopReason != "" || m.worker.unresponsive) {
+	if m.unansweredStarts == 0 && (m.run.stopReason != "" || m.worker.unresponsive || m.worker.overcommitted()) {
 		s.finishMember(m, worker.Stopped)
 		return false
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -160,6 +160,12 @@
 	return free, freeing
 }
 
+// overcommitted reports whether what was started on a worker, or is to be, exceeds its capacity: it has shrunk.
+func (ws *workerState) overcommitted() bool {
+	free, _ := ws.free()
+	return !free.Contains(assign.Resources{})
+}
+
 func (s *session) orderContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(s.ctx, orderTimeout)
 }
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -224,7 +224,7 @@
 	for _, running := range fake.running {
 		used += running.step.GetNeed().GetAccelerators()
 	}
-	if used > fake.entry.Capacity.GetAccelerators() {
+	if used > fake.limit {
 		w.addViolation("the tasks on %s need %d accelerators, more than it has", fake.entry.ID, used)
 	}
 	return nil
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -61,6 +61,8 @@
 	unreachable bool
 	// down is true from a crash until the worker's return. replaced is true if it returned under another id.
 	down, replaced bool
+	// limit is the capacity that starts must not exceed, which follows entry.Capacity with a delay.
+	limit uint32
 	// misdirectedCalls is the number of calls since it returned under another id.
 	misdirectedCalls int
 	startDelay       time.Duration
@@ -123,7 +125,7 @@
 
 func newWorker(entry worker.RegistryEntry) *fakeWorker {
 	return &fakeWorker{
-		entry: entry, startedAt: time.Now(), running: map[string]*fakeTask{}, endedRuns: map[string]uint32{},
+		entry: entry, limit: entry.Capacity.GetAccelerators(), startedAt: time.Now(), running: map[string]*fakeTask{}, endedRuns: map[string]uint32{},
 		changed: make(chan struct{}),
 	}
 }
@@ -162,6 +164,21 @@
 	w.byID[id].unreachable, w.byID[id].dropReplies = drop, drop
 }
 
+// SetAccelerators changes the accelerators in a worker's registry entry. Starts must not exceed them once grace has passed.
+func (w *Workers) SetAccelerators(id string, count uint32, grace time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fake := w.byID[id]
+	fake.entry.Capacity = &storev1.Resources{
+		CpuMillicores: fake.entry.Capacity.GetCpuMillicores(), MemoryMb: fake.entry.Capacity.GetMemoryMb(), Accelerators: count,
+	}
+	time.AfterFunc(grace, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		fake.limit = count
+	})
+}
+
 // FailTasks makes all tasks on a worker fail, those that run and those that start later.
 func (w *Workers) FailTasks(id string) { w.SetFailing(id, true) }
 
