Start tasks only on workers whose registry entry is recent

While the registry can't be read, or a worker can't write to it, the owner went on with the last entry, and could start tasks within a capacity that had shrunk long ago. A worker now gets tasks only if its entry was read within the time that the platform allows after a shrinkage (StableWindowMs and a heartbeat), less 1 s in which a start is decided and carried out.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -29,6 +29,8 @@
 	pollTimeoutMargin = 500 * time.Millisecond
 	// pollRetryDelay is the delay after a poll without an answer, and between polls while finished tasks are being stored.
 	pollRetryDelay = 300 * time.Millisecond
+	// capacityMargin is the time between reading a worker's entry and carrying out a start that relies on it.
+	capacityMargin = registryInterval + orderTimeout
 	// clockDriftFactor allows for a worker's clock that runs slow, and messageMargin for the time that messages take.
 	clockDriftFactor = 1.03
 	messageMargin    = 300 * time.Millisecond
@@ -47,6 +49,8 @@
 type workerState struct {
 	id    string
 	entry worker.RegistryEntry
+	// heardAt is when the entry was last read.
+	heardAt time.Time
 	// listed is true if the registry lists the worker; confirmed is true once it has accepted this epoch and reported
 	// what it runs.
 	listed, confirmed bool
@@ -128,19 +132,24 @@
 	if ws.listed && ws.entry.Address != entry.Address {
 		s.handleNewIncarnation(ws)
 	}
-	if !ws.listed || ws.entry.Draining != entry.Draining {
+	if !ws.listed || ws.entry.Draining != entry.Draining || !s.knowsCapacity(ws) {
 		s.dirty = true
 	}
 	if entry.Draining && (!ws.entry.Draining || !ws.listed) {
 		ws.leavesAt = s.now.Add(entry.Remaining)
 	}
-	ws.entry, ws.listed, ws.replaced = entry, true, false
+	ws.entry, ws.heardAt, ws.listed, ws.replaced = entry, s.now, true, false
 	s.checkWorker(ws)
 }
 
+// knowsCapacity reports whether a worker's entry is so recent that a capacity which has shrunk since may still be used.
+func (s *session) knowsCapacity(ws *workerState) bool {
+	return s.Options.CapacityGrace == 0 || s.now.Sub(ws.heardAt) < s.Options.CapacityGrace-capacityMargin
+}
+
 // healthy reports whether tasks may start on a worker.
 func (s *session) healthy(ws *workerState) bool {
-	return ws.listed && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && !ws.health.Quarantined(s.now)
+	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && !ws.health.Quarantined(s.now)
 }
 
 // usable reports whether a worker gets new tasks: one on trial gets one at a time, and one with a run on probation none.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -48,6 +48,8 @@
 	planner func(*assign.Snapshot) assign.Plan
 	// cores are the instances' numbers of processor cores; 0 for unknown.
 	cores map[string]float64
+	// capacityGrace is the instances' setting.
+	capacityGrace time.Duration
 	// down are the instances that get no answer from the store.
 	down map[string]bool
 	// jobs are the submitted jobs by id.
@@ -69,11 +71,23 @@
 
 // runWithCores is runWithAdvisor with one instance for each number of cores.
 func runWithCores(t *testing.T, cores []float64, workers int, advisor worker.Advisor, test func(c *cluster)) {
+	t.Helper()
+	runCluster(t, cores, workers, &cluster{advisor: advisor}, test)
+}
+
+// runWithCapacityGrace is run with one instance that has the setting.
+func runWithCapacityGrace(t *testing.T, workers int, grace time.Duration, test func(c *cluster)) {
+	t.Helper()
+	runCluster(t, make([]float64, 1), workers, &cluster{capacityGrace: grace}, test)
+}
+
+// runCluster is run with one instance for each number of cores and with the advisor and the setting of options.
+func runCluster(t *testing.T, cores []float64, workers int, options *cluster, test func(c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
-			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: advisor,
+			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, capacityGrace: options.capacityGrace,
 			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, jobs: map[string]*storev1.Job{},
 		}
 		c.workers = mock.NewWorkers(workers, func(id string) *storev1.Job {
@@ -135,7 +149,7 @@
 func (c *cluster) startNode(name string) {
 	started := node.New(node.Settings{
 		Name: name, Cores: c.cores[name], TakeoverDelay: 3 * time.Second, MaxLease: lease, ConfigApplyTime: 2 * time.Second,
-		StopDuration: time.Second, GangWait: 3 * time.Second, RestoreDuration: 250 * time.Millisecond,
+		StopDuration: time.Second, GangWait: 3 * time.Second, RestoreDuration: 250 * time.Millisecond, CapacityGrace: c.capacityGrace,
 		Retention: time.Minute, GracePeriod: 6 * time.Second,
 	}, node.Platform{
 		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 		Options: dispatch.Options{
 			Instance: settings.Name, TakeoverDelay: settings.TakeoverDelay,
 			MaxLease: settings.MaxLease, StopDuration: settings.StopDuration, GangWait: settings.GangWait,
-			RestoreDuration: settings.RestoreDuration, Retention: settings.Retention,
+			RestoreDuration: settings.RestoreDuration, CapacityGrace: settings.CapacityGrace, Retention: settings.Retention,
 		},
 		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves,
 		UpkeepStatus: platform.UpkeepStatus, EncodeWaveStatus: platform.EncodeWaveStatus, Configs: n.configs,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,9 @@
 	GangWait time.Duration
 	// RestoreDuration is how long a task takes to resume from a checkpoint.
 	RestoreDuration time.Duration
+	// CapacityGrace is how long after a worker's capacity has shrunk tasks may still start within the capacity that it had; 0 if
+	// capacities don't shrink.
+	CapacityGrace time.Duration
 	// Retention is how long callers can query the state of a job that has ended.
 	Retention time.Duration
 }
