--- a/Makefile
+++ b/Makefile
@@ -51,12 +51,13 @@
 demo: build
 	scripts/demo.sh
 
-# soak runs instances under a seeded sequence of faults: make soak SEED=7 TIME=120s.
+# soak runs instances under a seeded sequence of faults: make soak SEED=7 TIME=120s FLAGS=--capacity.
 SEED ?= 1
 TIME ?= 60s
+FLAGS ?=
 soak: build
-	$(BIN)/soak --seed $(SEED) --time $(TIME)
+	$(BIN)/soak --seed $(SEED) --time $(TIME) $(FLAGS)
 
 # soak-short injects every fault at least once. Properties with a time limit are printed but don't affect the result.
 soak-short: build
-	$(BIN)/soak --seed 1 --time 30s --safety
+	$(BIN)/soak --seed 1 --time 30s --safety --capacity
--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -47,6 +47,7 @@
 	if returned != nil {
 		next.entry.ID += "'"
 	}
+	next.limit = fake.limit
 	fake.down, fake.replaced = false, true
 	w.byID[next.entry.ID] = next
 	w.mu.Unlock()
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -164,7 +164,7 @@
 	w.byID[id].unreachable, w.byID[id].dropReplies = drop, drop
 }
 
-// SetAccelerators changes the accelerators in a worker's registry entry. Starts must not exceed them once grace has passed.
+// SetAccelerators changes the accelerators in a worker's registry entry. Starts must not exceed fewer ones once grace has passed.
 func (w *Workers) SetAccelerators(id string, count uint32, grace time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -172,10 +172,16 @@
 	fake.entry.Capacity = &storev1.Resources{
 		CpuMillicores: fake.entry.Capacity.GetCpuMillicores(), MemoryMb: fake.entry.Capacity.GetMemoryMb(), Accelerators: count,
 	}
+	if count >= fake.limit {
+		fake.limit = count
+		return
+	}
 	time.AfterFunc(grace, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		fake.limit = count
+		if fake.entry.Capacity.GetAccelerators() == count {
+			fake.limit = count
+		}
 	})
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -20,6 +20,11 @@
 	lostResponsePercent = 30
 	// startDelay is the delay after which a late worker carries out a start that it doesn't answer.
 	startDelay = 3 * time.Second
+	// allAccelerators are the accelerators of a worker, and shrunkAccelerators those that are left of them when it shrinks. Starts
+	// must not exceed them after capacityGrace: StableWindowMs and a heartbeat of the settings.
+	allAccelerators    = 8
+	shrunkAccelerators = 2
+	capacityGrace      = 4500 * time.Millisecond
 	// slowReplyDelay is the additional time that a slow worker takes to answer.
 	slowReplyDelay = 400 * time.Millisecond
 )
@@ -68,6 +73,18 @@
 	{"configuration", func(s *soak, _ *rand.Rand) { s.configs.publish() }},
 }
 
+// capacityFaults are injected beside the others with --capacity.
+var capacityFaults = []fault{
+	{"worker crashes", func(s *soak, random *rand.Rand) { s.platform.Workers.Crash(s.randomWorker(random)) }},
+	{"worker shrinks", workerFault(func(s *soak, id string, on bool) {
+		if on {
+			s.platform.Workers.SetAccelerators(id, shrunkAccelerators, capacityGrace)
+		} else {
+			s.platform.Workers.SetAccelerators(id, allAccelerators, 0)
+		}
+	})},
+}
+
 // injectAll injects the selected faults in turn until ctx is done and each was injected at least once.
 func (s *soak) injectAll(ctx context.Context, selected []fault, random *rand.Rand) {
 	random.Shuffle(len(selected), func(a, b int) { selected[a], selected[b] = selected[b], selected[a] })
@@ -87,12 +104,17 @@
 	running.Wait()
 }
 
-// selectFaults returns the faults with the given names; all faults if no names are given.
-func selectFaults(names []string) []fault {
-	if len(names) == 0 {
+// selectFaults returns the faults with the given names. Without names it returns all faults, those of workers' capacity only if
+// capacity is set.
+func selectFaults(names []string, capacity bool) []fault {
+	if len(names) == 0 && !capacity {
 		return slices.Clone(faults)
 	}
-	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(names, f.name) })
+	all := slices.Concat(faults, capacityFaults)
+	if len(names) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(f fault) bool { return !slices.Contains(names, f.name) })
 }
 
 // randomDuration returns a random duration between a quarter of maxDuration and maxDuration.
@@ -192,14 +214,19 @@
 // workerFault returns a fault of one worker; set switches it on and off.
 func workerFault(set func(s *soak, id string, on bool)) func(*soak, *rand.Rand) {
 	return func(s *soak, random *rand.Rand) {
-		entries := s.platform.Workers.Entries()
-		id := entries[random.IntN(len(entries))].ID
+		id := s.randomWorker(random)
 		set(s, id, true)
 		time.Sleep(randomDuration(random, 5*time.Second))
 		set(s, id, false)
 	}
 }
 
+// randomWorker returns the id of a worker.
+func (s *soak) randomWorker(random *rand.Rand) string {
+	entries := s.platform.Workers.Entries()
+	return entries[random.IntN(len(entries))].ID
+}
+
 func boolToInt(on bool) int64 {
 	if on {
 		return 1
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -33,6 +33,7 @@
 	Workers   int           `help:"Number of workers." default:"8"`
 	PerSecond float64       `help:"Mean number of jobs submitted per second." default:"3"`
 	Only      []string      `help:"Names of the faults to inject; all if not set."`
+	Capacity  bool          `help:"Also crash workers and shrink their capacity."`
 	Calm      bool          `help:"Inject no faults."`
 	BasePort  int           `help:"First port; each instance uses three." default:"29000"`
 	Safety    bool          `help:"Print the properties with a time limit, but don't fail if they are violated."`
@@ -130,7 +131,7 @@
 	if opts.Calm {
 		<-faultPhase.Done()
 	} else {
-		s.injectAll(faultPhase, selectFaults(opts.Only), random)
+		s.injectAll(faultPhase, selectFaults(opts.Only, opts.Capacity), random)
 	}
 	time.Sleep(recoveryTime)
 	s.configs.checkWithoutFaults()
--- a/test/standin/standin.go
+++ b/test/standin/standin.go
@@ -142,6 +142,7 @@
 Zone = %q
 Ip = "127.0.0.1"
 InternalPorts = [%d, %d]
+HeartbeatMs = %d
 [Listen]
 Front = %q
 Readiness = %q
@@ -153,12 +154,13 @@
 LeaseMs = 3000
 MaxHoldMs = 10000
 StopMs = 400
+StableWindowMs = 3000
 GangMs = 3000
 RestoreMs = 250
 status_s = 120
 [platform]
 Address = %q
-`, name, dataCentre, metricsPort, metricsPort, callersAddress, readinessAddress, storeAddress)
+`, name, dataCentre, metricsPort, metricsPort, heartbeatInterval.Milliseconds(), callersAddress, readinessAddress, storeAddress)
 }
 
 // findJob returns a job as the scheduler first stored it; nil if it is not stored.
