Limit the occurrences of a job that are open at a time

A caller may ask for up to 4 billion occurrences that are all due, and the owner opened them all at once, in its loop. It would run out of memory, and the next owner reads the same record and does the same.

A job now has up to 2,000 tasks in open occurrences, or one occurrence if that has more; later ones are opened as these end.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -83,6 +84,30 @@
 // occurrenceCount returns how often a job runs its steps.
 func occurrenceCount(spec *storev1.Job) int { return max(1, int(spec.GetSchedule().GetTimes())) }
 
+// maxOpenTasks limits the tasks of a job in occurrences that are due and not done, unless one occurrence has more. The others are
+// opened as these are done.
+const maxOpenTasks = 2000
+
+// maxOpenOccurrences returns how many occurrences of a job may be open at a time.
+func maxOpenOccurrences(spec *storev1.Job) int {
+	tasks := 0
+	for _, step := range spec.GetSteps() {
+		tasks += int(step.GetCount())
+	}
+	return max(1, maxOpenTasks/max(1, tasks))
+}
+
+// openOccurrences returns the number of occurrences that were opened and are not done.
+func (j *job) openOccurrences() int {
+	open := 0
+	for _, o := range j.occurrences {
+		if slices.ContainsFunc(o.steps, func(st *step) bool { return st.remaining > 0 }) {
+			open++
+		}
+	}
+	return open
+}
+
 // dueAt returns when an occurrence may start.
 func dueAt(spec *storev1.Job, number int) time.Time {
 	schedule := spec.GetSchedule()
@@ -164,8 +189,10 @@
 	if j.hasEnded() || j.cancelled {
 		return
 	}
-	for number := len(j.occurrences); number < occurrenceCount(j.spec) && s.occurrenceDue(j.spec, number); number++ {
+	open, limit := j.openOccurrences(), maxOpenOccurrences(j.spec)
+	for number := len(j.occurrences); number < occurrenceCount(j.spec) && open < limit && s.occurrenceDue(j.spec, number); number++ {
 		s.openOccurrence(j, number)
+		open++
 	}
 	for _, o := range j.occurrences {
 		if !o.isDue {
--- a/internal/node/planning_test.go
+++ b/internal/node/planning_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
@@ -80,3 +81,34 @@
 		}
 	})
 }
+
+// A job whose occurrences were all due at once, without a limit on their number, filled the memory of one owner after the other.
+func TestOccurrencesThatAreDueAtOnceAreLimited(t *testing.T) {
+	const times, maxWaiting = 30000, 2000
+	run(t, 0, 4, func(c *cluster) {
+		most := 0
+		c.planner = func(snapshot *assign.Snapshot) assign.Plan {
+			most = max(most, len(snapshot.Waiting))
+			return assign.MakePlan(snapshot)
+		}
+		c.startNode("i0")
+		time.Sleep(3 * time.Second)
+		admitted, gw := c.admit(1, 2, "i0")
+		job := &storev1.Job{
+			Spec: "spec", Steps: []*storev1.Step{tasks(1, 1, time.Second)}, Schedule: &storev1.Schedule{Times: times},
+		}
+		c.mu.Lock()
+		c.jobs[id(1)] = job
+		c.mu.Unlock()
+		requireOK(c, gw.Submit(context.Background(), admitted, job))
+		requireOK(c, c.submit(2, 0, "i0", tasks(1, 1, time.Second)))
+		c.await(2, 0, replica.Completed, 10*time.Second)
+		if most > maxWaiting {
+			t.Errorf("%d units wait in a plan, want at most %d", most, maxWaiting)
+		}
+		time.Sleep(20 * time.Second)
+		if started := len(c.workers.StartedTasks()); started < 500 {
+			t.Errorf("%d tasks have started, want later occurrences to follow", started)
+		}
+	})
+}
