--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -189,10 +189,11 @@
 	if j.hasEnded() || j.cancelled {
 		return
 	}
-	open, limit := j.openOccurrences(), maxOpenOccurrences(j.spec)
-	for number := len(j.occurrences); number < occurrenceCount(j.spec) && open < limit && s.occurrenceDue(j.spec, number); number++ {
-		s.openOccurrence(j, number)
-		open++
+	if next := len(j.occurrences); s.mayOpen(j, next) {
+		for room := maxOpenOccurrences(j.spec) - j.openOccurrences(); room > 0 && s.mayOpen(j, next); room-- {
+			s.openOccurrence(j, next)
+			next++
+		}
 	}
 	for _, o := range j.occurrences {
 		if !o.isDue {
@@ -201,6 +202,11 @@
 	}
 }
 
+// mayOpen reports whether a job has the occurrence and its time has come.
+func (s *session) mayOpen(j *job, number int) bool {
+	return number < occurrenceCount(j.spec) && s.occurrenceDue(j.spec, number)
+}
+
 // occurrenceDue reports whether the time of an occurrence has come. A job without a schedule may always start: its time is
 // from the clock of the instance that accepted it.
 func (s *session) occurrenceDue(spec *storev1.Job, number int) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -265,7 +265,8 @@
 	}
 	answered, _ := n.jobs.AnswerTimes()
 	n.events.Log(events.InstanceNotReady, "leaving", n.draining.Load(), "jobs_read", n.replica.IsReady(),
-		"configured", n.configs.Current() != nil, "configuration_age_ms", n.configAge().Milliseconds(), "store_answered_ms_ago", time.Since(answered).Milliseconds())
+		"configured", n.configs.Current() != nil, "configuration_age_ms", n.configAge().Milliseconds(),
+		"store_answered_ms_ago", time.Since(answered).Milliseconds())
 	return false
 }
 
@@ -290,6 +291,7 @@
 	expvar.Publish("answers", n.gateway.AnswerCounts())
 	expvar.Publish("latency", &n.stages)
 	expvar.Publish("owner_epoch", expvar.Func(func() any { return n.candidate.Epoch() }))
+	expvar.Publish("configuration_age_ms", expvar.Func(func() any { return n.configAge().Milliseconds() }))
 	expvar.Publish("configuration_version", expvar.Func(func() any {
 		if current := n.configs.Current(); current != nil {
 			return current.Version
--- a/internal/storelog/appender_test.go
+++ b/internal/storelog/appender_test.go
@@ -33,6 +33,16 @@
 	})
 }
 
+// refuseWhile returns a fault that refuses all calls while refuse is true.
+func refuseWhile(refuse *atomic.Bool) func(string) mock.Fault {
+	return func(string) mock.Fault {
+		if refuse.Load() {
+			return mock.Refuse
+		}
+		return mock.None
+	}
+}
+
 func submit(appender *storelog.Appender, key string) *storelog.PendingAppend {
 	return appender.Submit(storelog.Record{Key: key, Value: []byte("v")})
 }
@@ -62,12 +72,7 @@
 func TestRefusedRecordsCanBeWithdrawn(t *testing.T) {
 	var refuse atomic.Bool
 	refuse.Store(true)
-	withAppender(t, func(string) mock.Fault {
-		if refuse.Load() {
-			return mock.Refuse
-		}
-		return mock.None
-	}, func(store *mock.Store, appender *storelog.Appender) {
+	withAppender(t, refuseWhile(&refuse), func(store *mock.Store, appender *storelog.Appender) {
 		kept, withdrawn := submit(appender, "kept"), submit(appender, "withdrawn")
 		time.Sleep(130 * time.Millisecond)
 		if appender.RefusedFor() == 0 {
@@ -91,12 +96,7 @@
 	const bytesPerSecond, count, size = 10_000_000 / 8, 1000, 4 << 10
 	var refuse atomic.Bool
 	refuse.Store(true)
-	withAppender(t, func(string) mock.Fault {
-		if refuse.Load() {
-			return mock.Refuse
-		}
-		return mock.None
-	}, func(store *mock.Store, appender *storelog.Appender) {
+	withAppender(t, refuseWhile(&refuse), func(store *mock.Store, appender *storelog.Appender) {
 		store.LimitBandwidth(bytesPerSecond)
 		var last *storelog.PendingAppend
 		for range count {
