Count crashes per task of a gang, not per gang

Its tasks' runs ended broken, broken and stopped: each crash had hit another of its workers, and a gang on many workers meets many crashes. The limit is meant for a task under which workers crash again and again, so the crashes of each task count by themselves, also in the record of the run.

TestGangThatLosesOtherMembersCompletes failed before: the gang is failed after its fourth crash.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -12,9 +12,9 @@
 	// promptCrashTime is how soon after the start of a task a worker must fall silent for the task to be a likely cause. A run
 	// that lasts longer has passed its probation.
 	promptCrashTime = time.Second
-	// maxProvenCrashes is how many workers may crash under a unit if the last one ran nothing else and crashed promptly.
+	// maxProvenCrashes is how many workers may crash under a task if the last one ran no other unit and crashed promptly.
 	maxProvenCrashes = 3
-	// maxCrashes is how many workers may crash under a unit in any case.
+	// maxCrashes is how many workers may crash under a task in any case.
 	maxCrashes = 4
 	// maxLoneWait is how long a suspect unit waits for workers that run nothing else, and maxFirstLoneWait the same after its first
 	// crash, when most suspects only ran beside the cause.
@@ -22,16 +22,15 @@
 	maxFirstLoneWait = 500 * time.Millisecond
 )
 
-// casualty is a unit whose run ended in the crash of a worker.
+// casualty is a member whose worker crashed.
 type casualty struct {
-	unit *unit
-	run  *run
-	// prompt is true if the worker fell silent soon after it had started a task of the unit.
+	*member
+	// prompt is true if the worker fell silent soon after it had been ordered to start the member.
 	prompt bool
 }
 
-// casualties returns the units with a task on a worker, for which started reports whether it was started. It returns none for a
-// worker that leaves as announced.
+// casualties returns the members on a worker for which started reports that they were started. It returns none for a worker that
+// leaves as announced.
 func (s *session) casualties(ws *workerState, started func(*member) bool) []casualty {
 	if ws.entry.Draining || ws.reserved {
 		return nil
@@ -41,19 +40,10 @@
 		silentSince = s.now
 	}
 	var all []casualty
-	index := map[*unit]int{}
 	for _, m := range ws.members {
-		if !started(m) {
-			continue
-		}
-		i, known := index[m.run.unit]
-		if !known {
-			i = len(all)
-			index[m.run.unit] = i
-			all = append(all, casualty{unit: m.run.unit, run: m.run})
-		}
-		if !m.startSentAt.IsZero() && silentSince.Sub(m.startSentAt) < promptCrashTime {
-			all[i].prompt = true
+		if started(m) {
+			prompt := !m.startSentAt.IsZero() && silentSince.Sub(m.startSentAt) < promptCrashTime
+			all = append(all, casualty{member: m, prompt: prompt})
 		}
 	}
 	return all
@@ -64,29 +54,43 @@
 	return m.startSent || m.phase == unconfirmed || m.phase == running
 }
 
-// countCrash counts the crash of a worker against the units that had just started on it, or if none had, against all that ran
-// on it. A unit becomes a suspect if the crash followed the start of one of its tasks promptly, or was not the first; it then runs
-// on probation. A unit that goes on to crash workers is given up with its job.
+// countCrash counts the crash of a worker against the tasks that had just started on it, or if none had, against all that ran
+// on it. Their units become suspects if the crash followed the start promptly, or was not the first under the same task; they then
+// run on probation. The job of a task under which workers go on to crash is given up.
 func (s *session) countCrash(ws *workerState, casualties []casualty) {
 	anyPrompt := slices.ContainsFunc(casualties, func(c casualty) bool { return c.prompt })
 	for _, c := range casualties {
-		u, job := c.unit, c.unit.step.job
-		if job.hasEnded() || u.done || c.run.number <= u.lastCrashedRun || (anyPrompt && !c.prompt) {
+		u := c.run.unit
+		if u.step.job.hasEnded() || u.done || c.crashCounted || (anyPrompt && !c.prompt) {
 			continue
 		}
-		u.lastCrashedRun = c.run.number
-		u.crashes++
-		u.suspect = u.suspect || c.prompt || u.crashes > 1
+		c.crashCounted = true
+		crashes := u.countCrash(c.index)
+		u.suspect = u.suspect || c.prompt || crashes > 1
 		s.dirty = true
-		proven := c.prompt && len(casualties) == 1
-		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", u.task, "run", c.run.number, "crashes", u.crashes,
-			"prompt", c.prompt, "units_on_worker", len(casualties), "suspect", u.suspect)
-		if !job.cancelled && (u.crashes >= maxCrashes || (proven && u.crashes >= maxProvenCrashes)) {
-			s.endJob(job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+u.task.String(), nil)
+		alone := !slices.ContainsFunc(casualties, func(other casualty) bool { return other.run.unit != u })
+		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", c.name, "run", c.run.number, "crashes", crashes,
+			"prompt", c.prompt, "alone", alone, "suspect", u.suspect)
+		if !u.step.job.cancelled && (crashes >= maxCrashes || (c.prompt && alone && crashes >= maxProvenCrashes)) {
+			s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+c.name, nil)
 		}
 	}
 }
 
+// countCrash counts the crash of a member's worker and returns the number of such crashes.
+func (u *unit) countCrash(member int) uint32 {
+	if len(u.crashes) < memberCount(u) {
+		u.crashes = make([]uint32, memberCount(u))
+	}
+	u.crashes[member]++
+	return u.crashes[member]
+}
+
+// crashedRepeatedly reports whether several workers have crashed under the same task of the unit.
+func (u *unit) crashedRepeatedly() bool {
+	return slices.ContainsFunc(u.crashes, func(crashes uint32) bool { return crashes > 1 })
+}
+
 // countMissedCrash counts the crash of a worker that was back before this owner first asked it: its incarnation, which started
 // at startedAtMs, is younger than the runs that an earlier owner started on it.
 func (s *session) countMissedCrash(ws *workerState, startedAtMs int64) {
@@ -104,10 +108,10 @@
 	u.suspect = false
 	if u.step.spec.GetLongRunning() {
 		// A task without an end outlives many workers.
-		u.crashes = 0
+		u.crashes = nil
 	}
 	s.dirty = true
-	s.Events.Log(events.ProbationPassed, "task", u.task, "run", r.number, "crashes", u.crashes)
+	s.Events.Log(events.ProbationPassed, "task", u.task, "run", r.number)
 }
 
 // passedProbation reports whether a run has lasted for long enough to end its probation.
@@ -129,16 +133,17 @@
 	return false
 }
 
-// crashesRepeatedly reports whether a unit of the step has crashed several workers. Its job is probably lost, and the tasks of a
-// step behave alike, so units under which at most one has crashed are held.
-func (st *step) crashesRepeatedly() bool {
-	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashes > 1 })
+// holdsOthers reports whether several workers have crashed under a task of the step. Its job is probably lost, and the tasks of a
+// step behave alike, so its other units wait.
+func (st *step) holdsOthers() bool {
+	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashedRepeatedly() })
 }
 
 // needsLoneWorkers reports whether a waiting unit must get workers that run nothing else.
 func (u *unit) needsLoneWorkers(waited time.Duration) bool {
-	if u.crashes > 1 {
-		return u.suspect && waited < maxLoneWait
+	limit := maxFirstLoneWait
+	if u.crashedRepeatedly() {
+		limit = maxLoneWait
 	}
-	return u.suspect && waited < maxFirstLoneWait
+	return u.suspect && waited < limit
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -67,8 +67,8 @@
 	checkpointRun     uint32
 	checkpointPercent float64
 	done              bool
-	// crashes is the number of runs that ended because a worker crashed, and lastCrashedRun the number of the latest of them.
-	crashes, lastCrashedRun uint32
+	// crashes is the number of workers that crashed under each member; nil if none did.
+	crashes []uint32
 	// suspect is true if the unit may have caused a crash.
 	suspect bool
 	// record is the latest record of the unit's runs in this term; nil if there is none.
@@ -253,7 +253,7 @@
 	}
 	u.runNumber, u.failures, u.checkpoint = recorded.GetNumber(), recorded.GetFailures(), recorded.GetCheckpoint()
 	u.lastFailedRun, u.crashes = recorded.GetCounted(), recorded.GetCrashes()
-	u.suspect = u.crashes > 0
+	u.suspect = len(u.crashes) > 0
 	switch recorded.GetPhase() {
 	case storev1.RunPhase_RUN_PHASE_DONE:
 		u.done = !st.spec.GetLongRunning()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -46,6 +46,7 @@
 type member struct {
 	run       *run
 	name      string
+	index     int
 	worker    *workerState
 	resources assign.Resources
 	phase     phase
@@ -56,6 +57,8 @@
 	unansweredStarts int
 	startSent        bool
 	startOrder       worker.Start
+	// crashCounted is true once the crash of its worker was counted.
+	crashCounted bool
 	// startSentAt is when the first start order was sent; zero if an earlier owner sent it.
 	startSentAt time.Time
 	// stopSentAt is when the stop was last ordered, and stopAcceptedAt when the worker accepted it.
@@ -116,7 +119,7 @@
 	r := &run{unit: u, number: number, openedAt: s.now, recordedAtMs: s.now.UnixMilli()}
 	for i, id := range workers {
 		m := &member{
-			run: r, name: memberName(u.task, i), worker: s.worker(id), resources: u.resources(), phase: initial,
+			run: r, name: memberName(u.task, i), index: i, worker: s.worker(id), resources: u.resources(), phase: initial,
 			progressedAt: s.now, pacePercent: fullPercent,
 		}
 		r.members = append(r.members, m)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -55,13 +55,13 @@
 // addStep adds the units of a step; common holds what they have in common.
 func (s *session) addStep(out *assign.Snapshot, st *step, common assign.Unit) {
 	maxAttempts, stoppable := s.maxAttempts(st.job.spec), st.stoppableCount()
-	hold := st.crashesRepeatedly()
+	hold := st.holdsOthers()
 	explain := st.asked || !s.now.Before(st.nextWaitReport)
 	for _, u := range st.units {
 		unit := common
 		unit.Task = u.task
 		switch {
-		case u.done, u.run == nil && hold && u.crashes <= 1:
+		case u.done, u.run == nil && hold && !u.crashedRepeatedly():
 		case u.run == nil:
 			unit.Avoid, unit.LastAttempt = u.avoid, u.failures+1 >= maxAttempts
 			unit.Reserved = s.reservations[u.task]
--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -70,3 +70,15 @@
 	defer w.mu.Unlock()
 	return w.byID[id].misdirectedCalls
 }
+
+// WorkerOf returns the id of the worker that runs a task; empty if none does.
+func (w *Workers) WorkerOf(task string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, fake := range w.byID {
+		if _, running := fake.running[task]; running {
+			return id
+		}
+	}
+	return ""
+}
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -166,6 +167,28 @@
 	})
 }
 
+// A gang that lost a worker four times was given up, although each crash hit another of its tasks.
+func TestGangThatLosesOtherMembersCompletes(t *testing.T) {
+	const members = 6
+	run(t, 2, 10, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", gang(members, 8, 8*time.Second)))
+		for n := range members {
+			task := id(1) + ".0.0." + strconv.Itoa(n)
+			for deadline := time.Now().Add(30 * time.Second); c.workers.WorkerOf(task) == "" && time.Now().Before(deadline); {
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(2 * time.Second)
+			if worker := c.workers.WorkerOf(task); worker != "" {
+				c.workers.Crash(worker)
+				time.Sleep(5 * time.Second) // until the worker is back and the other members have been stopped
+			} else {
+				t.Errorf("%s does not run after %d crashes", task, n)
+			}
+		}
+		c.await(1, 2, replica.Completed, 30*time.Second)
+	})
+}
+
 // A worker that crashed before its last report was acknowledged was asked ten times a second, for good, whether it is back.
 func TestReplacedWorkerIsNotPolled(t *testing.T) {
 	run(t, 1, 2, func(c *cluster) {
