--- a/internal/assign/alone_test.go
+++ b/internal/assign/exclusive_test.go
@@ -7,10 +7,10 @@
 )
 
 // A unit that may crash its worker must not take others with it: neither those that run there, nor those of the same plan.
-func TestUnitsThatRunAloneShareNoWorker(t *testing.T) {
-	alone := func(unit *assign.Unit) { unit.Alone = true }
+func TestExclusiveUnitsShareNoWorker(t *testing.T) {
+	exclusive := func(unit *assign.Unit) { unit.Exclusive = true }
 	s := newScene().workers(3, 3).running("other", 2, step(1, 1), 10, "w00").
-		waiting("suspect", 1, step(1, 1), alone).waiting("next", 1, step(4, 1)).waiting("second", 1, step(1, 1), alone)
+		waiting("suspect", 1, step(1, 1), exclusive).waiting("next", 1, step(4, 1)).waiting("second", 1, step(1, 1), exclusive)
 	for i := range s.snapshot.Workers {
 		s.snapshot.Workers[i].Empty = s.snapshot.Workers[i].ID != "w00"
 	}
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -45,9 +45,9 @@
 		}
 		found := s.place(unit, freeNow)
 		switch {
-		case unit.Alone && found != nil:
+		case unit.Exclusive && found != nil:
 			s.start(unit, found.workers)
-		case unit.Alone:
+		case unit.Exclusive:
 			blocked[stepKey] = true
 		case (found == nil || found.speed < requiredSpeed(unit, s.Now)) && s.waitOrPreempt(unit, found):
 			blocked[stepKey] = true
@@ -211,7 +211,7 @@
 	need := ResourcesOf(unit.Step)
 	for _, worker := range workers {
 		available := view(worker)
-		if !available.Contains(need) || (unit.Alone && !worker.Empty) || !s.allowed(unit, worker) {
+		if !available.Contains(need) || (unit.Exclusive && !worker.Empty) || !s.allowed(unit, worker) {
 			continue
 		}
 		if count := countFitting(unit, worker, available); count > 0 {
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -117,7 +117,7 @@
 	for _, id := range workers {
 		worker := s.workers[id]
 		worker.Empty = false
-		if worker.OnTrial || unit.Alone {
+		if worker.OnTrial || unit.Exclusive {
 			worker.Usable = false
 		}
 		if unit.TasksPerWorker != nil {
--- a/internal/assign/reserve.go
+++ b/internal/assign/reserve.go
@@ -10,7 +10,7 @@
 	rest := ranked[:0]
 	var reserved []*Unit
 	for _, unit := range ranked {
-		if unit.Reserved == nil || unit.Alone || !s.reservationFits(unit, freeAfterStops) {
+		if unit.Reserved == nil || unit.Exclusive || !s.reservationFits(unit, freeAfterStops) {
 			rest = append(rest, unit)
 			continue
 		}
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -115,8 +115,8 @@
 	// TasksPerWorker counts the running tasks of the step by worker id. All units of the step share the map, and a plan adds
 	// the tasks that it starts. It is nil if the step has no limit per worker.
 	TasksPerWorker map[string]int
-	// Alone is true if the unit needs workers that run nothing else.
-	Alone bool
+	// Exclusive is true if the unit needs workers that run nothing else.
+	Exclusive bool
 	// Explain is true if the plan should have a reason for what it does with the unit.
 	Explain bool
 	// density is the result of Density, and ahead the number of units that are served before this one; rank sets them.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -16,22 +16,22 @@
 	maxProvenCrashes = 3
 	// maxCrashes is how many workers may crash under a task in any case.
 	maxCrashes = 4
-	// maxLoneWait is how long a suspect unit waits for workers that run nothing else, and maxFirstLoneWait the same after its first
-	// crash, when most suspects only ran beside the cause.
-	maxLoneWait      = 4 * time.Second
-	maxFirstLoneWait = 500 * time.Millisecond
+	// maxExclusiveWait is how long a suspect unit waits for workers that run nothing else, and maxFirstExclusiveWait the same
+	// after its first crash, when most suspects only ran beside the cause.
+	maxExclusiveWait      = 4 * time.Second
+	maxFirstExclusiveWait = 500 * time.Millisecond
 )
 
-// casualty is a member whose worker crashed.
-type casualty struct {
+// lostMember is a member whose worker crashed.
+type lostMember struct {
 	*member
 	// prompt is true if the worker fell silent soon after it had been ordered to start the member.
 	prompt bool
 }
 
-// casualties returns the members on a worker for which started reports that they were started. It returns none for a worker that
+// lostMembers returns the members on a worker for which started reports that they were started. It returns none for a worker that
 // leaves as announced.
-func (s *session) casualties(ws *workerState, started func(*member) bool) []casualty {
+func (s *session) lostMembers(ws *workerState, started func(*member) bool) []lostMember {
 	if ws.entry.Draining || ws.reserved {
 		return nil
 	}
@@ -39,11 +39,11 @@
 	if silentSince.IsZero() {
 		silentSince = s.now
 	}
-	var all []casualty
+	var all []lostMember
 	for _, m := range ws.members {
 		if started(m) {
 			prompt := !m.startSentAt.IsZero() && silentSince.Sub(m.startSentAt) < promptCrashTime
-			all = append(all, casualty{member: m, prompt: prompt})
+			all = append(all, lostMember{member: m, prompt: prompt})
 		}
 	}
 	return all
@@ -57,28 +57,28 @@
 // countCrash counts the crash of a worker against the tasks that had just started on it, or if none had, against all that ran
 // on it. Their units become suspects if the crash followed the start promptly, or was not the first under the same task; they then
 // run on probation. The job of a task under which workers go on to crash is given up.
-func (s *session) countCrash(ws *workerState, casualties []casualty) {
-	anyPrompt := slices.ContainsFunc(casualties, func(c casualty) bool { return c.prompt })
-	for _, c := range casualties {
+func (s *session) countCrash(ws *workerState, lost []lostMember) {
+	anyPrompt := slices.ContainsFunc(lost, func(c lostMember) bool { return c.prompt })
+	for _, c := range lost {
 		u := c.run.unit
 		if u.step.job.hasEnded() || u.done || c.crashCounted || (anyPrompt && !c.prompt) {
 			continue
 		}
 		c.crashCounted = true
-		crashes := u.countCrash(c.index)
+		crashes := u.addCrash(c.index)
 		u.suspect = u.suspect || c.prompt || crashes > 1
 		s.dirty = true
-		alone := !slices.ContainsFunc(casualties, func(other casualty) bool { return other.run.unit != u })
+		exclusive := !slices.ContainsFunc(lost, func(other lostMember) bool { return other.run.unit != u })
 		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", c.name, "run", c.run.number, "crashes", crashes,
-			"prompt", c.prompt, "alone", alone, "suspect", u.suspect)
-		if !u.step.job.cancelled && (crashes >= maxCrashes || (c.prompt && alone && crashes >= maxProvenCrashes)) {
+			"prompt", c.prompt, "exclusive", exclusive, "suspect", u.suspect)
+		if !u.step.job.cancelled && (crashes >= maxCrashes || (c.prompt && exclusive && crashes >= maxProvenCrashes)) {
 			s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+c.name, nil)
 		}
 	}
 }
 
-// countCrash counts the crash of a member's worker and returns the number of such crashes.
-func (u *unit) countCrash(member int) uint32 {
+// addCrash counts the crash of a member's worker and returns the number of such crashes.
+func (u *unit) addCrash(member int) uint32 {
 	if len(u.crashes) < memberCount(u) {
 		u.crashes = make([]uint32, memberCount(u))
 	}
@@ -94,7 +94,7 @@
 // countMissedCrash counts the crash of a worker that was back before this owner first asked it: its incarnation, which started
 // at startedAtMs, is younger than the runs that an earlier owner started on it.
 func (s *session) countMissedCrash(ws *workerState, startedAtMs int64) {
-	s.countCrash(ws, s.casualties(ws, func(m *member) bool {
+	s.countCrash(ws, s.lostMembers(ws, func(m *member) bool {
 		return m.phase == unconfirmed && m.run.recordedAtMs > 0 && m.run.recordedAtMs < startedAtMs
 	}))
 }
@@ -139,11 +139,11 @@
 	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashedRepeatedly() })
 }
 
-// needsLoneWorkers reports whether a waiting unit must get workers that run nothing else.
-func (u *unit) needsLoneWorkers(waited time.Duration) bool {
-	limit := maxFirstLoneWait
+// needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
+func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
+	limit := maxFirstExclusiveWait
 	if u.crashedRepeatedly() {
-		limit = maxLoneWait
+		limit = maxExclusiveWait
 	}
 	return u.suspect && waited < limit
 }
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -67,7 +67,7 @@
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
 			ws.lastProcessed, ws.lastStored, ws.lastAcked = 0, 0, 0
-			s.countCrash(ws, s.casualties(ws, mayHaveStarted))
+			s.countCrash(ws, s.lostMembers(ws, mayHaveStarted))
 		} else {
 			s.countMissedCrash(ws, report.StartedAtMs)
 		}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -69,7 +69,7 @@
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
-			unit.Alone = u.needsLoneWorkers(s.now.Sub(unit.WaitingSince))
+			unit.Exclusive = u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
 			out.Waiting = append(out.Waiting, unit)
 		case !st.spec.GetLongRunning():
 			unit.Work += assign.TaskWork(st.spec) * float64(memberCount(u))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -261,10 +261,10 @@
 	}
 	if s.now.After(ws.leaseEnd) && len(ws.members) > 0 && (ws.unresponsive || !ws.confirmed) {
 		s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members))
-		var lost []casualty
+		var lost []lostMember
 		if !ws.listed {
 			// A worker that the registry still lists is only out of this instance's reach.
-			lost = s.casualties(ws, mayHaveStarted)
+			lost = s.lostMembers(ws, mayHaveStarted)
 		}
 		s.expireMembers(ws)
 		s.countCrash(ws, lost)
@@ -288,7 +288,7 @@
 // started. Everything that it ran has ended.
 func (s *session) handleNewIncarnation(ws *workerState) {
 	s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members), "reason", "another incarnation answers")
-	lost := s.casualties(ws, mayHaveStarted)
+	lost := s.lostMembers(ws, mayHaveStarted)
 	ws.listed, ws.confirmed, ws.reserved, ws.replaced = false, false, false, true
 	s.expireMembers(ws)
 	s.countCrash(ws, lost)
