Copy the crashes of a recorded run before counting further ones

Found by reading the diff again: a new owner counted crashes in the slice of the replica's record, which other goroutines may read. No failure was seen, and the race detector reports none in TestCrashesCountAcrossTakeovers, which passes before and after.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -252,7 +252,7 @@
 		return u
 	}
 	u.runNumber, u.failures, u.checkpoint = recorded.GetNumber(), recorded.GetFailures(), recorded.GetCheckpoint()
-	u.lastFailedRun, u.crashes = recorded.GetCounted(), recorded.GetCrashes()
+	u.lastFailedRun, u.crashes = recorded.GetCounted(), slices.Clone(recorded.GetCrashes())
 	u.suspect = len(u.crashes) > 0
 	switch recorded.GetPhase() {
 	case storev1.RunPhase_RUN_PHASE_DONE:
