Know what a preemption loses after a takeover

Cause: a run that an earlier owner started counted as losing nothing until every member had been reported to the new owner. A gang with one member on a worker that answers late was the cheapest victim of all.

Change: the age of such a run comes from its record; a run that isn't reported yet isn't offered for preemption; a new owner preempts nothing until all workers have reported, for 1.5 s at most.

Ruled out: progress of 0% reported by workers (runs of minutes); runs of the owner itself, whose loss is 0 only before they run.

--- a/internal/assign/preempt.go
+++ b/internal/assign/preempt.go
@@ -25,7 +25,7 @@
 		s.reserve(unit, later.workers)
 		return true
 	}
-	if !unit.Claimed && unit.Priority > 0 {
+	if s.NoPreemption || (!unit.Claimed && unit.Priority > 0) {
 		return false
 	}
 	victims := s.chooseVictims(unit, minSpeed)
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -158,9 +158,11 @@
 	// UrgentCores is the number of cores that covers the demand of urgent units most of the time, by service; see
 	// Resources.CoreEquivalent.
 	UrgentCores map[string]float64
-	Workers     []Worker
-	Waiting     []Unit
-	Running     []RunningUnit
+	// NoPreemption is true while it is not known what all workers run. The plan preempts nothing then.
+	NoPreemption bool
+	Workers      []Worker
+	Waiting      []Unit
+	Running      []RunningUnit
 }
 
 // Start is the decision to start a unit. Workers has the id of a worker for each member.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,9 @@
 	registryInterval = 400 * time.Millisecond
 	// settleTimeout is how long a new owner waits for workers to report what they run before it plans without the others.
 	settleTimeout = 400 * time.Millisecond
+	// learnTimeout is how long a new owner preempts nothing while workers have yet to report what they run: free resources and
+	// runs that lose less may be there.
+	learnTimeout = 1500 * time.Millisecond
 	// A tick that is late by more than lateTickThreshold shows that this instance is too busy to judge workers by their
 	// response times. It then counts as overloaded for overloadDuration: until the calls made during that time have ended.
 	lateTickThreshold = 250 * time.Millisecond
@@ -130,6 +133,8 @@
 	// all workers in it have reported what they run, or have had the time to.
 	startedAt             time.Time
 	registryRead, settled bool
+	// learned is true once all workers have reported what they run.
+	learned bool
 	// dirty is true if something has changed since the last plan. No plan is made before nextPlan; planTimer fires then.
 	dirty     bool
 	nextPlan  time.Time
@@ -217,6 +222,18 @@
 	return s.settled
 }
 
+// knowsRuns reports whether all workers have reported what they run, or have had the time to.
+func (s *session) knowsRuns() bool {
+	if s.learned || s.now.Sub(s.startedAt) > learnTimeout {
+		return true
+	}
+	s.learned = s.registryRead
+	for _, ws := range s.workers {
+		s.learned = s.learned && (!ws.listed || ws.confirmed || ws.unresponsive)
+	}
+	return s.learned
+}
+
 // overloaded reports whether this instance was recently too busy to handle answers in time.
 func (s *session) overloaded() bool { return s.now.Sub(s.lastLateTick) < overloadDuration }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -38,6 +38,8 @@
 	openedAt, startedAt time.Time
 	// maxPercent is the highest progress that a member has reported.
 	maxPercent float64
+	// restored is true if an earlier owner started the run.
+	restored bool
 	// recordedAtMs is when the run was recorded, by the clock of the owner that did, in Unix milliseconds.
 	recordedAtMs int64
 }
@@ -96,6 +98,16 @@
 	return false
 }
 
+// reported reports whether the workers have reported all members that an earlier owner started.
+func (r *run) reported() bool {
+	for _, member := range r.members {
+		if member.phase == unconfirmed {
+			return false
+		}
+	}
+	return true
+}
+
 // serving reports whether all members of a long-running task serve; they report full progress then.
 func (r *run) serving() bool {
 	for _, member := range r.members {
@@ -134,7 +146,8 @@
 	if len(recorded.GetWorkers()) == 0 {
 		return
 	}
-	s.newRun(u, u.runNumber, recorded.GetWorkers(), unconfirmed).recordedAtMs = recorded.GetOpenedUnixMs()
+	r := s.newRun(u, u.runNumber, recorded.GetWorkers(), unconfirmed)
+	r.restored, r.recordedAtMs = true, recorded.GetOpenedUnixMs()
 }
 
 // startMember queues the order to start a member. The first order is dropped if the run is stopped, or the worker
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -10,7 +10,7 @@
 
 // snapshot returns the input of a plan.
 func (s *session) snapshot() *assign.Snapshot {
-	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores()}
+	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores(), NoPreemption: !s.knowsRuns()}
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
 		out.Workers = append(out.Workers, assign.Worker{
@@ -95,10 +95,11 @@
 	return work
 }
 
-// addRunning adds a unit that runs and isn't being stopped; waiting is the same unit as if it waited.
+// addRunning adds a unit that runs and isn't being stopped; waiting is the same unit as if it waited. A run that a worker has not
+// reported to this owner yet is left out: whether stopping it would free anything is unknown.
 func (s *session) addRunning(out *assign.Snapshot, u *unit, waiting *assign.Unit) {
 	r := u.run
-	if r.stopReason != "" {
+	if r.stopReason != "" || !r.reported() {
 		return
 	}
 	out.Running = append(out.Running, assign.RunningUnit{
@@ -110,18 +111,36 @@
 // lostWork returns the work that stopping a run loses, in core-seconds: everything since its start, but at most the time to
 // stop and restore if its step is long-running or takes checkpoints.
 func (s *session) lostWork(r *run) float64 {
-	if r.startedAt.IsZero() {
-		return 0
-	}
 	spec := r.unit.step.spec
-	// A run that an earlier owner started has run for longer than this owner has observed.
-	ran := max(s.now.Sub(r.startedAt), time.Duration(r.maxPercent/fullPercent*float64(assign.Estimate(spec))))
+	ran := s.ranFor(r)
 	if spec.GetCheckpointing() || spec.GetLongRunning() {
 		ran = min(ran, s.Options.StopDuration+s.Options.RestoreDuration)
 	}
 	return ran.Seconds() * float64(len(r.members)) * assign.ResourcesFromProto(spec.GetNeed()).CoreEquivalent()
 }
 
+// maxRestoredEstimates limits the age of a run that an earlier owner started, as a multiple of its estimate: the age is the
+// difference of two instances' clocks.
+const maxRestoredEstimates = 3
+
+// ranFor returns how long a run has run; 0 before all its members run. A run that an earlier owner started has run for longer than
+// this owner has observed.
+func (s *session) ranFor(r *run) time.Duration {
+	observed := time.Duration(0)
+	if !r.startedAt.IsZero() {
+		observed = s.now.Sub(r.startedAt)
+	}
+	if !r.restored {
+		return observed
+	}
+	estimate := assign.Estimate(r.unit.step.spec)
+	age := estimate
+	if r.recordedAtMs > 0 {
+		age = min(time.Duration(s.now.UnixMilli()-r.recordedAtMs)*time.Millisecond, maxRestoredEstimates*estimate)
+	}
+	return max(observed, age, time.Duration(r.maxPercent/fullPercent*float64(estimate)))
+}
+
 // memberCount returns the number of tasks of a unit.
 func memberCount(u *unit) int {
 	if u.task.Index == replica.GangIndex {
