Give the ownership to instances that can bear it

Cause: the delay before claiming a released ownership depended on the age alone, a restarted owner claimed without any delay, and nothing let an owner that can't keep up give the ownership away.

Change: claims also wait by CPU, relative to the strongest instance known from the records of accepted jobs, which now hold the CPU of the instance that wrote them; a weak instance yields after its claim or when its ticks are late. Tests in virtual time failed before: TestReleasedOwnershipGoesToStrongInstance, TestRestartedWeakOwnerYields, TestOverloadedWeakOwnerYields; TestWeakInstanceTakesOverAlone guards the price of it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -38,6 +38,8 @@
 	// response times. It then counts as overloaded for overloadDuration: until the calls made during that time have ended.
 	lateTickThreshold = 250 * time.Millisecond
 	overloadDuration  = pollWait + pollTimeoutMargin
+	// maxLateTicks is the number of late ticks in a row with which the instance can't keep up with the owner's work.
+	maxLateTicks = 3
 	// retireInterval is the interval between searches for jobs whose retention has passed.
 	retireInterval = 10 * time.Second
 )
@@ -124,6 +126,8 @@
 	orders orderQueues
 	// lastTick is the time of the last tick, and lastLateTick that of the last tick that was late.
 	lastTick, lastLateTick time.Time
+	// lateTicks is the number of late ticks that followed each other within overloadDuration.
+	lateTicks int
 
 	jobs    map[string]*job
 	workers map[string]*workerState
@@ -240,7 +244,13 @@
 // onTick runs the checks that depend on time alone.
 func (s *session) onTick() {
 	if !s.lastTick.IsZero() && s.now.Sub(s.lastTick) > tickInterval+lateTickThreshold {
+		if s.now.Sub(s.lastLateTick) > overloadDuration {
+			s.lateTicks = 0
+		}
 		s.lastLateTick = s.now
+		if s.lateTicks++; s.lateTicks >= maxLateTicks {
+			s.term.Overloaded()
+		}
 	}
 	s.lastTick = s.now
 	for _, job := range s.jobs {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,15 +87,18 @@
 	events   *events.Logger
 	counters *Counters
 	stages   *metrics.Stages
+	// cpu is the instance's processor in millicores; 0 if unknown.
+	cpu uint32
 }
 
-// New returns a Gateway.
+// New returns a Gateway of an instance with the given processor in millicores, 0 if unknown.
 func New(
-	configs *config.Holder, jobs *replica.Replica, appender *storelog.Appender, health Health, stages *metrics.Stages,
+	configs *config.Holder, jobs *replica.Replica, appender *storelog.Appender, health Health, stages *metrics.Stages, cpu uint32,
 	logger *events.Logger,
 ) *Gateway {
 	return &Gateway{
 		configs: configs, replica: jobs, appender: appender, health: health, events: logger, counters: newCounters(), stages: stages,
+		cpu: cpu,
 	}
 }
 
@@ -111,6 +114,7 @@
 		return g.recordAnswer(call, "submit", notRun("the store can't be reached"))
 	}
 	applyQueueSettings(call, job)
+	job.AcceptorCpuMillicores = g.cpu
 	record, err := replica.JobRecord(job)
 	if err != nil {
 		return g.recordAnswer(call, "submit", Answer{Result: Invalid, Detail: err.Error()})
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -65,7 +65,7 @@
 		Accounts: map[string]config.Account{"acme": {Name: "acme", Keys: []string{"key"}}},
 	})
 	owner := instance{follower}
-	server := httptest.NewServer(httpapi.Handler(gateway.New(holder, jobs, appender, owner, &metrics.Stages{}, logger), owner))
+	server := httptest.NewServer(httpapi.Handler(gateway.New(holder, jobs, appender, owner, &metrics.Stages{}, 0, logger), owner))
 	t.Cleanup(server.Close)
 	return client.New(strings.TrimPrefix(server.URL, "http://"), key)
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -28,21 +28,8 @@
 	// ownerTimeout is how long the owner may go without a renewal before another instance claims the ownership. Two
 	// renewals may be lost or late.
 	ownerTimeout = 2200 * time.Millisecond
-	// maxClaimJitter is the maximum of the random delay that spreads the claims of instances with equally many cores.
+	// maxClaimJitter is the maximum of the random delay that spreads the claims of instances with equally much CPU.
 	maxClaimJitter = 200 * time.Millisecond
-	// takeoverCPUDelay is how much longer an instance without CPU waits to claim than one with at least one core: the
-	// owner's work grows with the number of workers, so an instance with more CPU should get it. The delay is short
-	// compared with ownerTimeout, which passes first.
-	takeoverCPUDelay = 400 * time.Millisecond
-	// initialCPUDelay replaces takeoverCPUDelay while there has never been an owner: all instances are starting, so there
-	// is time to prefer one with more CPU.
-	initialCPUDelay = 2 * time.Second
-	// maxReleaseDelay is the limit that the delay before claiming a released ownership approaches as an instance ages,
-	// and releaseHalfAge the age at which the delay is half of it. The youngest instance claims first: ownership is
-	// released during rolling restarts, and the instance that was restarted last will stay up longest. The limit is well
-	// above the pause between two reads of the store, so that all instances have read the release.
-	maxReleaseDelay = 600 * time.Millisecond
-	releaseHalfAge  = 20 * time.Second
 	// checkInterval is how often an instance checks whether it should claim the ownership.
 	checkInterval = 100 * time.Millisecond
 	// releasedCheckInterval replaces checkInterval while the ownership is released.
@@ -72,8 +59,13 @@
 	// StepDown ends the term at once, for a reason that the owner finds elsewhere, such as a worker that has seen a
 	// higher fencing token.
 	StepDown func(reason string)
+	// Overloaded tells that this instance can't keep up with the owner's work. The term ends if a much stronger instance is known.
+	Overloaded func()
 }
 
+// errYielded ends the term of an instance that is too weak.
+var errYielded = errors.New("a stronger instance is known: nothing to do, it claims the ownership")
+
 // TermFunc performs the owner's work until ctx ends.
 type TermFunc func(ctx context.Context, term Term)
 
@@ -86,8 +78,8 @@
 	events    *events.Logger
 	runTerm   TermFunc
 	started   time.Time
-	// cpuShortfall is the fraction of one core that the instance lacks: 0 with a whole core or more, 1 without any.
-	cpuShortfall float64
+	// cpu is the instance's processor in millicores; 0 if unknown.
+	cpu uint32
 
 	mu sync.Mutex
 	// claimAfter is the earliest time of the next claim after a term has ended; only Run uses it.
@@ -100,8 +92,8 @@
 type Options struct {
 	// Instance is the instance's name.
 	Instance string
-	// Cores is the number of processor cores that the instance may use; 0 if unknown, which counts as no core.
-	Cores float64
+	// CPU is the processor that the instance may use, in millicores; 0 if unknown, which counts as none.
+	CPU uint32
 }
 
 // New returns a Candidate for the ownership in the jobs' partition, which the follower reads into the replica jobs.
@@ -110,7 +102,7 @@
 	logger *events.Logger,
 ) *Candidate {
 	return &Candidate{
-		instance: options.Instance, cpuShortfall: 1 - min(1, options.Cores), partition: partition, follower: follower, replica: jobs,
+		instance: options.Instance, cpu: options.CPU, partition: partition, follower: follower, replica: jobs,
 		runTerm: runTerm, events: logger, started: time.Now(),
 	}
 }
@@ -174,10 +166,11 @@
 		return false
 	}
 	if owner.Owner == nil {
-		return now.Sub(since) > jitter+c.cpuDelay(initialCPUDelay)
+		return now.Sub(since) > jitter+shortfallDelay(c.cpu, initialCPUDelay)
 	}
+	weaker := weakerDelay(c.cpu, c.strongest(now))
 	if owner.Owner.GetReleased() {
-		return now.Sub(owner.ReceivedAt) > releaseDelay(now.Sub(c.started))
+		return now.Sub(owner.ReceivedAt) > ageDelay(now.Sub(c.started))+weaker
 	}
 	if owner.Owner.GetInstance() == c.instance {
 		return true
@@ -186,17 +179,7 @@
 	if since.After(last) {
 		last = since
 	}
-	return now.Sub(last) > ownerTimeout+jitter+c.cpuDelay(takeoverCPUDelay)
-}
-
-// cpuDelay returns the part of maxDelay that corresponds to the cores that this instance lacks.
-func (c *Candidate) cpuDelay(maxDelay time.Duration) time.Duration {
-	return time.Duration(c.cpuShortfall * float64(maxDelay))
-}
-
-// releaseDelay returns how long an instance of the given age waits before it claims a released ownership.
-func releaseDelay(age time.Duration) time.Duration {
-	return time.Duration(float64(maxReleaseDelay) * float64(age) / float64(age+releaseHalfAge))
+	return now.Sub(last) > ownerTimeout+jitter+shortfallDelay(c.cpu, takeoverCPUDelay)+weaker
 }
 
 // appendedClaim is a claim as it was appended to the store.
@@ -204,6 +187,8 @@
 	owner    *storev1.Owner
 	sequence int64
 	at       time.Time
+	// mayYield is true unless the claim replaces an ownership that another instance has just yielded.
+	mayYield bool
 }
 
 // claim appends a claim and returns it with true once the replica has read it as the latest one. It returns false if the
@@ -222,7 +207,9 @@
 	if err != nil || storedEnd > end {
 		return appendedClaim{}, false
 	}
-	owner := &storev1.Owner{Instance: c.instance, Epoch: latest.GetEpoch() + 1, Claim: uuid.NewString()}
+	owner := &storev1.Owner{
+		Instance: c.instance, Epoch: latest.GetEpoch() + 1, Claim: uuid.NewString(), CpuMillicores: c.cpu,
+	}
 	record, err := replica.OwnerRecord(owner)
 	if err != nil {
 		c.events.Log(events.TakeoverRefused, "error", err)
@@ -236,7 +223,8 @@
 		c.events.Log(events.TakeoverRefused, "epoch", owner.GetEpoch(), "error", err)
 		return appendedClaim{}, false
 	}
-	return appendedClaim{owner: owner, sequence: sequence, at: time.Now()}, c.awaitStored(ctx, owner)
+	claim := appendedClaim{owner: owner, sequence: sequence, at: time.Now(), mayYield: !latest.GetYielded()}
+	return claim, c.awaitStored(ctx, owner)
 }
 
 // awaitStored waits until the replica has read a claim with the owner's epoch or a higher one, and reports whether it is
@@ -260,11 +248,11 @@
 	}
 }
 
-// serveTerm runs one term under a stored claim until the ownership is lost or ctx ends.
+// serveTerm runs one term under a stored claim until the ownership is lost or yielded, or ctx ends. An instance that is too weak
+// yields the ownership at once.
 func (c *Candidate) serveTerm(ctx context.Context, claim appendedClaim) {
 	epoch := int64(claim.owner.GetEpoch())
-	c.events.Log(events.OwnershipAcquired, "epoch", epoch)
-	c.setEpoch(epoch)
+	c.events.Log(events.OwnershipAcquired, "epoch", epoch, "cpu_millicores", c.cpu, "strongest_millicores", c.strongest(time.Now()))
 	term, endTerm := context.WithCancelCause(ctx)
 	// The appender must outlive ctx, so that it can append the release.
 	appending, stopAppending := context.WithCancel(context.WithoutCancel(ctx))
@@ -275,15 +263,29 @@
 			endTerm(err)
 		}
 	})
-	running.Go(func() { c.renew(term, appender, claim.owner, endTerm) })
-	c.runTerm(term, Term{
-		Epoch: epoch, Appender: appender, ClaimedAt: claim.at, StepDown: func(reason string) { endTerm(errors.New(reason)) },
-	})
-	<-term.Done()
-	c.setEpoch(0)
+	if claim.mayYield && c.isWeak(time.Now()) {
+		endTerm(errYielded)
+	} else {
+		c.setEpoch(epoch)
+		running.Go(func() { c.renew(term, appender, claim.owner, endTerm) })
+		c.runTerm(term, Term{
+			Epoch: epoch, Appender: appender, ClaimedAt: claim.at, StepDown: func(reason string) { endTerm(errors.New(reason)) },
+			Overloaded: func() {
+				if claim.mayYield && c.isWeak(time.Now()) {
+					endTerm(errYielded)
+				}
+			},
+		})
+		<-term.Done()
+		c.setEpoch(0)
+	}
+	yielded := errors.Is(context.Cause(term), errYielded)
 	c.claimAfter = time.Now().Add(reclaimDelay)
-	if ctx.Err() != nil {
-		c.release(appender, claim.owner)
+	if yielded {
+		c.claimAfter = time.Now().Add(maxWeakerDelay + maxAgeDelay)
+	}
+	if ctx.Err() != nil || yielded {
+		c.release(appender, claim.owner, yielded)
 	} else {
 		c.events.Log(events.OwnershipLost, "epoch", epoch, "reason", context.Cause(term))
 	}
@@ -323,9 +325,10 @@
 }
 
 // release appends the release of the ownership, so that another instance needn't wait for ownerTimeout.
-func (c *Candidate) release(appender *storelog.Appender, owner *storev1.Owner) {
+func (c *Candidate) release(appender *storelog.Appender, owner *storev1.Owner, yielded bool) {
 	record, err := replica.OwnerRecord(&storev1.Owner{
-		Instance: owner.GetInstance(), Epoch: owner.GetEpoch(), Claim: owner.GetClaim(), Released: true,
+		Instance: owner.GetInstance(), Epoch: owner.GetEpoch(), Claim: owner.GetClaim(), CpuMillicores: owner.GetCpuMillicores(),
+		Released: true, Yielded: yielded,
 	})
 	if err != nil {
 		c.events.Log(events.OwnershipLost, "epoch", owner.GetEpoch(), "error", err)
@@ -334,7 +337,7 @@
 	pending := appender.Submit(record)
 	select {
 	case <-pending.Done():
-		c.events.Log(events.OwnershipReleased, "epoch", owner.GetEpoch())
+		c.events.Log(events.OwnershipReleased, "epoch", owner.GetEpoch(), "yielded", yielded)
 	case <-time.After(storeTimeout):
 		c.events.Log(events.OwnershipLost, "epoch", owner.GetEpoch(), "reason", "the store did not acknowledge the release in time")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,10 +143,10 @@
 		Registry: platform.Registry, DecodeWorker: platform.DecodeWorker, Events: logger,
 	})
 	n.candidate = leadership.New(
-		leadership.Options{Instance: settings.Name, Cores: settings.Cores}, platform.Jobs, n.jobs, n.replica,
+		leadership.Options{Instance: settings.Name, CPU: settings.cpuMillicores()}, platform.Jobs, n.jobs, n.replica,
 		n.dispatcher.RunTerm, logger,
 	)
-	n.gateway = gateway.New(n.configs, n.replica, n.appender, n, &n.stages, logger)
+	n.gateway = gateway.New(n.configs, n.replica, n.appender, n, &n.stages, settings.cpuMillicores(), logger)
 	return n
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -44,6 +44,12 @@
 	Retention time.Duration
 }
 
+// cpuMillicores returns the processor that the instance may use, in millicores; 0 if unknown.
+func (s *Settings) cpuMillicores() uint32 {
+	const millicores = 1000
+	return uint32(max(0, s.Cores) * millicores)
+}
+
 // Check returns an error that lists the required settings that are missing or not positive; nil if there are none.
 func (s *Settings) Check() error {
 	var problems []error
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -107,15 +106,93 @@
 	})
 }
 
-// owners returns the instances that owned the partition, in their order.
-func (c *cluster) ownerNames() []string {
-	var names []string
-	for _, owner := range c.owners() {
-		var name string
-		var epoch int
-		if _, err := fmt.Sscanf(owner[:2]+" "+owner[3:], "%s %d", &name, &epoch); err == nil {
-			names = append(names, name)
-		}
+// stop terminates an instance gracefully, so that it releases its ownership.
+func (c *cluster) stop(name string) {
+	c.cancels[name]()
+	delete(c.nodes, name)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// acceptJobs makes each running instance accept a job, whose number is at least first.
+func (c *cluster) acceptJobs(first int) {
+	c.t.Helper()
+	for name := range c.nodes {
+		requireOK(c, c.submit(first, 2, name, tasks(1, 1, time.Second)))
+		first++
 	}
-	return slices.Compact(names)
+	time.Sleep(500 * time.Millisecond)
+}
+
+// Guards against a rolling restart that gives the ownership to the instance that started last, however weak it is.
+func TestReleasedOwnershipGoesToStrongInstance(t *testing.T) {
+	runWithCores(t, []float64{0.144, 0.8, 0.8, 0.144}, 4, nil, func(c *cluster) {
+		c.acceptJobs(100)
+		for _, weak := range []string{"i0", "i3"} {
+			c.stop(weak)
+			c.startNode(weak)
+			time.Sleep(time.Second)
+		}
+		c.stop(c.owner())
+		time.Sleep(2 * time.Second)
+		if next := c.owner(); c.cores[next] < 0.8 {
+			t.Errorf("%s with %v cores has the released ownership, want 0.8 cores: %v", next, c.cores[next], c.owners())
+		}
+	})
+}
+
+// Guards against a weak owner that claims the ownership again whenever it restarts.
+func TestRestartedWeakOwnerYields(t *testing.T) {
+	runWithCores(t, []float64{0.144}, 4, nil, func(c *cluster) {
+		c.cores["i1"] = 0.8
+		c.startNode("i1")
+		time.Sleep(time.Second)
+		c.acceptJobs(100)
+		c.kill("i0")
+		c.startNode("i0")
+		time.Sleep(1500 * time.Millisecond)
+		if next := c.owner(); next != "i1" {
+			t.Errorf("%s with %v cores is the owner 1.5 s after the restart, want i1: %v", next, c.cores[next], c.owners())
+		}
+	})
+}
+
+// Guards against an owner that keeps the ownership although it can't keep up and a stronger instance could.
+func TestOverloadedWeakOwnerYields(t *testing.T) {
+	run(t, 0, 4, func(c *cluster) {
+		c.cores["i0"], c.cores["i1"] = 0.144, 0.8
+		c.planner = func(snapshot *assign.Snapshot) assign.Plan {
+			time.Sleep(600 * time.Millisecond)
+			return assign.MakePlan(snapshot)
+		}
+		c.startNode("i0")
+		time.Sleep(3 * time.Second)
+		c.planner = nil
+		c.startNode("i1")
+		time.Sleep(time.Second)
+		for n := range 30 {
+			requireOK(c, c.submit(n, 2, "i1", tasks(2, 8, time.Second)))
+			time.Sleep(200 * time.Millisecond)
+		}
+		if owner := c.owner(); owner != "i1" {
+			t.Errorf("%s is the owner after 6 s of overload, want i1: %v", owner, c.owners())
+		}
+	})
 }
+
+// Guards against a claim that waits for a stronger instance which is gone: the ownership must be taken within the stated bound.
+func TestWeakInstanceTakesOverAlone(t *testing.T) {
+	runWithCores(t, []float64{0.144, 0.8}, 4, nil, func(c *cluster) {
+		c.acceptJobs(100)
+		if first := c.owner(); first != "i1" {
+			t.Fatalf("%s is the first owner, want i1", first)
+		}
+		c.kill("i1")
+		time.Sleep(maxTakeover)
+		if c.nodes["i0"].Epoch() == 0 {
+			t.Errorf("the last instance isn't the owner %v after the other one was lost: %v", maxTakeover, c.owners())
+		}
+	})
+}
+
+// maxTakeover is the time within which the ownership is taken after its holder was lost, as docs/design/platform.md states.
+const maxTakeover = 6 * time.Second
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -128,11 +128,13 @@
 type Replica struct {
 	events *events.Logger
 
-	mu            sync.RWMutex
-	jobs          map[string]*Job
-	offsets       map[string]int64
-	pending       map[string]int
-	owner         Ownership
+	mu      sync.RWMutex
+	jobs    map[string]*Job
+	offsets map[string]int64
+	pending map[string]int
+	owner   Ownership
+	// acceptors has the time of the latest job by the CPU of the instances that accepted it, in millicores.
+	acceptors     map[uint32]time.Time
 	speeds        map[string]float64
 	upkeepStarted map[int64][]string
 	ready         bool
@@ -144,7 +146,7 @@
 func New(logger *events.Logger) *Replica {
 	return &Replica{
 		events: logger, jobs: map[string]*Job{}, offsets: map[string]int64{}, pending: map[string]int{},
-		upkeepStarted: map[int64][]string{}, changed: make(chan struct{}),
+		acceptors: map[uint32]time.Time{}, upkeepStarted: map[int64][]string{}, changed: make(chan struct{}),
 	}
 }
 
@@ -196,6 +198,20 @@
 	return r.owner
 }
 
+// StrongestAcceptor returns the CPU of the strongest instance of which this one has read an accepted job since the given time, in
+// millicores; 0 if there is none.
+func (r *Replica) StrongestAcceptor(since time.Time) uint32 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	strongest := uint32(0)
+	for cpu, at := range r.acceptors {
+		if !at.Before(since) {
+			strongest = max(strongest, cpu)
+		}
+	}
+	return strongest
+}
+
 // Speeds returns the workers' speeds that the owners have learned.
 func (r *Replica) Speeds() map[string]float64 {
 	r.mu.RLock()
@@ -333,6 +349,7 @@
 			return errors.Wrap(err, "decode job")
 		}
 		job.Job = accepted
+		r.acceptors[accepted.GetAcceptorCpuMillicores()] = time.Now()
 		if r.watcher != nil {
 			r.watcher.JobAccepted(accepted)
 			if job.Cancelled {
