Keep workers that ignore orders from delaying all others

A third of the workers leave orders unanswered then ("applied_late"), while they answer polls.

Cause: each unanswered order holds one of 48 places for 600 ms, three times for each task; and since the next poll was answered, the worker counted as responsive and got the next tasks. Test: 40 of 120 workers ignore orders; 193 of 640 tasks had started on the other 80 after 30 s.

After: all 640 within 2.5 s, and all 960 once the workers carry out orders again.

Ruled out: the owner's processor (planning 51 ms in that second, ticks on time). Tried first: a quarantine as after a failed task; 707 of 960 tasks ran 30 s after the workers were back, since each then got one task at a time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -195,7 +195,7 @@
 			s.onTick()
 		case <-s.planTimer.C:
 		}
-		if s.dirty && s.hasSettled() && len(s.orders.starts) < maxStartBacklog {
+		if s.dirty && s.hasSettled() && len(s.orders.prompt.starts) < maxStartBacklog {
 			s.planUnlessPaused()
 		}
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -96,7 +96,8 @@
 			"draining", state.draining, "accelerators", state.capacity, "free", state.free, "freeing", state.freeing,
 			"starting_by_priority", fmt.Sprint(state.starting), "running_by_priority", fmt.Sprint(state.running),
 			"stopping_by_priority", fmt.Sprint(state.stopping), "waiting_by_priority", fmt.Sprint(state.waiting),
-			"queued_starts", len(s.orders.starts), "queued_orders", len(s.orders.others), "orders_in_flight", s.orders.inFlight,
+			"queued_starts", len(s.orders.prompt.starts), "queued_orders", len(s.orders.prompt.others),
+			"orders_in_flight", s.orders.prompt.inFlight, "ignored_orders", s.orders.ignored.length(),
 			"plans", s.planning.count, "planning_ms", s.planning.took.Milliseconds(), "overloaded", s.overloaded())
 	}
 	s.planning = planning{}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -151,7 +151,7 @@
 }
 
 // startMember queues the order to start a member. The first order is dropped if the run is stopped, or the worker
-// becomes unresponsive or shrinks, before it is sent.
+// becomes unresponsive, ignores an order or shrinks, before it is sent.
 func (s *session) startMember(m *member) {
 	m.phase = starting
 	s.enqueueStart(order{
@@ -172,7 +172,8 @@
 	if m.phase != starting {
 		return false
 	}
-	if m.unansweredStarts == 0 && (m.run.stopReason != "" || m.worker.unresponsive || m.worker.overcommitted()) {
+	if m.unansweredStarts == 0 && (m.run.stopReason != "" || m.worker.unresponsive || m.worker.ignoresOrders(s.now) ||
+		m.worker.overcommitted()) {
 		s.finishMember(m, worker.Stopped)
 		return false
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -81,8 +81,14 @@
 	// zero if none did.
 	unresponsive bool
 	silentSince  time.Time
-	health       learned.Health
-	speed        learned.Speed
+	// ignored is the number of times in a row that the worker ignored orders, up to maxIgnored; polls don't count. It gets no new
+	// tasks until ignoresUntil.
+	ignored      int
+	ignoresUntil time.Time
+	// ordersInFlight is the number of orders without an answer yet, polls excluded.
+	ordersInFlight int
+	health         learned.Health
+	speed          learned.Speed
 }
 
 // worker returns the state of a worker, which it creates if needed. A worker that isn't listed can't be reached: what it
@@ -149,7 +155,8 @@
 
 // healthy reports whether tasks may start on a worker.
 func (s *session) healthy(ws *workerState) bool {
-	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && !ws.health.Quarantined(s.now)
+	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive &&
+		!ws.ignoresOrders(s.now) && !ws.health.Quarantined(s.now)
 }
 
 // usable reports whether a worker gets new tasks: one on trial gets one at a time, and one with a run on probation none.
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -8,12 +8,12 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
-// connect waits for the latency of a call and returns the worker. If the worker is unreachable, it waits until ctx ends and
-// returns nil.
-func (w *Workers) connect(ctx context.Context, id string) *fakeWorker {
+// connect waits for the latency of a call and returns the worker. If the worker is unreachable, or ignores orders and the call is
+// one, it waits until ctx ends and returns nil.
+func (w *Workers) connect(ctx context.Context, id string, order bool) *fakeWorker {
 	w.mu.Lock()
 	fake := w.byID[id]
-	unreachable := fake == nil || fake.unreachable
+	unreachable := fake == nil || fake.unreachable || (order && fake.ignoringOrders)
 	down := fake != nil && fake.down
 	wait := callLatency
 	if fake != nil {
@@ -140,7 +140,7 @@
 func (w *Workers) Start(ctx context.Context, target worker.Target, order worker.Start) (worker.Reply, error) {
 	w.addActiveStarts(1)
 	defer w.addActiveStarts(-1)
-	fake := w.connect(ctx, target.ID)
+	fake := w.connect(ctx, target.ID, true)
 	if fake == nil {
 		w.startWithoutReply(order, target.ID)
 		return worker.Reply{}, worker.ErrNoAnswer
@@ -245,7 +245,7 @@
 
 // Stop implements worker.Client.
 func (w *Workers) Stop(ctx context.Context, target worker.Target, order worker.Stop) (worker.Reply, error) {
-	fake := w.connect(ctx, target.ID)
+	fake := w.connect(ctx, target.ID, true)
 	if fake == nil {
 		return worker.Reply{}, worker.ErrNoAnswer
 	}
@@ -268,7 +268,7 @@
 
 // Poll implements worker.Client.
 func (w *Workers) Poll(ctx context.Context, target worker.Target, order worker.Poll) (worker.Report, error) {
-	fake := w.connect(ctx, target.ID)
+	fake := w.connect(ctx, target.ID, false)
 	if fake == nil || w.pollsDropped() {
 		return worker.Report{}, worker.ErrNoAnswer
 	}
@@ -356,7 +356,7 @@
 
 // Pace implements worker.Client.
 func (w *Workers) Pace(ctx context.Context, target worker.Target, order worker.Pace) (worker.Reply, error) {
-	fake := w.connect(ctx, target.ID)
+	fake := w.connect(ctx, target.ID, true)
 	if fake == nil {
 		return worker.Reply{}, worker.ErrNoAnswer
 	}
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -68,6 +68,7 @@
 	startDelay       time.Duration
 	failing          bool
 	hanging          bool
+	ignoringOrders   bool
 	dropReplies      bool
 	extraLatency     time.Duration
 	// changed is closed and replaced whenever a task finishes.
@@ -164,6 +165,13 @@
 	w.byID[id].unreachable, w.byID[id].dropReplies = drop, drop
 }
 
+// IgnoreOrders makes a worker drop all orders but polls, or carry them out again.
+func (w *Workers) IgnoreOrders(id string, ignore bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].ignoringOrders = ignore
+}
+
 // SetAccelerators changes the accelerators in a worker's registry entry. Starts must not exceed fewer ones once grace has passed.
 func (w *Workers) SetAccelerators(id string, count uint32, grace time.Duration) {
 	w.mu.Lock()
