mock: a worker that has crashed carries out no order on its way

Traced with a line for each start, crash and end: the mock looked whether a worker is down before the latency of a call, not after, so a start that was on its way when the worker crashed ran on the crashed worker and finished there. The scheduler was right: the next incarnation answers, so the run has ended.

--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -14,7 +14,6 @@
 	w.mu.Lock()
 	fake := w.byID[id]
 	unreachable := fake == nil || fake.unreachable || (order && fake.ignoringOrders)
-	down := fake != nil && fake.down
 	wait := callLatency
 	if fake != nil {
 		wait += fake.extraLatency
@@ -25,6 +24,9 @@
 		return nil
 	case <-time.After(wait):
 	}
+	w.mu.Lock()
+	down := fake != nil && fake.down
+	w.mu.Unlock()
 	if down {
 		return nil
 	}
