Send orders without an answer again while waiting for it

Cause: an order waited 600 ms for a lost answer, and one lost answer made a worker unresponsive. Test with every third call lost: 5 of 12 urgent gangs of eight started after 5 s to 20 s, and 2 s are promised.

Change: calls that are answered at once are sent a second time after the usual latency, so that one lost answer costs some 100 ms; the first answer counts, and a refusal isn't conclusive if another copy may still be on its way. A worker counts as unresponsive after two lost polls, and as ignoring orders after three in a row; polls wait 0.5 s for 10 s after a lost call. 24 orders of two copies take the place of 48. After: all 12 gangs start within 2 s.

Tried first: shorter timeouts in place of a second copy; workers that slow down suddenly then never answered in time (TestQueuedStartsAreNotSentToShrunkWorkers, TestConcurrentStartsAreLimited).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,6 +126,8 @@
 	orders orderQueues
 	// lastTick is the time of the last tick, and lastLateTick that of the last tick that was late.
 	lastTick, lastLateTick time.Time
+	// latency estimates the latency of calls that workers answer at once.
+	latency learned.Latency
 	// lateTicks is the number of late ticks that followed each other within overloadDuration.
 	lateTicks int
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -9,26 +10,29 @@
 )
 
 const (
-	// maxConcurrentOrders limits the orders in flight in each lane. An instance with a seventh of a core handles this many within
-	// orderTimeout, at about a millisecond of processor time each. The others wait in the queues.
-	maxConcurrentOrders = 48
+	// maxConcurrentCalls limits the calls in flight in each lane. An instance with a seventh of a core handles this many within
+	// orderTimeout, at about a millisecond of processor time each. The other orders wait in the queues.
+	maxConcurrentCalls  = 48
+	maxConcurrentOrders = maxConcurrentCalls / maxCopies
 	// maxOrdersPerWorker limits the orders in flight to one worker, so that one that doesn't answer holds back few others.
 	maxOrdersPerWorker = 2
-	// A worker that ignores an order gets no new tasks for firstIgnoredPause, and for twice as long each time it ignores another
-	// one, up to maxIgnored times.
+	// A worker that ignores maxIgnored orders in a row gets no new tasks for firstIgnoredPause, and for twice as long, up to
+	// maxIgnoredPause, if it then ignores another one.
+	maxIgnored        = 3
 	firstIgnoredPause = time.Second
-	maxIgnored        = 4
+	maxIgnoredPause   = 8 * time.Second
 	// maxStartBacklog is the number of queued starts at which no new plan is made: a plan that runs ahead of the orders
 	// would preempt runs that have not even started.
-	maxStartBacklog = 2 * maxConcurrentOrders
+	maxStartBacklog = 2 * maxConcurrentCalls
 )
 
 // order is a message to a worker that waits for its turn or is in flight.
 type order struct {
 	worker *workerState
-	send   func(worker.Target) (worker.Reply, error)
-	// onReply handles the answer in the loop.
-	onReply func(err error)
+	// send sends the order and waits for the answer until its context ends.
+	send func(context.Context, worker.Target) (worker.Reply, error)
+	// onReply handles the answer in the loop, given how often the order was sent.
+	onReply func(err error, copies int)
 	// shouldSend, if set, is called when it is the order's turn; the order is dropped if it returns false.
 	shouldSend func() bool
 }
@@ -39,14 +43,14 @@
 	inFlight       int
 }
 
-// orderQueues are the orders to all workers. Those to workers that have ignored an order have a lane of their own: each of them
-// is in flight until it times out, and must not take the turn of an order to another worker.
+// orderQueues are the orders to all workers. Those to workers that have ignored the last one have a lane of their own:
+// each of them may be in flight until it times out, and must not take the turn of an order to another worker.
 type orderQueues struct {
 	prompt, ignored orderLane
 }
 
 // enqueue queues an order, which is sent in the background; onReply handles the answer in the loop.
-func (s *session) enqueue(ws *workerState, send func(worker.Target) (worker.Reply, error), onReply func(err error)) {
+func (s *session) enqueue(ws *workerState, send func(context.Context, worker.Target) (worker.Reply, error), onReply func(err error, copies int)) {
 	s.orders.prompt.others = append(s.orders.prompt.others, order{worker: ws, send: send, onReply: onReply})
 	s.sendOrders()
 }
@@ -66,13 +70,17 @@
 		}
 		lane.inFlight++
 		next.worker.ordersInFlight++
+		delay, sentAt := s.hedgeDelay(), time.Now()
 		go func() {
-			reply, err := next.send(target)
+			ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+			defer cancel()
+			answer := hedge(ctx, delay, func(ctx context.Context) (worker.Reply, error) { return next.send(ctx, target) })
+			took := time.Since(sentAt)
 			s.post(func() {
 				lane.inFlight--
 				next.worker.ordersInFlight--
-				s.recordOrderReply(next.worker, reply, err)
-				next.onReply(err)
+				s.recordOrderReply(next.worker, answer.value, took, answer.err)
+				next.onReply(answer.err, answer.copies)
 				s.dirty = true
 				s.sendOrders()
 			})
@@ -80,24 +88,30 @@
 	}
 }
 
-// recordOrderReply records whether a worker answered an order. One that ignored it gets no new tasks for some time, even if it
-// still answers polls.
-func (s *session) recordOrderReply(ws *workerState, reply worker.Reply, err error) {
+// recordOrderReply records whether a worker answered an order, and after what time. One that ignores several in a row gets no new
+// tasks for some time, even if it still answers polls.
+func (s *session) recordOrderReply(ws *workerState, reply worker.Reply, took time.Duration, err error) {
 	switch reason := refusalOf(err); {
 	case err == nil, reason != 0 && reason != worker.RefusedIncarnation:
-		ws.ignored = 0
+		s.latency.Observe(took)
+		ws.ignored, ws.ignoredPause = 0, 0
 		s.recordReply(ws, reply)
-	case reason == 0 && !s.overloaded() && !ws.ignoresOrders(s.now):
-		ws.ignored = min(ws.ignored+1, maxIgnored)
-		ws.ignoresUntil = s.now.Add(firstIgnoredPause << (ws.ignored - 1))
-		s.Events.Log(events.WorkerIgnoresOrders, "worker", ws.id, "members", len(ws.members),
-			"pause_ms", ws.ignoresUntil.Sub(s.now).Milliseconds())
+	case reason == 0:
+		s.recordLostCall(ws)
+		if ws.ignored++; ws.ignored < maxIgnored || ws.ignoresOrders(s.now) {
+			return
+		}
+		s.markUnresponsive(ws)
+		ws.ignoredPause = min(max(2*ws.ignoredPause, firstIgnoredPause), maxIgnoredPause)
+		ws.ignoresUntil = s.now.Add(ws.ignoredPause)
+		s.Events.Log(events.WorkerIgnoresOrders, "worker", ws.id, "members", len(ws.members), "orders", ws.ignored,
+			"pause_ms", ws.ignoredPause.Milliseconds())
 	}
 }
 
-// ignoresOrders reports whether a worker has lately ignored an order. It gets no first start then.
+// ignoresOrders reports whether a worker has lately ignored several orders in a row. It gets no first start then.
 func (ws *workerState) ignoresOrders(now time.Time) bool {
-	return ws.ignored > 0 && now.Before(ws.ignoresUntil)
+	return ws.ignored >= maxIgnored && now.Before(ws.ignoresUntil)
 }
 
 // next returns the next order to send and its lane, and false if none waits or all that wait exceed their lane's limit.
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
@@ -61,11 +62,9 @@
 func (s *session) setPace(m *member, percent int) {
 	m.paceInFlight = true
 	pace := worker.Pace{Task: m.name, Run: m.run.number, Percent: percent, Fence: s.term.Epoch}
-	s.enqueue(m.worker, func(target worker.Target) (worker.Reply, error) {
-		ctx, cancel := s.orderContext()
-		defer cancel()
+	s.enqueue(m.worker, func(ctx context.Context, target worker.Target) (worker.Reply, error) {
 		return s.Client.Pace(ctx, target, pace)
-	}, func(err error) {
+	}, func(err error, _ int) {
 		m.paceInFlight = false
 		switch refusalOf(err) {
 		case worker.RefusedFence:
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -26,8 +26,11 @@
 		// An unresponsive worker gets no new lease: it would delay the time at which its tasks have certainly ended.
 		poll.LeaseEndMs = s.extendLease(ws)
 	}
-	if ws.confirmed && !ws.unresponsive && ws.pendingStores == 0 && ws.clockMs > 0 {
+	if ws.confirmed && !ws.unresponsive && ws.lostPolls == 0 && ws.pendingStores == 0 && ws.clockMs > 0 {
 		poll.Wait = pollWait
+		if s.now.Sub(ws.lostAt) < lossyDuration {
+			poll.Wait = lossyPollWait
+		}
 	}
 	if ws.hasProbation() {
 		poll.Wait = min(poll.Wait, promptCrashTime)
@@ -38,11 +41,24 @@
 	}
 	ws.polling = true
 	target, sentAt := worker.Target{ID: ws.id, Address: ws.entry.Address}, s.now
+	delay := s.hedgeDelay()
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, poll.Wait+pollTimeoutMargin)
 		defer cancel()
-		report, err := s.Client.Poll(ctx, target, poll)
-		s.post(func() { s.handleReport(ws, poll, sentAt, report, err) })
+		send := func(ctx context.Context) (worker.Report, error) { return s.Client.Poll(ctx, target, poll) }
+		var answer answerOf[worker.Report]
+		if poll.Wait > 0 {
+			answer.value, answer.err = send(ctx)
+		} else {
+			answer = hedge(ctx, delay, send)
+		}
+		took := time.Since(sentAt)
+		s.post(func() {
+			if answer.err == nil && poll.Wait == 0 {
+				s.latency.Observe(took)
+			}
+			s.handleReport(ws, poll, sentAt, answer.value, answer.err)
+		})
 	}()
 }
 
@@ -58,10 +74,7 @@
 		s.handleNewIncarnation(ws)
 		return
 	case err != nil:
-		if !ws.unresponsive {
-			s.markUnresponsive(ws)
-		}
-		ws.nextPoll = s.now.Add(pollRetryDelay)
+		s.handleLostPoll(ws)
 		return
 	}
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
@@ -74,7 +87,7 @@
 		ws.startedAtMs = report.StartedAtMs
 	}
 	s.recordReply(ws, report.Reply)
-	ws.unresponsive, ws.confirmed = false, true
+	ws.unresponsive, ws.confirmed, ws.lostPolls = false, true, 0
 	ws.lastAcked = max(ws.lastAcked, poll.Acknowledged)
 	s.handleFinishedTasks(ws, report.Finished)
 	s.reconcile(ws, sentAt, report)
@@ -85,6 +98,20 @@
 	s.pollSoon(ws)
 }
 
+// handleLostPoll handles a poll without an answer: it is repeated at once, and a worker that answers none of
+// several counts as unresponsive.
+func (s *session) handleLostPoll(ws *workerState) {
+	s.recordLostCall(ws)
+	if ws.lostPolls++; ws.lostPolls < maxLostPolls {
+		s.pollSoon(ws)
+		return
+	}
+	if !ws.unresponsive {
+		s.markUnresponsive(ws)
+	}
+	ws.nextPoll = s.now.Add(pollRetryDelay)
+}
+
 // handleFinishedTasks handles the tasks that are new in a report, and lets the worker discard them once they are stored.
 func (s *session) handleFinishedTasks(ws *workerState, tasks []worker.FinishedTask) {
 	for _, task := range tasks {
@@ -176,11 +203,9 @@
 		ws.unknownRuns = ws.unknownRuns.Add(unit.resources())
 	}
 	stop := worker.Stop{Task: reported.Task, Run: reported.Run, Fence: s.term.Epoch}
-	s.enqueue(ws, func(target worker.Target) (worker.Reply, error) {
-		ctx, cancel := s.orderContext()
-		defer cancel()
+	s.enqueue(ws, func(ctx context.Context, target worker.Target) (worker.Reply, error) {
 		return s.Client.Stop(ctx, target, stop)
-	}, func(error) {})
+	}, func(error, int) {})
 }
 
 // handleFinishedTask handles one finished task, and calls onStored once everything that follows from it is stored.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -57,8 +58,10 @@
 	// unansweredStarts counts the start orders without an answer. startSent is true once one was sent, and startOrder is
 	// the latest one.
 	unansweredStarts int
-	startSent        bool
-	startOrder       worker.Start
+	// mayBeDelayed is true if a start order was sent several times and not each copy was answered.
+	mayBeDelayed bool
+	startSent    bool
+	startOrder   worker.Start
 	// crashCounted is true once the crash of its worker was counted.
 	crashCounted bool
 	// startSentAt is when the first start order was sent; zero if an earlier owner sent it.
@@ -156,12 +159,10 @@
 	m.phase = starting
 	s.enqueueStart(order{
 		worker: m.worker,
-		send: func(target worker.Target) (worker.Reply, error) {
-			ctx, cancel := s.orderContext()
-			defer cancel()
+		send: func(ctx context.Context, target worker.Target) (worker.Reply, error) {
 			return s.Client.Start(ctx, target, m.startOrder)
 		},
-		onReply:    func(err error) { s.handleStartReply(m, err) },
+		onReply:    func(err error, copies int) { s.handleStartReply(m, err, copies) },
 		shouldSend: func() bool { return s.prepareStart(m) },
 	})
 }
@@ -187,11 +188,12 @@
 	return true
 }
 
-// handleStartReply handles the answer to a start order.
-func (s *session) handleStartReply(m *member, err error) {
+// handleStartReply handles the answer to a start order that was sent copies times.
+func (s *session) handleStartReply(m *member, err error, copies int) {
 	if m.phase != starting {
 		return
 	}
+	m.mayBeDelayed = m.mayBeDelayed || err != nil && copies > 1
 	switch reason := refusalOf(err); {
 	case err == nil:
 		m.phase, m.confirmedAt = running, s.now
@@ -208,7 +210,6 @@
 // handleUnansweredStart retries a start, which may still take effect; after maxStartAttempts it stops the run.
 func (s *session) handleUnansweredStart(m *member) {
 	m.unansweredStarts++
-	s.markUnresponsive(m.worker)
 	if m.run.stopReason == "" && m.unansweredStarts < maxStartAttempts {
 		s.startMember(m)
 		return
@@ -218,7 +219,7 @@
 
 // handleRefusedStart finishes a member if no earlier order can have started it.
 func (s *session) handleRefusedStart(m *member, reason worker.Refusal) {
-	if m.unansweredStarts > 0 && reason != worker.RefusedIncarnation {
+	if (m.unansweredStarts > 0 || m.mayBeDelayed) && reason != worker.RefusedIncarnation {
 		// An earlier order without an answer may still take effect.
 		s.stopRun(m.run.unit, "start refused: "+reason.String())
 		return
@@ -279,11 +280,9 @@
 	}
 	m.stopSentAt = s.now
 	stop := worker.Stop{Task: m.name, Run: m.run.number, Fence: s.term.Epoch}
-	s.enqueue(m.worker, func(target worker.Target) (worker.Reply, error) {
-		ctx, cancel := s.orderContext()
-		defer cancel()
+	s.enqueue(m.worker, func(ctx context.Context, target worker.Target) (worker.Reply, error) {
 		return s.Client.Stop(ctx, target, stop)
-	}, func(err error) {
+	}, func(err error, _ int) {
 		switch reason := refusalOf(err); {
 		case reason == worker.RefusedFence:
 			s.term.StepDown("worker " + m.worker.id + " has seen a higher fencing token")
@@ -293,7 +292,7 @@
 			m.stopAcceptedAt = s.now
 			s.pollSoon(m.worker)
 		default:
-			s.markUnresponsive(m.worker)
+			m.stopSentAt = time.Time{} // checkRuns repeats the order
 		}
 	})
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +15,10 @@
 const (
 	// orderTimeout limits the wait for the answer to an order other than a poll; workers answer in milliseconds.
 	orderTimeout = 600 * time.Millisecond
+	// minHedgeDelay and maxHedgeDelay limit the time after which a call that is answered at once is sent again, which depends on
+	// the latency of the answers that arrive.
+	minHedgeDelay = 80 * time.Millisecond
+	maxHedgeDelay = 300 * time.Millisecond
 	// maxStartAttempts is how many start orders of a member may stay unanswered before its run is stopped.
 	maxStartAttempts = 3
 	// stopRetryDelay is the minimum time between orders to stop the same member.
@@ -27,8 +30,14 @@
 	pollWait = 2 * time.Second
 	// pollTimeoutMargin is how much longer than its wait the answer to a poll may take.
 	pollTimeoutMargin = 500 * time.Millisecond
-	// pollRetryDelay is the delay after a poll without an answer, and between polls while finished tasks are being stored.
+	// pollRetryDelay is the delay after several polls without an answer, and between polls while finished tasks are being stored.
 	pollRetryDelay = 300 * time.Millisecond
+	// maxLostPolls is the number of polls in a row without an answer with which a worker counts as unresponsive.
+	maxLostPolls = 2
+	// A poll waits for lossyPollWait at most until lossyDuration after a call to the worker was not answered: a task that finishes
+	// during a poll whose answer is lost is noticed late.
+	lossyPollWait = 500 * time.Millisecond
+	lossyDuration = 10 * time.Second
 	// capacityMargin is the time between reading a worker's entry and carrying out a start that relies on it.
 	capacityMargin = registryInterval + orderTimeout
 	// clockDriftFactor allows for a worker's clock that runs slow, and messageMargin for the time that messages take.
@@ -81,10 +90,12 @@
 	// zero if none did.
 	unresponsive bool
 	silentSince  time.Time
-	// ignored is the number of times in a row that the worker ignored orders, up to maxIgnored; polls don't count. It gets no new
-	// tasks until ignoresUntil.
-	ignored      int
-	ignoresUntil time.Time
+	// ignored is the number of orders in a row without an answer, polls excluded, and lostPolls the same of polls.
+	ignored, lostPolls int
+	// ignoredPause is how long the worker gets no new tasks after it has ignored several orders in a row, and ignoresUntil when that
+	// ends. lostAt is when a call to the worker was last not answered.
+	ignoredPause         time.Duration
+	ignoresUntil, lostAt time.Time
 	// ordersInFlight is the number of orders without an answer yet, polls excluded.
 	ordersInFlight int
 	health         learned.Health
@@ -182,9 +193,8 @@
 	return !free.Contains(assign.Resources{})
 }
 
-func (s *session) orderContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(s.ctx, orderTimeout)
-}
+// hedgeDelay returns after what time a call that is answered at once is sent again.
+func (s *session) hedgeDelay() time.Duration { return s.latency.Timeout(minHedgeDelay, maxHedgeDelay) }
 
 // refusalOf returns why a worker refused an order; 0 if it didn't answer or didn't refuse.
 func refusalOf(err error) worker.Refusal {
@@ -206,9 +216,7 @@
 // markUnresponsive keeps new tasks from a worker that didn't answer, until it does. An answer that this instance was too
 // busy to handle in time says nothing about the worker.
 func (s *session) markUnresponsive(ws *workerState) {
-	if ws.silentSince.IsZero() {
-		ws.silentSince = s.now
-	}
+	s.recordLostCall(ws)
 	if !ws.unresponsive && !s.overloaded() {
 		ws.unresponsive = true
 		s.Events.Log(events.WorkerUnresponsive, "worker", ws.id, "members", len(ws.members),
@@ -217,6 +225,14 @@
 	s.pollSoon(ws)
 }
 
+// recordLostCall records that a call to a worker was not answered.
+func (s *session) recordLostCall(ws *workerState) {
+	ws.lostAt = s.now
+	if ws.silentSince.IsZero() {
+		ws.silentSince = s.now
+	}
+}
+
 // extendLease extends the lease of a worker, and returns its end on the worker's clock in milliseconds.
 func (s *session) extendLease(ws *workerState) int64 {
 	lease := min(s.Options.MaxLease, leaseDuration)
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -11,9 +11,10 @@
 // connect waits for the latency of a call and returns the worker. If the worker is unreachable, or ignores orders and the call is
 // one, it waits until ctx ends and returns nil.
 func (w *Workers) connect(ctx context.Context, id string, order bool) *fakeWorker {
+	lost := w.losesCall()
 	w.mu.Lock()
 	fake := w.byID[id]
-	unreachable := fake == nil || fake.unreachable || (order && fake.ignoringOrders)
+	unreachable := lost || fake == nil || fake.unreachable || (order && fake.ignoringOrders)
 	wait := callLatency
 	if fake != nil {
 		wait += fake.extraLatency
@@ -145,6 +146,7 @@
 	fake := w.connect(ctx, target.ID, true)
 	if fake == nil {
 		w.startWithoutReply(order, target.ID)
+		w.startLate(order, target.ID)
 		return worker.Reply{}, worker.ErrNoAnswer
 	}
 	w.mu.Lock()
@@ -184,6 +186,22 @@
 	}
 }
 
+// startLate carries out a start without a reply after lateExecution, if calls are lost.
+func (w *Workers) startLate(order worker.Start, id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.loseEvery == 0 {
+		return
+	}
+	time.AfterFunc(lateExecution, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if fake := w.byID[id]; fake != nil && !fake.down && !fake.replaced {
+			_ = w.startTask(fake, order) // the caller got no answer
+		}
+	})
+}
+
 // startTask carries out a start, or returns the refusal. It records a violation if the start breaks a guarantee.
 func (w *Workers) startTask(fake *fakeWorker, order worker.Start) error {
 	w.finishTasks(fake)
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -38,6 +38,8 @@
 	StopDuration time.Duration
 	// dropStarts and dropPolls make all workers drop starts or polls.
 	dropStarts, dropPolls bool
+	// loseEvery is the argument of LoseCalls, and calls the number of calls since then.
+	loseEvery, calls int
 	// TicketValid, if set, reports whether the ticket of a start is valid for the worker with the given id.
 	TicketValid func(order worker.Start, id string) bool
 	// crashing, crashAfter and returned are the arguments of CrashTasks.
@@ -165,6 +167,24 @@
 	w.byID[id].unreachable, w.byID[id].dropReplies = drop, drop
 }
 
+// lateExecution is how late a start is carried out whose call is lost by LoseCalls.
+const lateExecution = 3 * time.Second
+
+// LoseCalls makes every n-th call to any worker get no answer; a start is carried out later. 0 loses none.
+func (w *Workers) LoseCalls(every int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loseEvery, w.calls = every, 0
+}
+
+// losesCall counts a call and reports whether it is lost.
+func (w *Workers) losesCall() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	return w.loseEvery > 0 && w.calls%w.loseEvery == 0
+}
+
 // IgnoreOrders makes a worker drop all orders but polls, or carry them out again.
 func (w *Workers) IgnoreOrders(id string, ignore bool) {
 	w.mu.Lock()
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -50,8 +50,9 @@
 	cores map[string]float64
 	// capacityGrace is the instances' setting.
 	capacityGrace time.Duration
-	// down are the instances that get no answer from the store.
+	// down are the instances that get no answer from the store, and cut the workers that an instance can't reach.
 	down map[string]bool
+	cut  map[string]map[string]bool
 	// jobs are the submitted jobs by id.
 	jobs map[string]*storev1.Job
 }
@@ -88,7 +89,8 @@
 		c := &cluster{
 			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
 			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, capacityGrace: options.capacityGrace,
-			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, jobs: map[string]*storev1.Job{},
+			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, cut: map[string]map[string]bool{},
+			jobs: map[string]*storev1.Job{},
 		}
 		c.workers = mock.NewWorkers(workers, func(id string) *storev1.Job {
 			c.mu.Lock()
@@ -153,7 +155,7 @@
 		Retention: time.Minute, GracePeriod: 6 * time.Second,
 	}, node.Platform{
 		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
-		Workers: c.workers, Advisor: c.advisor,
+		Workers: reachableWorkers{c, name}, Advisor: c.advisor,
 		DecodeWorker: func(record storelog.Record) (worker.RegistryEntry, bool) {
 			id, remaining, draining := strings.Cut(string(record.Value), " leaves in ")
 			entry, known := c.entry(id)
