Confirm the ownership after a pause before acting on it

Seen by operators of similar systems: a process that had been paused acted on a permission that had run out. It can happen here: an owner paused for 10 s while it records a run starts the task when it wakes up. The next owner can't reach that worker, has waited out all leases that it knows of, and starts the task elsewhere: two runs at once.

Cause: an owner only stopped when the store or a worker refused it; a worker that its successor can't reach does not.

Change: after more than 1 s without a step, by the steady clock or by the time of day (which also counts a suspended machine), the owner sends no orders, renews no leases and makes no plans until the store has accepted another renewal (event 308). An owner that runs on during an outage of the store isn't affected.

Ruled out: the poll that is in flight when the pause begins; its clock is read late, so the lease that follows from it is short.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -124,6 +124,8 @@
 	inbox  inbox
 	now    time.Time
 	orders orderQueues
+	// confirming is true after a pause until the store has confirmed the ownership; see confirmOwnership.
+	confirming bool
 	// lastTick is the time of the last tick, and lastLateTick that of the last tick that was late.
 	lastTick, lastLateTick time.Time
 	// latency estimates the latency of calls that workers answer at once.
@@ -189,15 +191,16 @@
 			return
 		case <-s.inbox.wake:
 			for _, action := range s.inbox.take() {
-				s.now = time.Now()
+				s.advanceTime()
 				action()
 			}
 		case <-ticker.C:
-			s.now = time.Now()
+			s.advanceTime()
 			s.onTick()
 		case <-s.planTimer.C:
+			s.advanceTime()
 		}
-		if s.dirty && s.hasSettled() && len(s.orders.prompt.starts) < maxStartBacklog {
+		if s.dirty && !s.confirming && s.hasSettled() && len(s.orders.prompt.starts) < maxStartBacklog {
 			s.planUnlessPaused()
 		}
 	}
@@ -209,7 +212,7 @@
 		s.planTimer.Reset(pause)
 		return
 	}
-	s.now, s.dirty = time.Now(), false
+	s.dirty = false
 	s.plan()
 	s.requestAdvice()
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -63,6 +63,9 @@
 
 // sendOrders sends the orders whose turn has come.
 func (s *session) sendOrders() {
+	if s.confirming {
+		return
+	}
 	for next, lane, ok := s.orders.next(); ok; next, lane, ok = s.orders.next() {
 		target := worker.Target{ID: next.worker.id, Address: next.worker.entry.Address}
 		if target.Address == "" || (next.shouldSend != nil && !next.shouldSend()) {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -22,7 +22,7 @@
 // poll renews a worker's lease, acknowledges finished tasks, and asks what the worker runs.
 func (s *session) poll(ws *workerState) {
 	poll := worker.Poll{Fence: s.term.Epoch, Acknowledged: ws.lastStored}
-	if ws.clockMs > 0 && !ws.unresponsive {
+	if ws.clockMs > 0 && !ws.unresponsive && !s.confirming {
 		// An unresponsive worker gets no new lease: it would delay the time at which its tasks have certainly ended.
 		poll.LeaseEndMs = s.extendLease(ws)
 	}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -45,7 +45,7 @@
 
 // advanceWaves advances all waves of upkeep.
 func (s *session) advanceWaves() {
-	if s.Machines == nil {
+	if s.Machines == nil || s.confirming {
 		return
 	}
 	for _, configured := range s.Waves.All() {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -40,7 +40,9 @@
 	OwnershipAcquired = Event{303, log.InfoLevel, "ownership acquired", actionNone}
 	OwnershipLost     = Event{304, log.WarnLevel, "ownership lost", actionInstances}
 	OwnershipReleased = Event{305, log.InfoLevel, "ownership released", actionNone}
-	TakeoverRefused   = Event{307, log.InfoLevel, "takeover refused", actionNone}
+	OwnerPaused       = Event{308, log.WarnLevel, "owner was paused",
+		"check the load of the machine if the line repeats; the owner confirms its ownership before it goes on"}
+	TakeoverRefused = Event{307, log.InfoLevel, "takeover refused", actionNone}
 )
 
 // Events of configuration and jobs: 4xx.
@@ -84,7 +86,7 @@
 		InstanceStarted, InstanceReady, InstanceNotReady, DrainStarted, DrainEnded, DrainCutShort,
 		InstanceFailed, SettingsChecked, LinesDropped,
 		StoreUnreachable, StoreReachable, RecordNotDecoded,
-		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused,
+		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused, OwnerPaused,
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -59,6 +59,8 @@
 	// StepDown ends the term at once, for a reason that the owner finds elsewhere, such as a worker that has seen a
 	// higher fencing token.
 	StepDown func(reason string)
+	// Renew appends the owner's record once more. It succeeds only if no other instance has claimed the ownership.
+	Renew func() *storelog.PendingAppend
 	// Overloaded tells that this instance can't keep up with the owner's work. The term ends if a much stronger instance is known.
 	Overloaded func()
 }
@@ -263,13 +265,18 @@
 			endTerm(err)
 		}
 	})
-	if claim.mayYield && c.isWeak(time.Now()) {
+	renewal, err := replica.OwnerRecord(claim.owner)
+	switch {
+	case err != nil:
+		endTerm(err)
+	case claim.mayYield && c.isWeak(time.Now()):
 		endTerm(errYielded)
-	} else {
+	default:
 		c.setEpoch(epoch)
-		running.Go(func() { c.renew(term, appender, claim.owner, endTerm) })
+		running.Go(func() { c.renew(term, appender, claim.owner, renewal, endTerm) })
 		c.runTerm(term, Term{
 			Epoch: epoch, Appender: appender, ClaimedAt: claim.at, StepDown: func(reason string) { endTerm(errors.New(reason)) },
+			Renew: func() *storelog.PendingAppend { return appender.Submit(renewal) },
 			Overloaded: func() {
 				if claim.mayYield && c.isWeak(time.Now()) {
 					endTerm(errYielded)
@@ -296,15 +303,11 @@
 // renew appends the owner's record at every renewInterval until ctx ends, and ends the term when the replica has read a
 // claim with a higher epoch.
 func (c *Candidate) renew(
-	ctx context.Context, appender *storelog.Appender, owner *storev1.Owner, endTerm context.CancelCauseFunc,
+	ctx context.Context, appender *storelog.Appender, owner *storev1.Owner, renewal storelog.Record,
+	endTerm context.CancelCauseFunc,
 ) {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
-	record, err := replica.OwnerRecord(owner)
-	if err != nil {
-		endTerm(err)
-		return
-	}
 	var last *storelog.PendingAppend
 	for {
 		changed := c.replica.Changed()
@@ -318,7 +321,7 @@
 		case <-changed:
 		case <-ticker.C:
 			if last == nil || isClosed(last.Done()) {
-				last = appender.Submit(record)
+				last = appender.Submit(renewal)
 			}
 		}
 	}
