Count no crash against a task that runs on the worker's next incarnation

Cause, from the log of a run that failed: an idle worker restarted unnoticed, a task started on its new incarnation, and the first report with the new start time counted this task, too, as lost with the old one. The case existed before, but an idle worker that had missed one call was polled until it answered.

Change: tasks that the report lists belong to the incarnation that answers and are not lost; a worker with a lost poll is polled until it answers and gets no new tasks before.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
@@ -80,7 +81,7 @@
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
 			ws.lastProcessed, ws.lastStored, ws.lastAcked = 0, 0, 0
-			s.countCrash(ws, s.lostMembers(ws, mayHaveStarted))
+			s.countCrash(ws, s.lostMembers(ws, func(m *member) bool { return mayHaveStarted(m) && !isReported(m, report) }))
 		} else {
 			s.countMissedCrash(ws, report.StartedAtMs)
 		}
@@ -98,6 +99,12 @@
 	s.pollSoon(ws)
 }
 
+// isReported reports whether a report lists a member as running or finished.
+func isReported(m *member, report worker.Report) bool {
+	return slices.ContainsFunc(report.Running, func(r worker.RunningTask) bool { return r.Task == m.name && r.Run == m.run.number }) ||
+		slices.ContainsFunc(report.Finished, func(f worker.FinishedTask) bool { return f.Task == m.name && f.Run == m.run.number })
+}
+
 // handleLostPoll handles a poll without an answer: it is repeated at once, and a worker that answers none of
 // several counts as unresponsive.
 func (s *session) handleLostPoll(ws *workerState) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -166,7 +166,7 @@
 
 // healthy reports whether tasks may start on a worker.
 func (s *session) healthy(ws *workerState) bool {
-	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive &&
+	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && ws.lostPolls == 0 &&
 		!ws.ignoresOrders(s.now) && !ws.health.Quarantined(s.now)
 }
 
@@ -250,7 +250,7 @@
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
-		(ws.listed && (!ws.confirmed || ws.unresponsive))
+		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0))
 }
 
 // earliestMissing returns since when a member has been missing from the worker's reports; zero if none is.
