Survive malformed reports and records, and panics of the owner

Seen by operators of similar systems: one malformed message or unexpected error took a whole process down. It can happen here, in each owner in turn: a worker's report that names the task "ID.-1.0.0" (index out of range, poll.go), a job record without steps or with After beyond them (report.go, job.go), a run record with more workers than tasks or an occurrence far beyond the last.

Change: task names have no negative numbers; the replica checks job records as the gateway checks jobs (one function) and logs the others (event 205); outcomes count only once decoded; recorded runs are limited to what the job has. Declared run times must not be negative, and the sum of a tenant's accelerators can't overflow into its guarantee.

Not covered: an end with a far too high number hides the later ends of that worker's incarnation; the protocol has no bound.

The job in the fixture of TestStateFollowsRecords has a step now, as every accepted job does; the test checks what it did before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -113,6 +115,18 @@
 		Name: "workers", ReadInterval: func() time.Duration { return registryInterval },
 	}, d.deps.Events)
 	go registry.Run(ctx)
+	s.run()
+}
+
+// run runs the loop. A panic in it ends only the term, not the process: the instance still answers callers, and another one
+// becomes the owner.
+func (s *session) run() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.Events.Log(events.OwnerFailed, "epoch", s.term.Epoch, "cause", cause, "stack", string(debug.Stack()))
+			s.term.StepDown(fmt.Sprint("panic: ", cause))
+		}
+	}()
 	s.loop()
 }
 
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -151,6 +151,7 @@
 	for task := range j.recordedRuns {
 		last = max(last, task.Occurrence)
 	}
+	last = min(last, occurrenceCount(j.spec)-1)
 	for number := len(j.occurrences); number <= last; number++ {
 		s.openOccurrence(j, number)
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -146,10 +146,11 @@
 
 // restoreRun opens a run that an earlier owner recorded.
 func (s *session) restoreRun(u *unit, recorded *storev1.Run) {
-	if len(recorded.GetWorkers()) == 0 {
+	workers := recorded.GetWorkers()[:min(len(recorded.GetWorkers()), memberCount(u))]
+	if len(workers) == 0 {
 		return
 	}
-	r := s.newRun(u, u.runNumber, recorded.GetWorkers(), unconfirmed)
+	r := s.newRun(u, u.runNumber, workers, unconfirmed)
 	r.restored, r.recordedAtMs = true, recorded.GetOpenedUnixMs()
 }
 
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -192,13 +192,13 @@
 // accountsWithinGuarantee reports for each account whether its jobs of priority 0 need no more accelerators than its
 // guarantee.
 func (s *session) accountsWithinGuarantee() map[string]bool {
-	needed := map[string]uint32{}
+	needed := map[string]uint64{}
 	for _, j := range s.jobs {
 		if j.hasEnded() || j.cancelled || j.spec.GetPriority() != 0 {
 			continue
 		}
 		for _, step := range j.spec.GetSteps() {
-			needed[j.spec.GetAccount()] += step.GetCount() * step.GetNeed().GetAccelerators()
+			needed[j.spec.GetAccount()] += uint64(step.GetCount()) * uint64(step.GetNeed().GetAccelerators())
 		}
 	}
 	withinGuarantee := map[string]bool{}
@@ -207,7 +207,7 @@
 		return withinGuarantee
 	}
 	for account, accelerators := range needed {
-		withinGuarantee[account] = accelerators <= current.Accounts[account].GuaranteedAccelerators
+		withinGuarantee[account] = accelerators <= uint64(current.Accounts[account].GuaranteedAccelerators)
 	}
 	return withinGuarantee
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -42,6 +42,8 @@
 	OwnershipReleased = Event{305, log.InfoLevel, "ownership released", actionNone}
 	OwnerPaused       = Event{308, log.WarnLevel, "owner was paused",
 		"check the load of the machine if the line repeats; the owner confirms its ownership before it goes on"}
+	OwnerFailed = Event{309, log.ErrorLevel, "owner failed",
+		"report the stack in the line to the developers; another instance becomes the owner"}
 	TakeoverRefused = Event{307, log.InfoLevel, "takeover refused", actionNone}
 )
 
@@ -86,7 +88,7 @@
 		InstanceStarted, InstanceReady, InstanceNotReady, DrainStarted, DrainEnded, DrainCutShort,
 		InstanceFailed, SettingsChecked, LinesDropped,
 		StoreUnreachable, StoreReachable, RecordNotDecoded,
-		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused, OwnerPaused,
+		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused, OwnerPaused, OwnerFailed,
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,11 +32,6 @@
 	retryAfter = time.Second
 	// defaultMaxBodyBytes limits a request body if the configuration doesn't.
 	defaultMaxBodyBytes = 256 << 10
-	// maxSteps and maxTasks limit the size of a job.
-	maxSteps = 256
-	maxTasks = 20000
-	// maxSpecBytes limits a job's Spec, which the scheduler doesn't interpret.
-	maxSpecBytes = 4000
 )
 
 // Result is the kind of an answer.
@@ -300,29 +295,16 @@
 
 // validate checks the fields of a job that the scheduler relies on.
 func validate(call AdmittedCall, job *storev1.Job) Answer {
-	invalid := func(detail string) Answer { return Answer{Result: Invalid, Detail: detail} }
-	switch {
-	case call.ID == "":
-		return invalid("the path lacks the job's id")
-	case len(job.GetSpec()) > maxSpecBytes:
-		return invalid("Spec is longer than 4000 bytes")
-	case len(job.GetSteps()) == 0 || len(job.GetSteps()) > maxSteps:
-		return invalid("Steps must have 1 to 256 entries")
+	if call.ID == "" {
+		return Answer{Result: Invalid, Detail: "the path lacks the job's id"}
 	}
-	tasks := uint32(0)
-	for i, step := range job.GetSteps() {
-		if step.GetCount() == 0 || step.GetCount() > maxTasks {
-			return invalid("Steps: Count must be 1 to 20000")
-		}
-		tasks += step.GetCount()
-		for _, after := range step.GetAfter() {
-			if int(after) >= i {
-				return invalid("Steps: After may only refer to earlier steps")
-			}
-		}
+	if err := replica.CheckJob(job); err != nil {
+		return Answer{Result: Invalid, Detail: err.Error()}
 	}
-	if tasks > maxTasks {
-		return invalid("a job may have at most 20000 tasks")
+	for _, step := range job.GetSteps() {
+		if step.GetEstimateMs() < 0 {
+			return Answer{Result: Invalid, Detail: "Steps: EstMs must not be negative"}
+		}
 	}
 	return Answer{}
 }
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -344,6 +344,8 @@
 			Task: name, Run: task.run, Percent: task.percent(fake.hanging), Load: fake.tailLatencyMs(task), Checkpoint: task.checkpoint(),
 		})
 	}
+	report.Running = append(report.Running, fake.extraRunning...)
+	report.Finished = append(report.Finished, fake.extraFinished...)
 	if len(unacknowledged) > 0 {
 		return report, nil, nil
 	}
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -71,8 +71,11 @@
 	failing          bool
 	hanging          bool
 	ignoringOrders   bool
-	dropReplies      bool
-	extraLatency     time.Duration
+	// extraRunning and extraFinished are reported beside what is true.
+	extraRunning  []worker.RunningTask
+	extraFinished []worker.FinishedTask
+	dropReplies   bool
+	extraLatency  time.Duration
 	// changed is closed and replaced whenever a task finishes.
 	changed chan struct{}
 	// endedRuns has the highest run of each task that ended or was stopped on the worker. Starts up to it are refused.
@@ -167,6 +170,14 @@
 	w.byID[id].unreachable, w.byID[id].dropReplies = drop, drop
 }
 
+// AddToReports makes all reports of a worker contain a running and a finished task that it doesn't have.
+func (w *Workers) AddToReports(id string, running worker.RunningTask, finished worker.FinishedTask) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].extraRunning = append(w.byID[id].extraRunning, running)
+	w.byID[id].extraFinished = append(w.byID[id].extraFinished, finished)
+}
+
 // lateExecution is how late a start is carried out whose call is lost by LoseCalls.
 const lateExecution = 3 * time.Second
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -63,6 +63,9 @@
 		}
 		numbers[i] = number
 	}
+	if numbers[0] < 0 || numbers[1] < 0 || numbers[2] < GangIndex {
+		return Task{}, ErrInvalidKey
+	}
 	return Task{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
 
@@ -348,6 +351,12 @@
 		if err := proto.Unmarshal(value, accepted); err != nil {
 			return errors.Wrap(err, "decode job")
 		}
+		if accepted.GetId() != name {
+			return errors.Errorf("the job has the id %q: replace the instance by one of the latest version", accepted.GetId())
+		}
+		if err := CheckJob(accepted); err != nil {
+			return errors.Wrap(err, "check job")
+		}
 		job.Job = accepted
 		r.acceptors[accepted.GetAcceptorCpuMillicores()] = time.Now()
 		if r.watcher != nil {
@@ -369,8 +378,11 @@
 		if deleted {
 			return nil
 		}
-		job.Outcome = &storev1.Outcome{}
-		return proto.Unmarshal(value, job.Outcome)
+		outcome := &storev1.Outcome{}
+		if err := proto.Unmarshal(value, outcome); err != nil {
+			return errors.Wrap(err, "decode outcome")
+		}
+		job.Outcome = outcome
 	default:
 		return ErrInvalidKey
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -23,7 +23,7 @@
 
 // history returns the records of one job in the order of their offsets: accepted, run, cancelled, outcome, run deleted.
 func history(t interface{ Fatal(...any) }) []storelog.Record {
-	accepted, err := replica.JobRecord(&storev1.Job{Id: job, Queue: "q", Account: "a"})
+	accepted, err := replica.JobRecord(&storev1.Job{Id: job, Queue: "q", Account: "a", Steps: []*storev1.Step{{Count: 4}}})
 	records := []storelog.Record{must(t, accepted, err)}
 	task := replica.Task{Job: job, Step: 0, Index: 3}
 	run, err := replica.RunRecord(task, &storev1.Run{Phase: storev1.RunPhase_RUN_PHASE_OPEN, Number: 1, Workers: []string{"w"}})
