Revert the Retry-After that grows with an outage

Callers give up 3 s after their first attempt, so a longer delay only takes retries from them where just one instance is cut off.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,11 +28,8 @@
 	acknowledgeWait = time.Second
 	// jobWait is how long Cancel waits for a job to appear, because another instance may just have accepted it.
 	jobWait = 400 * time.Millisecond
-	// retryAfter is the delay after which a caller should retry. An unavailable store may have recovered by then. While the store
-	// has been silent for longer, a job or cancellation is to be retried after as long again, but after maxRetryAfter at most:
-	// callers give up after few attempts, and these should outlast the outage.
-	retryAfter    = time.Second
-	maxRetryAfter = 3 * time.Second
+	// retryAfter is the delay after which a caller should retry. An unavailable store may have recovered by then.
+	retryAfter = time.Second
 	// defaultMaxBodyBytes limits a request body if the configuration doesn't.
 	defaultMaxBodyBytes = 256 << 10
 )
@@ -74,8 +71,6 @@
 	CatchUp(ctx context.Context) error
 	// CheckStore returns nil if the store answered very recently or answers now.
 	CheckStore(ctx context.Context) error
-	// StoreSilence returns the time since the store last answered.
-	StoreSilence() time.Duration
 }
 
 // Gateway handles callers' requests.
@@ -111,7 +106,7 @@
 		return g.recordAnswer(call, "submit again", g.authorize(call, known))
 	}
 	if !g.health.Fresh() {
-		return g.recordAnswer(call, "submit", g.notStored("the store can't be reached"))
+		return g.recordAnswer(call, "submit", notRun("the store can't be reached"))
 	}
 	applyQueueSettings(call, job)
 	job.AcceptorCpuMillicores = g.cpu
@@ -216,7 +211,7 @@
 func (g *Gateway) appendRecord(ctx context.Context, call AdmittedCall, record storelog.Record) Answer {
 	// An unanswered append can neither be confirmed nor ruled out, so nothing is sent to a store that doesn't answer.
 	if err := g.health.CheckStore(ctx); err != nil {
-		return g.notStored("the store doesn't answer")
+		return notRun("the store doesn't answer")
 	}
 	pending := g.appender.Submit(record)
 	wait := acknowledgeWait
@@ -231,7 +226,7 @@
 	}
 	for {
 		if g.appender.Withdraw(pending) {
-			return g.notStored("the store currently accepts no appends")
+			return notRun("the store currently accepts no appends")
 		}
 		remaining := time.Until(call.Deadline)
 		if remaining <= 0 || ctx.Err() != nil {
@@ -290,13 +285,6 @@
 	return Answer{Result: NotRun, Detail: detail + ": the call had no effect, retry later", RetryAfter: retryAfter}
 }
 
-// notStored is notRun for a call whose record the store can't take now.
-func (g *Gateway) notStored(detail string) Answer {
-	answer := notRun(detail)
-	answer.RetryAfter = min(max(g.health.StoreSilence(), retryAfter), maxRetryAfter)
-	return answer
-}
-
 // applyQueueSettings fills in the job's id, account and acceptance time, and the settings of its queue.
 func applyQueueSettings(call AdmittedCall, job *storev1.Job) {
 	job.Id, job.Queue, job.Account, job.Service = call.ID, call.Queue.Name, call.Account, call.Queue.Service
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -48,8 +48,6 @@
 
 func (instance) CheckStore(context.Context) error { return nil }
 
-func (instance) StoreSilence() time.Duration { return 0 }
-
 // newClient serves the interface over a mock store and returns a client that sends the key.
 func newClient(t *testing.T, key string) *client.Client {
 	t.Helper()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,12 +169,6 @@
 	return n.jobs.CheckStore(ctx, storeCheckValidity)
 }
 
-// StoreSilence implements gateway.Health.
-func (n *Node) StoreSilence() time.Duration {
-	answered, _ := n.jobs.AnswerTimes()
-	return time.Since(answered)
-}
-
 // CatchUp implements gateway.Health.
 func (n *Node) CatchUp(ctx context.Context) error { return n.jobs.CatchUp(ctx) }
 
