Wait for the restarted instance in the test of malformed records

The test asked an instance that had just started and at times had no configuration yet (one of two runs of a selection of tests).

--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -62,6 +62,7 @@
 		c.kill(first)
 		time.Sleep(5 * time.Second)
 		c.startNode(first)
+		time.Sleep(3 * time.Second)
 		c.await(1, 2, replica.Completed, 40*time.Second)
 	})
 }
