Let the orders in flight grow with the instance's processor

Cause: 24 orders in flight for every instance, which is what the weakest can bear. Change: 300 calls a core, at least 48 and at most 192.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 type Options struct {
 	// Instance is the name of this instance.
 	Instance string
+	// CPU is the processor that the instance may use, in millicores; 0 if unknown.
+	CPU uint32
 	// TakeoverDelay is how long a new owner waits before it orders the upkeep of machines: the orders of two owners for
 	// one machine must be that far apart.
 	TakeoverDelay time.Duration
@@ -184,8 +186,9 @@
 func newSession(ctx context.Context, deps Dependencies, term leadership.Term) *session {
 	return &session{
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
-		inbox: inbox{wake: make(chan struct{}, 1)},
-		jobs:  map[string]*job{}, workers: map[string]*workerState{}, queueStats: map[string]*queueStats{},
+		orders: orderQueues{limit: orderLimit(deps.Options.CPU)},
+		inbox:  inbox{wake: make(chan struct{}, 1)},
+		jobs:   map[string]*job{}, workers: map[string]*workerState{}, queueStats: map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
@@ -214,7 +217,7 @@
 		case <-s.planTimer.C:
 			s.advanceTime()
 		}
-		if s.dirty && !s.confirming && s.hasSettled() && len(s.orders.prompt.starts) < maxStartBacklog {
+		if s.dirty && !s.confirming && s.hasSettled() && len(s.orders.prompt.starts) < s.orders.maxStartBacklog() {
 			s.planUnlessPaused()
 		}
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// maxConcurrentCalls limits the calls in flight in each lane. An instance with a seventh of a core handles this many within
-	// orderTimeout, at about a millisecond of processor time each. The other orders wait in the queues.
-	maxConcurrentCalls  = 48
-	maxConcurrentOrders = maxConcurrentCalls / maxCopies
+	// The calls in flight in each lane are limited to callsPerCore for each core, between minCalls and maxCalls. An instance with a
+	// seventh of a core handles minCalls within orderTimeout, at about a millisecond of processor time each. The other orders wait
+	// in the queues.
+	callsPerCore = 300
+	minCalls     = 48
+	maxCalls     = 192
 	// maxOrdersPerWorker limits the orders in flight to one worker, so that one that doesn't answer holds back few others.
 	maxOrdersPerWorker = 2
 	// A worker that ignores maxIgnored orders in a row gets no new tasks for firstIgnoredPause, and for twice as long, up to
@@ -21,11 +23,18 @@
 	maxIgnored        = 3
 	firstIgnoredPause = time.Second
 	maxIgnoredPause   = 8 * time.Second
-	// maxStartBacklog is the number of queued starts at which no new plan is made: a plan that runs ahead of the orders
-	// would preempt runs that have not even started.
-	maxStartBacklog = 2 * maxConcurrentCalls
 )
 
+// orderLimit returns the limit of the orders in flight in each lane on an instance with the given processor in millicores.
+func orderLimit(cpu uint32) int {
+	const millicores = 1000
+	return min(max(int(cpu)*callsPerCore/millicores, minCalls), maxCalls) / maxCopies
+}
+
+// maxStartBacklog returns the number of queued starts at which no new plan is made: a plan that runs ahead of the orders would
+// preempt runs that have not even started.
+func (q *orderQueues) maxStartBacklog() int { return 2 * maxCopies * q.limit }
+
 // order is a message to a worker that waits for its turn or is in flight.
 type order struct {
 	worker *workerState
@@ -47,6 +56,8 @@
 // each of them may be in flight until it times out, and must not take the turn of an order to another worker.
 type orderQueues struct {
 	prompt, ignored orderLane
+	// limit is the limit of the orders in flight in each lane.
+	limit int
 }
 
 // enqueue queues an order, which is sent in the background; onReply handles the answer in the loop.
@@ -119,7 +130,7 @@
 
 // next returns the next order to send and its lane, and false if none waits or all that wait exceed their lane's limit.
 func (q *orderQueues) next() (order, *orderLane, bool) {
-	for q.prompt.inFlight < maxConcurrentOrders {
+	for q.prompt.inFlight < q.limit {
 		next, isStart, ok := q.prompt.take()
 		switch {
 		case !ok:
@@ -137,7 +148,7 @@
 
 // nextIgnored returns the next order to a worker that has ignored an order.
 func (q *orderQueues) nextIgnored() (order, *orderLane, bool) {
-	if q.ignored.inFlight >= maxConcurrentOrders {
+	if q.ignored.inFlight >= q.limit {
 		return order{}, nil, false
 	}
 	next, _, ok := q.ignored.take()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,7 @@
 	n.appender = storelog.NewAppender(platform.Jobs, settings.Name+"-"+uuid.NewString(), 1, 0)
 	n.dispatcher = dispatch.New(dispatch.Dependencies{
 		Options: dispatch.Options{
-			Instance: settings.Name, TakeoverDelay: settings.TakeoverDelay,
+			Instance: settings.Name, CPU: settings.cpuMillicores(), TakeoverDelay: settings.TakeoverDelay,
 			MaxLease: settings.MaxLease, StopDuration: settings.StopDuration, GangWait: settings.GangWait,
 			RestoreDuration: settings.RestoreDuration, CapacityGrace: settings.CapacityGrace, Retention: settings.Retention,
 		},
