Count the time of a suspended machine towards the age of its state

Seen by operators of similar systems: after a pause a process acted on a key that had been withdrawn. Found by reading: the ages of the configuration and of the replica came from the steady clock, which stands still while a machine is suspended, so that an instance answered from an obsolete configuration after it woke up, for as long as the age that is allowed. No test: the runtime's clocks can't be set apart in a test. The pause of an owner is measured by the same function.

--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelgauge/dotterelgauge/internal/clock"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 )
 
@@ -14,9 +15,7 @@
 func (s *session) advanceTime() {
 	last := s.now
 	s.now = time.Now()
-	// The monotonic clock doesn't count the time for which a machine was suspended.
-	pause := max(s.now.Sub(last), s.now.Round(0).Sub(last.Round(0)))
-	if pause > maxPause && !s.confirming {
+	if pause := clock.Between(last, s.now); pause > maxPause && !s.confirming {
 		s.confirmOwnership(pause)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/clock"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/dispatch"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
@@ -153,7 +154,7 @@
 // Fresh implements gateway.Health.
 func (n *Node) Fresh() bool {
 	answered, _ := n.jobs.AnswerTimes()
-	return n.replica.IsReady() && n.ConfigCurrent() && time.Since(answered) < maxReplicaAge
+	return n.replica.IsReady() && n.ConfigCurrent() && clock.Since(answered) < maxReplicaAge
 }
 
 // ConfigCurrent implements gateway.Health.
@@ -162,7 +163,7 @@
 }
 
 // configAge returns the time for which the configuration may have been obsolete.
-func (n *Node) configAge() time.Duration { return time.Since(n.operator.CompleteAt()) }
+func (n *Node) configAge() time.Duration { return clock.Since(n.operator.CompleteAt()) }
 
 // CheckStore implements gateway.Health.
 func (n *Node) CheckStore(ctx context.Context) error {
