Forget workers that left while the registry's history was lost

Seen by operators of similar systems: a server that had left was in use again. Change: a reader is told which keys a load has found, and the owner unlists the other workers.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -115,7 +115,7 @@
 	return ws
 }
 
-// registryReader passes the records of the worker registry to the loop.
+// registryReader passes the records of the worker registry to the loop. It is a storelog.KeyReader.
 type registryReader struct{ s *session }
 
 // Apply implements storelog.Reader.
@@ -127,6 +127,17 @@
 	})
 }
 
+// KeepOnly implements storelog.KeyReader.
+func (r registryReader) KeepOnly(keys map[string]bool) {
+	r.s.post(func() {
+		for id, ws := range r.s.workers {
+			if ws.listed && !keys[id] {
+				ws.listed, r.s.dirty = false, true
+			}
+		}
+	})
+}
+
 // Ready implements storelog.Reader.
 func (r registryReader) Ready() {
 	r.s.post(func() { r.s.registryRead = true })
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -31,6 +31,13 @@
 	Ready()
 }
 
+// KeyReader is a Reader that is told which keys a load of the latest record of each key has found, before Ready. Other keys that it
+// knows have been deleted: the records that say so may be gone.
+type KeyReader interface {
+	Reader
+	KeepOnly(keys map[string]bool)
+}
+
 // Follower delivers the records of a partition to a Reader.
 type Follower struct {
 	partition Partition
@@ -229,6 +236,7 @@
 // consistent snapshot, so this offset is the end of the partition at the first page and later records are read again.
 func (f *Follower) loadLatest(ctx context.Context) (int64, bool) {
 	after, next, first, startedAt := "", int64(0), true, time.Now()
+	keys := map[string]bool{}
 	for ctx.Err() == nil {
 		sentAt := time.Now()
 		if first {
@@ -246,7 +254,13 @@
 			next, first = page.End, false
 		}
 		f.reader.Apply(page.Records)
+		for _, record := range page.Records {
+			keys[record.Key] = true
+		}
 		if !page.More || len(page.Records) == 0 {
+			if reader, ok := f.reader.(KeyReader); ok {
+				reader.KeepOnly(keys)
+			}
 			f.recordAnswer(next)
 			f.recordComplete(startedAt)
 			f.reader.Ready()
