Take back the crash of a worker that was only silent

Seen by operators of similar systems: a machine that was only silent for a while had its work given up.

What an earlier owner counted stays. The work itself isn't started elsewhere before the leases have expired, as before (TestNewOwnerWaitsForLeaseOfUnresponsiveWorker and the mock's check of each start).

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -56,8 +56,8 @@
 
 // countCrash counts the crash of a worker against the tasks that had just started on it, or if none had, against all that ran
 // on it. Their units become suspects if the crash followed the start promptly, or was not the first under the same task; they then
-// run on probation. The job of a task under which workers go on to crash is given up.
-func (s *session) countCrash(ws *workerState, lost []lostMember) {
+// run on probation. The job of a task under which workers go on to crash is given up. It returns the members whose crash it counted.
+func (s *session) countCrash(ws *workerState, lost []lostMember) (counted []*member) {
 	anyPrompt := slices.ContainsFunc(lost, func(c lostMember) bool { return c.prompt })
 	for _, c := range lost {
 		u := c.run.unit
@@ -65,6 +65,7 @@
 			continue
 		}
 		c.crashCounted = true
+		counted = append(counted, c.member)
 		crashes := u.addCrash(c.index)
 		u.suspect = u.suspect || c.prompt || crashes > 1
 		s.dirty = true
@@ -75,6 +76,38 @@
 			s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+c.name, nil)
 		}
 	}
+	return counted
+}
+
+// silentLoss is the loss of a worker that was silent for longer than its leases and left the registry: it may have crashed.
+type silentLoss struct {
+	// startedAtMs is the start of the incarnation that was lost.
+	startedAtMs int64
+	// counted are the members whose crash was counted.
+	counted []*member
+}
+
+// withdrawCrashes takes back the crashes that were counted when a worker was silent, once its incarnation of before answers.
+func (s *session) withdrawCrashes(ws *workerState, startedAtMs int64) {
+	loss, known := s.silentLosses[ws.id]
+	if !known {
+		return
+	}
+	delete(s.silentLosses, ws.id)
+	if loss.startedAtMs != startedAtMs || startedAtMs == 0 {
+		return
+	}
+	for _, m := range loss.counted {
+		u := m.run.unit
+		if m.index < len(u.crashes) && u.crashes[m.index] > 0 {
+			u.crashes[m.index]--
+		}
+		if !slices.ContainsFunc(u.crashes, func(crashes uint32) bool { return crashes > 0 }) {
+			u.crashes, u.suspect = nil, false
+		}
+		s.dirty = true
+		s.Events.Log(events.CrashWithdrawn, "worker", ws.id, "task", m.name, "run", m.run.number)
+	}
 }
 
 // addCrash counts the crash of a member's worker and returns the number of such crashes.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -151,6 +151,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*workerState
+	// silentLosses are the lost workers that may still answer, by their id.
+	silentLosses map[string]silentLoss
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -188,7 +190,7 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		orders: orderQueues{limit: orderLimit(deps.Options.CPU)},
 		inbox:  inbox{wake: make(chan struct{}, 1)},
-		jobs:   map[string]*job{}, workers: map[string]*workerState{}, queueStats: map[string]*queueStats{},
+		jobs:   map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{}, queueStats: map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -87,6 +87,7 @@
 		}
 		ws.startedAtMs = report.StartedAtMs
 	}
+	s.withdrawCrashes(ws, report.StartedAtMs)
 	s.recordReply(ws, report.Reply)
 	ws.unresponsive, ws.confirmed, ws.lostPolls = false, true, 0
 	ws.lastAcked = max(ws.lastAcked, poll.Acknowledged)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -301,7 +301,9 @@
 			lost = s.lostMembers(ws, mayHaveStarted)
 		}
 		s.expireMembers(ws)
-		s.countCrash(ws, lost)
+		if counted := s.countCrash(ws, lost); len(counted) > 0 {
+			s.silentLosses[ws.id] = silentLoss{startedAtMs: ws.startedAtMs, counted: counted}
+		}
 	}
 	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
 		(ws.replaced || ws.lastAcked >= ws.lastStored) {
