Don't count what a new owner has not observed as no demand

Two more places: the demand of urgent jobs started at 0 and took 15 s to follow, so that a new owner kept too few workers for them (test: 31 cores after a second at 100); and a speed sample of a task without an estimate at the time of the report before made the speed no number for good. Looked at and right: speeds (1 if unknown), attempts and crashes (in the run records); health starts anew with each owner, listed as open.

--- a/internal/learned/demand.go
+++ b/internal/learned/demand.go
@@ -16,11 +16,15 @@
 // value is no demand.
 type Demand struct {
 	mean, meanSquare float64
+	// observed is the time that was observed so far.
+	observed time.Duration
 }
 
-// Observe adds the observation that the demand was the given number of cores for the time span.
+// Observe adds the observation that the demand was the given number of cores for the time span. Until demandTimeConstant has been
+// observed, all observations have the same weight: what is not known yet is no demand of 0.
 func (d *Demand) Observe(cores float64, span time.Duration) {
-	weight := -math.Expm1(-float64(span) / float64(demandTimeConstant))
+	d.observed += span
+	weight := max(-math.Expm1(-float64(span)/float64(demandTimeConstant)), float64(span)/float64(d.observed))
 	d.mean += weight * (cores - d.mean)
 	d.meanSquare += weight * (cores*cores - d.meanSquare)
 }
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -62,3 +62,23 @@
 		t.Errorf("the upper estimate is %v an hour after the last urgent job, want at most 1", estimate)
 	}
 }
+
+// Guards against a new owner that keeps no workers for urgent jobs, because what it has not observed counts as no demand.
+func TestDemandOfFirstObservations(t *testing.T) {
+	var demand learned.Demand
+	for range 10 {
+		demand.Observe(100, 100*time.Millisecond)
+	}
+	if estimate := demand.UpperEstimate(); estimate < 95 || estimate > 105 {
+		t.Errorf("the upper estimate is %v after a second at 100 cores, want 95 to 105", estimate)
+	}
+}
+
+// Guards against a speed that is no number for good after two reports at the same time about a task without an estimate.
+func TestSpeedIgnoresEmptySamples(t *testing.T) {
+	var speed learned.Speed
+	speed.AddSample(0.5, 0, 0)
+	if speed.Value() != 1 || speed.Samples() != 0 {
+		t.Errorf("the speed is %v of %d samples, want 1 of none", speed.Value(), speed.Samples())
+	}
+}
--- a/internal/learned/speed.go
+++ b/internal/learned/speed.go
@@ -38,6 +38,9 @@
 
 // AddSample adds the observation that a share (0 to 1) of a task with the given estimate took the time elapsed.
 func (s *Speed) AddSample(share float64, estimate, elapsed time.Duration) {
+	if share <= 0 || estimate <= 0 || elapsed <= 0 {
+		return
+	}
 	sample := share * float64(estimate) / float64(elapsed)
 	s.samples++
 	weight := max(minSampleWeight, 1/float64(s.samples))
