Receive signals from the initialisation of the program on

SIGTERM was asked for after the settings had been read, and SIGHUP, which ends a process that doesn't ask for it, later still.

--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -5,13 +5,12 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/node"
+	"github.com/dotterelgauge/dotterelgauge/internal/signals"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 	"github.com/dotterelgauge/dotterelgauge/platform"
@@ -32,7 +31,7 @@
 	writer := events.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTimeout)
 	logger := events.New(writer, settings.Name)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signals.UntilTerminated(context.Background())
 	defer stop()
 	go checkOnHangup(ctx, path, logger)
 	store := platform.NewStore(settings.StoreAddress)
@@ -59,14 +58,11 @@
 // checkOnHangup checks the settings file at each SIGHUP and logs the result. A running process keeps its settings; a changed
 // file takes effect at the next start.
 func checkOnHangup(ctx context.Context, path string, logger *events.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-signals.Hangups():
 			_, _, err := loadSettings()
 			logger.Log(events.SettingsChecked, "path", path, "error", err)
 		}
