--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -35,18 +35,20 @@
 // preempt runs that have not even started.
 func (q *orderQueues) maxStartBacklog() int { return 2 * maxCopies * q.limit }
 
+// sendFunc sends an order and waits for the answer until its context ends.
+type sendFunc func(context.Context, worker.Target) (worker.Reply, error)
+
 // order is a message to a worker that waits for its turn or is in flight.
 type order struct {
 	worker *workerState
-	// send sends the order and waits for the answer until its context ends.
-	send func(context.Context, worker.Target) (worker.Reply, error)
+	send   sendFunc
 	// onReply handles the answer in the loop, given how often the order was sent.
 	onReply func(err error, copies int)
 	// shouldSend, if set, is called when it is the order's turn; the order is dropped if it returns false.
 	shouldSend func() bool
 }
 
-// orderLane is a queue of orders that wait for their turn, with a limit of those in flight.
+// orderLane is a queue of orders that wait for their turn, and the number of those in flight.
 type orderLane struct {
 	starts, others []order
 	inFlight       int
@@ -61,7 +63,7 @@
 }
 
 // enqueue queues an order, which is sent in the background; onReply handles the answer in the loop.
-func (s *session) enqueue(ws *workerState, send func(context.Context, worker.Target) (worker.Reply, error), onReply func(err error, copies int)) {
+func (s *session) enqueue(ws *workerState, send sendFunc, onReply func(err error, copies int)) {
 	s.orders.prompt.others = append(s.orders.prompt.others, order{worker: ws, send: send, onReply: onReply})
 	s.sendOrders()
 }
@@ -112,6 +114,9 @@
 		s.recordReply(ws, reply)
 	case reason == 0:
 		s.recordLostCall(ws)
+		if s.overloaded() {
+			return
+		}
 		if ws.ignored++; ws.ignored < maxIgnored || ws.ignoresOrders(s.now) {
 			return
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -194,7 +194,7 @@
 	if m.phase != starting {
 		return
 	}
-	m.mayBeDelayed = m.mayBeDelayed || err != nil && copies > 1
+	m.mayBeDelayed = m.mayBeDelayed || (err != nil && copies > 1)
 	switch reason := refusalOf(err); {
 	case err == nil:
 		m.phase, m.confirmedAt = running, s.now
