Start nothing in a data centre that is to be evacuated

Cause: the operator's record that asks to evacuate a data centre was not read.

An owner whose configuration may be older than the bound starts nothing.

This is the part of the evacuation that keeps the rule.

--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -47,8 +47,8 @@
 		Advisor: advisor, Machines: machines, UpkeepStatus: store.Status(), EncodeWaveStatus: platform.EncodeWaveStatus,
 		Jobs: store.Jobs(), Operator: store.Operator(), Registry: store.Workers(),
 		Workers: platform.NewWorkers(), DecodeWorker: platform.DecodeWorker,
-		NewOperatorReader: func(holder *config.Holder, waves *config.Waves) storelog.Reader {
-			return &platform.OperatorReader{Holder: holder, Waves: waves, Events: logger}
+		NewOperatorReader: func(holder *config.Holder, waves *config.Waves, evacuations *config.Evacuations) storelog.Reader {
+			return &platform.OperatorReader{Holder: holder, Waves: waves, Evacuations: evacuations, Events: logger}
 		},
 		CallerHandler:    platform.CallerHandler,
 		ReadinessHandler: func(ready func() bool) http.Handler { return platform.ReadinessHandler(ready) },
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,6 +55,8 @@
 	// TakeoverDelay is how long a new owner waits before it orders the upkeep of machines: the orders of two owners for
 	// one machine must be that far apart.
 	TakeoverDelay time.Duration
+	// EvacuateTime is the maximum time until nothing starts in a data centre that is to be evacuated; 0 if that isn't asked for.
+	EvacuateTime time.Duration
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
 	// StopDuration is the longest time that a worker takes to stop a task.
@@ -79,6 +81,9 @@
 	// Machines is nil if the platform has no machine service.
 	Machines worker.Machines
 	Waves    *config.Waves
+	// Evacuations are the data centres in which nothing may start. ConfigAge returns the time for which they may be obsolete.
+	Evacuations *config.Evacuations
+	ConfigAge   func() time.Duration
 	// UpkeepStatus is the partition in which the operator reads the states of waves of upkeep; EncodeWaveStatus returns the
 	// record of a state.
 	UpkeepStatus     storelog.Partition
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -174,6 +174,14 @@
 	if m.phase != starting {
 		return false
 	}
+	if mayStart := s.mayStartIn(m.worker.entry.DataCentre); !mayStart && m.unansweredStarts > 0 {
+		// An order without an answer may still take effect.
+		s.stopRun(m.run.unit, "its data centre is evacuated")
+		return false
+	} else if !mayStart {
+		s.finishMember(m, worker.Stopped)
+		return false
+	}
 	if m.unansweredStarts == 0 && (m.run.stopReason != "" || m.worker.unresponsive || m.worker.ignoresOrders(s.now) ||
 		m.worker.overcommitted()) {
 		s.finishMember(m, worker.Stopped)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -178,7 +178,16 @@
 // healthy reports whether tasks may start on a worker.
 func (s *session) healthy(ws *workerState) bool {
 	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && ws.lostPolls == 0 &&
-		!ws.ignoresOrders(s.now) && !ws.health.Quarantined(s.now)
+		!ws.ignoresOrders(s.now) && !ws.health.Quarantined(s.now) && s.mayStartIn(ws.entry.DataCentre)
+}
+
+// mayStartIn reports whether tasks may start in a data centre: unless it is to be evacuated, or that may have been requested for as
+// long as it may take to apply.
+func (s *session) mayStartIn(dataCentre string) bool {
+	if s.Evacuations.Requested(dataCentre) {
+		return false
+	}
+	return s.Options.EvacuateTime == 0 || s.ConfigAge() < s.Options.EvacuateTime-orderTimeout
 }
 
 // usable reports whether a worker gets new tasks: one on trial gets one at a time, and one with a run on probation none.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -69,6 +69,7 @@
 	StepWaiting         = Event{421, log.InfoLevel, "step waiting", "read the reason in the line if jobs of its queue are late"}
 	WorkerCrashed       = Event{423, log.WarnLevel, "worker crashed under a task",
 		"check the program of the job if its task crashes several workers; the job is given up then"}
+	EvacuationChanged   = Event{427, log.InfoLevel, "evacuation of a data centre requested or ended", actionNone}
 	CrashWithdrawn      = Event{426, log.InfoLevel, "crash withdrawn", "nothing; the worker was only silent"}
 	WorkerIgnoresOrders = Event{425, log.WarnLevel, "worker ignores orders", actionWorker}
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
@@ -93,7 +94,7 @@
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
-		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed, WorkerIgnoresOrders, CrashWithdrawn,
+		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed, WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -118,6 +118,7 @@
 	}
 	for i := range count {
 		w.add(fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/4))
+		w.byID[fmt.Sprintf("w%02d", i)].entry.DataCentre = fmt.Sprintf("z%d", i%2)
 	}
 	return w
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -121,9 +121,17 @@
 }
 
 // operatorReader puts testConfig into force.
-type operatorReader struct{ holder *config.Holder }
+type operatorReader struct {
+	holder      *config.Holder
+	evacuations *config.Evacuations
+}
 
-func (r operatorReader) Apply([]storelog.Record) {}
+// Apply takes each key as the data centre to evacuate while the record has a value.
+func (r operatorReader) Apply(records []storelog.Record) {
+	for _, record := range records {
+		r.evacuations.Set(record.Key, len(record.Value) > 0)
+	}
+}
 
 func (r operatorReader) Ready() { r.holder.Set(testConfig()) }
 
@@ -169,12 +177,12 @@
 		EncodeWaveStatus: func(number int64, state replica.WaveState) storelog.Record {
 			return storelog.Record{Key: fmt.Sprint(number), Value: []byte{byte(state)}}
 		},
-		NewOperatorReader: func(holder *config.Holder, waves *config.Waves) storelog.Reader {
+		NewOperatorReader: func(holder *config.Holder, waves *config.Waves, evacuations *config.Evacuations) storelog.Reader {
 			for _, wave := range c.waves {
 				wave.FirstSeen = time.Now()
 				waves.Set(wave)
 			}
-			return operatorReader{holder}
+			return operatorReader{holder, evacuations}
 		},
 	}, events.Discard(), c.options()...)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,8 +78,8 @@
 	EncodeWaveStatus func(number int64, state replica.WaveState) storelog.Record
 	// DecodeWorker decodes a worker's registry entry; false if the entry is invalid or the worker can't be used.
 	DecodeWorker func(storelog.Record) (worker.RegistryEntry, bool)
-	// NewOperatorReader returns a reader of Operator that fills the holder and the waves.
-	NewOperatorReader func(*config.Holder, *config.Waves) storelog.Reader
+	// NewOperatorReader returns a reader of Operator that fills the holder, the waves and the evacuations.
+	NewOperatorReader func(*config.Holder, *config.Waves, *config.Evacuations) storelog.Reader
 	// CallerHandler returns the handler of the platform's interface for callers.
 	CallerHandler func(*gateway.Gateway) http.Handler
 	// ReadinessHandler returns the handler of the load balancer's readiness check.
@@ -122,23 +122,23 @@
 		apply(n)
 	}
 	n.configs = config.NewHolder(logger)
-	waves := config.NewWaves()
+	waves, evacuations := config.NewWaves(), config.NewEvacuations()
 	n.replica = replica.New(logger)
 	n.jobs = storelog.NewFollower(platform.Jobs, n.replica, storelog.FollowOptions{
 		Name: "jobs", Wait: jobsReadWait, ReadInterval: n.jobsReadPause,
 	}, logger)
-	n.operator = storelog.NewFollower(platform.Operator, platform.NewOperatorReader(n.configs, waves), storelog.FollowOptions{
+	n.operator = storelog.NewFollower(platform.Operator, platform.NewOperatorReader(n.configs, waves, evacuations), storelog.FollowOptions{
 		Name: "configuration", Wait: time.Duration(configReadShare * float64(settings.ConfigApplyTime)),
 		LatestOnly: true,
 	}, logger)
 	n.appender = storelog.NewAppender(platform.Jobs, settings.Name+"-"+uuid.NewString(), 1, 0)
 	n.dispatcher = dispatch.New(dispatch.Dependencies{
 		Options: dispatch.Options{
-			Instance: settings.Name, CPU: settings.cpuMillicores(), TakeoverDelay: settings.TakeoverDelay,
+			Instance: settings.Name, EvacuateTime: settings.EvacuateTime, CPU: settings.cpuMillicores(), TakeoverDelay: settings.TakeoverDelay,
 			MaxLease: settings.MaxLease, StopDuration: settings.StopDuration, GangWait: settings.GangWait,
 			RestoreDuration: settings.RestoreDuration, CapacityGrace: settings.CapacityGrace, Retention: settings.Retention,
 		},
-		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves,
+		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves, Evacuations: evacuations, ConfigAge: n.configAge,
 		UpkeepStatus: platform.UpkeepStatus, EncodeWaveStatus: platform.EncodeWaveStatus, Configs: n.configs,
 		Replica: n.replica, Plan: n.plan, Stages: &n.stages,
 		Registry: platform.Registry, DecodeWorker: platform.DecodeWorker, Events: logger,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -30,6 +30,9 @@
 	GracePeriod time.Duration
 	// ConfigApplyTime is the maximum time until a new configuration must be in force.
 	ConfigApplyTime time.Duration
+	// EvacuateTime is the maximum time until nothing starts in a data centre that is to be evacuated; 0 if the operator can't ask
+	// for that.
+	EvacuateTime time.Duration
 	// MaxLease is the longest lease that a worker grants, and StopDuration the longest time that a worker
 	// takes to stop a task.
 	MaxLease, StopDuration time.Duration
