Measure the latency of the copy that was answered

By reading: an order whose first copy was lost counted with the time that it waited for the second, so that the delay before the second copy rose with each lost answer, up to its limit of 300 ms (with three calls in ten lost, within some tens of orders). Each copy is measured by itself now.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -14,6 +14,8 @@
 	err   error
 	// copies is how often the call was sent. If there are several, an unanswered copy may still take effect.
 	copies int
+	// took is the latency of the copy that was answered.
+	took time.Duration
 }
 
 // hedge sends an idempotent call again while it is not answered: first after delay, then after twice the time. It returns the first
@@ -23,8 +25,9 @@
 	defer cancel()
 	answers := make(chan answerOf[T], maxCopies)
 	sendCopy := func() {
+		sentAt := time.Now()
 		value, err := send(ctx)
-		answers <- answerOf[T]{value: value, err: err}
+		answers <- answerOf[T]{value: value, err: err, took: time.Since(sentAt)}
 	}
 	go sendCopy()
 	timer := time.NewTimer(delay)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -86,16 +86,15 @@
 		}
 		lane.inFlight++
 		next.worker.ordersInFlight++
-		delay, sentAt := s.hedgeDelay(), time.Now()
+		delay := s.hedgeDelay()
 		go func() {
 			ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 			defer cancel()
 			answer := hedge(ctx, delay, func(ctx context.Context) (worker.Reply, error) { return next.send(ctx, target) })
-			took := time.Since(sentAt)
 			s.post(func() {
 				lane.inFlight--
 				next.worker.ordersInFlight--
-				s.recordOrderReply(next.worker, answer.value, took, answer.err)
+				s.recordOrderReply(next.worker, answer.value, answer.took, answer.err)
 				next.onReply(answer.err, answer.copies)
 				s.dirty = true
 				s.sendOrders()
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -53,10 +53,9 @@
 		} else {
 			answer = hedge(ctx, delay, send)
 		}
-		took := time.Since(sentAt)
 		s.post(func() {
 			if answer.err == nil && poll.Wait == 0 {
-				s.latency.Observe(took)
+				s.latency.Observe(answer.took)
 			}
 			s.handleReport(ws, poll, sentAt, answer.value, answer.err)
 		})
