--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -195,7 +195,8 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		orders: orderQueues{limit: orderLimit(deps.Options.CPU)},
 		inbox:  inbox{wake: make(chan struct{}, 1)},
-		jobs:   map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{}, queueStats: map[string]*queueStats{},
+		jobs:   map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{},
+		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,18 +127,21 @@
 	n.jobs = storelog.NewFollower(platform.Jobs, n.replica, storelog.FollowOptions{
 		Name: "jobs", Wait: jobsReadWait, ReadInterval: n.jobsReadPause,
 	}, logger)
-	n.operator = storelog.NewFollower(platform.Operator, platform.NewOperatorReader(n.configs, waves, evacuations), storelog.FollowOptions{
+	operatorReader := platform.NewOperatorReader(n.configs, waves, evacuations)
+	n.operator = storelog.NewFollower(platform.Operator, operatorReader, storelog.FollowOptions{
 		Name: "configuration", Wait: time.Duration(configReadShare * float64(settings.ConfigApplyTime)),
 		LatestOnly: true,
 	}, logger)
 	n.appender = storelog.NewAppender(platform.Jobs, settings.Name+"-"+uuid.NewString(), 1, 0)
 	n.dispatcher = dispatch.New(dispatch.Dependencies{
 		Options: dispatch.Options{
-			Instance: settings.Name, EvacuateTime: settings.EvacuateTime, CPU: settings.cpuMillicores(), TakeoverDelay: settings.TakeoverDelay,
+			Instance: settings.Name, CPU: settings.cpuMillicores(),
+			TakeoverDelay: settings.TakeoverDelay, EvacuateTime: settings.EvacuateTime,
 			MaxLease: settings.MaxLease, StopDuration: settings.StopDuration, GangWait: settings.GangWait,
 			RestoreDuration: settings.RestoreDuration, CapacityGrace: settings.CapacityGrace, Retention: settings.Retention,
 		},
-		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves, Evacuations: evacuations, ConfigAge: n.configAge,
+		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves,
+		Evacuations: evacuations, ConfigAge: n.configAge,
 		UpkeepStatus: platform.UpkeepStatus, EncodeWaveStatus: platform.EncodeWaveStatus, Configs: n.configs,
 		Replica: n.replica, Plan: n.plan, Stages: &n.stages,
 		Registry: platform.Registry, DecodeWorker: platform.DecodeWorker, Events: logger,
