Spare additional polls where they would overload the owner

Hypothesis, by reading: with thousands of workers the owner is busy enough that polls are answered late; each then counted as lost, was repeated at once and made the next ones wait for 0.5 s in place of 2 s, and first polls were sent twice, which made all of them later. Change: polls are sent twice, repeated at once or shortened only while the owner keeps its ticks and has at most 1,000 workers a core.

--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,14 +15,15 @@
 func TestHedgeMeasuresTheAnsweredCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const latency, delay = 8 * time.Millisecond, 80 * time.Millisecond
-		calls := 0
-		answer := hedge(context.Background(), delay, func(ctx context.Context) (int, error) {
-			if calls++; calls == 1 {
+		var calls atomic.Int64
+		answer := hedge(context.Background(), delay, func(ctx context.Context) (int64, error) {
+			call := calls.Add(1)
+			if call == 1 {
 				<-ctx.Done()
 				return 0, worker.ErrNoAnswer
 			}
 			time.Sleep(latency)
-			return calls, nil
+			return call, nil
 		})
 		if answer.err != nil || answer.value != 2 || answer.copies != 2 || answer.took != latency {
 			t.Errorf("the answer is %+v, want that of the second copy after %v", answer, latency)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -29,7 +29,7 @@
 	}
 	if ws.confirmed && !ws.unresponsive && ws.lostPolls == 0 && ws.pendingStores == 0 && ws.clockMs > 0 {
 		poll.Wait = pollWait
-		if s.now.Sub(ws.lostAt) < lossyDuration {
+		if s.now.Sub(ws.lostAt) < lossyDuration && s.canSparePolls() {
 			poll.Wait = lossyPollWait
 		}
 	}
@@ -42,19 +42,19 @@
 	}
 	ws.polling = true
 	target, sentAt := worker.Target{ID: ws.id, Address: ws.entry.Address}, s.now
-	delay := s.hedgeDelay()
+	delay, hedged := s.hedgeDelay(), poll.Wait == 0 && s.canSparePolls()
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, poll.Wait+pollTimeoutMargin)
 		defer cancel()
 		send := func(ctx context.Context) (worker.Report, error) { return s.Client.Poll(ctx, target, poll) }
 		var answer answerOf[worker.Report]
-		if poll.Wait > 0 {
-			answer.value, answer.err = send(ctx)
-		} else {
+		if hedged {
 			answer = hedge(ctx, delay, send)
+		} else {
+			answer.value, answer.err = send(ctx)
 		}
 		s.post(func() {
-			if answer.err == nil && poll.Wait == 0 {
+			if answer.err == nil && hedged {
 				s.latency.Observe(answer.took)
 			}
 			s.handleReport(ws, poll, sentAt, answer.value, answer.err)
@@ -105,11 +105,11 @@
 		slices.ContainsFunc(report.Finished, func(f worker.FinishedTask) bool { return f.Task == m.name && f.Run == m.run.number })
 }
 
-// handleLostPoll handles a poll without an answer: it is repeated at once, and a worker that answers none of
-// several counts as unresponsive.
+// handleLostPoll handles a poll without an answer: it is repeated at once if this instance can spare that, and
+// otherwise, or if several were lost, the worker counts as unresponsive.
 func (s *session) handleLostPoll(ws *workerState) {
 	s.recordLostCall(ws)
-	if ws.lostPolls++; ws.lostPolls < maxLostPolls {
+	if ws.lostPolls++; ws.lostPolls < maxLostPolls && s.canSparePolls() {
 		s.pollSoon(ws)
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -213,6 +213,20 @@
 	return !free.Contains(assign.Resources{})
 }
 
+// maxSpareWorkers is the number of workers for each core of the owner up to which it can spare additional polls: more would take the
+// processor from the orders and make every answer late.
+const maxSpareWorkers = 1000
+
+// canSparePolls reports whether this instance can poll more often than without lost calls.
+func (s *session) canSparePolls() bool {
+	const millicores = 1000
+	cpu := s.Options.CPU
+	if cpu == 0 {
+		cpu = millicores
+	}
+	return !s.overloaded() && len(s.workers) <= maxSpareWorkers*int(cpu)/millicores
+}
+
 // hedgeDelay returns after what time a call that is answered at once is sent again.
 func (s *session) hedgeDelay() time.Duration { return s.latency.Timeout(minHedgeDelay, maxHedgeDelay) }
 
