--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -193,9 +193,8 @@
 func newSession(ctx context.Context, deps Dependencies, term leadership.Term) *session {
 	return &session{
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
-		orders: orderQueues{limit: orderLimit(deps.Options.CPU)},
-		inbox:  inbox{wake: make(chan struct{}, 1)},
-		jobs:   map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{},
+		inbox: inbox{wake: make(chan struct{}, 1)},
+		jobs:  map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
@@ -225,7 +224,7 @@
 		case <-s.planTimer.C:
 			s.advanceTime()
 		}
-		if s.dirty && !s.confirming && s.hasSettled() && len(s.orders.prompt.starts) < s.orders.maxStartBacklog() {
+		if s.dirty && !s.confirming && s.hasSettled() && len(s.orders.prompt.starts) < s.maxStartBacklog() {
 			s.planUnlessPaused()
 		}
 	}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -18,6 +18,16 @@
 	took time.Duration
 }
 
+// call sends a call once or, if hedged, a second time after delay; see hedge.
+func call[T any](ctx context.Context, hedged bool, delay time.Duration, send func(context.Context) (T, error)) answerOf[T] {
+	if hedged {
+		return hedge(ctx, delay, send)
+	}
+	sentAt := time.Now()
+	value, err := send(ctx)
+	return answerOf[T]{value: value, err: err, copies: 1, took: time.Since(sentAt)}
+}
+
 // hedge sends an idempotent call again while it is not answered: first after delay, then after twice the time. It returns the first
 // answer, a refusal included, or the last error once all copies have failed.
 func hedge[T any](ctx context.Context, delay time.Duration, send func(context.Context) (T, error)) answerOf[T] {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -25,15 +25,19 @@
 	maxIgnoredPause   = 8 * time.Second
 )
 
-// orderLimit returns the limit of the orders in flight in each lane on an instance with the given processor in millicores.
-func orderLimit(cpu uint32) int {
+// orderLimit returns the limit of the orders in flight in each lane. An order that may be sent twice counts as two calls.
+func (s *session) orderLimit() int {
 	const millicores = 1000
-	return min(max(int(cpu)*callsPerCore/millicores, minCalls), maxCalls) / maxCopies
+	calls := min(max(int(s.Options.CPU)*callsPerCore/millicores, minCalls), maxCalls)
+	if s.canSpareCalls() {
+		return calls / maxCopies
+	}
+	return calls
 }
 
 // maxStartBacklog returns the number of queued starts at which no new plan is made: a plan that runs ahead of the orders would
 // preempt runs that have not even started.
-func (q *orderQueues) maxStartBacklog() int { return 2 * maxCopies * q.limit }
+func (s *session) maxStartBacklog() int { return 2 * maxCopies * s.orderLimit() }
 
 // sendFunc sends an order and waits for the answer until its context ends.
 type sendFunc func(context.Context, worker.Target) (worker.Reply, error)
@@ -79,6 +83,7 @@
 	if s.confirming {
 		return
 	}
+	s.orders.limit = s.orderLimit()
 	for next, lane, ok := s.orders.next(); ok; next, lane, ok = s.orders.next() {
 		target := worker.Target{ID: next.worker.id, Address: next.worker.entry.Address}
 		if target.Address == "" || (next.shouldSend != nil && !next.shouldSend()) {
@@ -86,11 +91,11 @@
 		}
 		lane.inFlight++
 		next.worker.ordersInFlight++
-		delay := s.hedgeDelay()
+		delay, hedged := s.hedgeDelay(), s.canSpareCalls()
 		go func() {
 			ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 			defer cancel()
-			answer := hedge(ctx, delay, func(ctx context.Context) (worker.Reply, error) { return next.send(ctx, target) })
+			answer := call(ctx, hedged, delay, func(ctx context.Context) (worker.Reply, error) { return next.send(ctx, target) })
 			s.post(func() {
 				lane.inFlight--
 				next.worker.ordersInFlight--
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -29,7 +29,7 @@
 	}
 	if ws.confirmed && !ws.unresponsive && ws.lostPolls == 0 && ws.pendingStores == 0 && ws.clockMs > 0 {
 		poll.Wait = pollWait
-		if s.now.Sub(ws.lostAt) < lossyDuration && s.canSparePolls() {
+		if s.now.Sub(ws.lostAt) < lossyDuration && s.canSpareCalls() {
 			poll.Wait = lossyPollWait
 		}
 	}
@@ -42,19 +42,13 @@
 	}
 	ws.polling = true
 	target, sentAt := worker.Target{ID: ws.id, Address: ws.entry.Address}, s.now
-	delay, hedged := s.hedgeDelay(), poll.Wait == 0 && s.canSparePolls()
+	delay, hedged := s.hedgeDelay(), poll.Wait == 0 && s.canSpareCalls()
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, poll.Wait+pollTimeoutMargin)
 		defer cancel()
-		send := func(ctx context.Context) (worker.Report, error) { return s.Client.Poll(ctx, target, poll) }
-		var answer answerOf[worker.Report]
-		if hedged {
-			answer = hedge(ctx, delay, send)
-		} else {
-			answer.value, answer.err = send(ctx)
-		}
+		answer := call(ctx, hedged, delay, func(ctx context.Context) (worker.Report, error) { return s.Client.Poll(ctx, target, poll) })
 		s.post(func() {
-			if answer.err == nil && hedged {
+			if answer.err == nil && poll.Wait == 0 {
 				s.latency.Observe(answer.took)
 			}
 			s.handleReport(ws, poll, sentAt, answer.value, answer.err)
@@ -109,7 +103,7 @@
 // otherwise, or if several were lost, the worker counts as unresponsive.
 func (s *session) handleLostPoll(ws *workerState) {
 	s.recordLostCall(ws)
-	if ws.lostPolls++; ws.lostPolls < maxLostPolls && s.canSparePolls() {
+	if ws.lostPolls++; ws.lostPolls < maxLostPolls && s.canSpareCalls() {
 		s.pollSoon(ws)
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -213,12 +213,12 @@
 	return !free.Contains(assign.Resources{})
 }
 
-// maxSpareWorkers is the number of workers for each core of the owner up to which it can spare additional polls: more would take the
-// processor from the orders and make every answer late.
+// maxSpareWorkers is the number of workers for each core of the owner up to which it can spare additional calls: more would take the
+// processor from the others and make every answer late.
 const maxSpareWorkers = 1000
 
-// canSparePolls reports whether this instance can poll more often than without lost calls.
-func (s *session) canSparePolls() bool {
+// canSpareCalls reports whether this instance can send calls twice, and poll more often while calls are lost.
+func (s *session) canSpareCalls() bool {
 	const millicores = 1000
 	cpu := s.Options.CPU
 	if cpu == 0 {
