--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -94,7 +94,8 @@
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
-		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed, WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged,
+		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
+		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
--- a/internal/replica/fuzz_test.go
+++ b/internal/replica/fuzz_test.go
@@ -21,7 +21,9 @@
 		if err != nil {
 			f.Fatal(err)
 		}
-		for _, key := range []string{"j/" + job, "r/" + job + ".0.0.0", "r/" + job + ".-1.0.0", "o/" + job, "c/" + job, "owner", "u/1", "speeds", ""} {
+		for _, key := range []string{
+			"j/" + job, "r/" + job + ".0.0.0", "r/" + job + ".-1.0.0", "o/" + job, "c/" + job, "owner", "u/1", "speeds", "",
+		} {
 			f.Add(key, value)
 		}
 	}
