--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -28,7 +28,7 @@
 	return answerOf[T]{value: value, err: err, copies: 1, took: time.Since(sentAt)}
 }
 
-// hedge sends an idempotent call again while it is not answered: first after delay, then after twice the time. It returns the first
+// hedge sends an idempotent call a second time if it is not answered after delay. It returns the first
 // answer, a refusal included, or the last error once all copies have failed.
 func hedge[T any](ctx context.Context, delay time.Duration, send func(context.Context) (T, error)) answerOf[T] {
 	ctx, cancel := context.WithCancel(ctx)
