--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/rig"
-GOWORK=off GOFLAGS=-mod=mod go build -o ../bin/rig .
+GOWORK=off GOFLAGS=-mod=mod go build -buildvcs=false -o ../bin/rig .
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -283,7 +283,10 @@
 		cloudAddress = address
 	}
 	configuration, _ := json.Marshal(map[string]any{
-		"Version": 7, "Routes": []any{route},
+		"Version": 7, "Routes": []any{route, map[string]any{
+			"Name": "queue-2", "Host": host, "PathPrefix": "/public/", "Kind": "unsafe", "TimeoutMs": 3000, "TargetDurationMs": 1000,
+			"Priority": 2, "Service": service, "MaxAttempts": 3, "StretchFactor": 3.0, "Public": true,
+		}},
 		"Services": []any{map[string]any{
 			"Name": service, "HealthPath": "/healthz", "MaxConns": 64, "Protocol": "h1", "Tls": false, "AdmissionControl": false,
 		}},
