--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -83,7 +83,7 @@
 	process              *exec.Cmd
 	// exited is closed when the process has ended.
 	exited chan struct{}
-	// refused is true while the store turns the instance away (503).
+	// refused is true while the store turns the instance away (429).
 	refused atomic.Bool
 }
 
@@ -377,7 +377,7 @@
 	go func() {
 		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 			if i.refused.Load() {
-				writeJSON(w, http.StatusServiceUnavailable, nil)
+				writeJSON(w, http.StatusTooManyRequests, nil)
 				return
 			}
 			handler.ServeHTTP(w, request)
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -32,12 +32,12 @@
 }
 
 type end struct {
-	n      int
-	task   string
-	run    int
-	how    string
-	at     time.Time
-	leased bool
+	n    int
+	task string
+	run  int
+	how  string
+	// leaseMs is the end of the lease when the run ended.
+	leaseMs int64
 }
 
 // worker is a worker of the platform. Its mutable state is that of its present life.
@@ -235,7 +235,9 @@
 			continue
 		}
 		w.rig.logRun(each.task, "worker %s: forgets end %d (%s/%d %s): LastSeen is %d", w.id, each.n, each.task, each.run, each.how, lastSeen)
-		w.rig.noted(each)
+		if w.clock() < each.leaseMs { // otherwise the lease may have lapsed between the two
+			w.rig.noted(each)
+		}
 	}
 	w.ends = kept
 }
@@ -282,7 +284,7 @@
 	delete(w.running, each.task)
 	w.lastN++
 	w.ended[each.task] = max(w.ended[each.task], each.number)
-	ended := end{n: w.lastN, task: each.task, run: each.number, how: how, at: time.Now(), leased: w.clock() < w.leaseMs}
+	ended := end{n: w.lastN, task: each.task, run: each.number, how: how, leaseMs: w.leaseMs}
 	w.ends = append(w.ends, ended)
 	w.rig.logRun(each.task, "worker %s: end %d: %s/%d %s", w.id, ended.n, ended.task, ended.run, how)
 	w.rig.endedRun(w, each, how)
