Record orders of upkeep before they are sent

Cause: an order of upkeep needed nothing from the store. The platform keeps fences for each machine, so the former owner is refused only for machines that its successor has ordered.

Fix: the order is recorded first, as a run is before it starts. A successor counts machines with a recorded order as down, keeps tasks away from them and orders them itself before others, so that an order which takes effect late is refused or already counted.

Ruled out: a recent renewal as the condition. An order may take effect after its sender stopped.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
@@ -21,6 +24,8 @@
 	// expectedUpkeepDuration is about how long a machine is away, its evacuation included; it shows when a wave runs short
 	// of time.
 	expectedUpkeepDuration = 5 * time.Second
+	// upkeepRetryDelay is the delay before an upkeep order that failed is sent again.
+	upkeepRetryDelay = 300 * time.Millisecond
 )
 
 // upkeep is what the owner knows about machines and waves.
@@ -37,12 +42,21 @@
 	config.Wave
 	// startedAt is when the upkeep of each machine started; it is zero for those that an earlier owner started.
 	startedAt map[string]time.Time
-	// chosen are the machines that are being evacuated; ordered are those whose upkeep order is in flight.
-	chosen, ordered map[string]bool
+	// chosen are the machines that are being evacuated or whose upkeep is ordered.
+	chosen map[string]*chosenMachine
 	// reported is the state that was last reported to the operator.
 	reported replica.WaveState
 }
 
+// chosenMachine is a machine of a wave until its upkeep has started.
+type chosenMachine struct {
+	// ordered is true once the wave's record has the order, or is to have it: the upkeep may start at any time.
+	ordered bool
+	// inFlight is true while the order is being recorded or sent; it isn't sent again before nextOrderAt.
+	inFlight    bool
+	nextOrderAt time.Time
+}
+
 // advanceWaves advances all waves of upkeep.
 func (s *session) advanceWaves() {
 	if s.Machines == nil || s.confirming {
@@ -61,12 +75,17 @@
 	}
 }
 
-// waveOf returns the state of a wave; the machines that an earlier owner started come from the store.
+// waveOf returns the state of a wave; its progress under earlier owners comes from the store. An order that an earlier owner sent may
+// still take effect, so its machine is chosen again.
 func (s *session) waveOf(configured config.Wave) *wave {
 	w, known := s.upkeep.waves[configured.Number]
 	if !known {
-		w = &wave{startedAt: map[string]time.Time{}, chosen: map[string]bool{}, ordered: map[string]bool{}}
-		for _, machine := range s.Replica.UpkeepStarted(configured.Number) {
+		w = &wave{startedAt: map[string]time.Time{}, chosen: map[string]*chosenMachine{}}
+		progress := s.Replica.Upkeep(configured.Number)
+		for _, machine := range progress.GetOrdered() {
+			w.chosen[machine] = &chosenMachine{ordered: true}
+		}
+		for _, machine := range progress.GetBegun() {
 			w.startedAt[machine] = time.Time{}
 		}
 		s.upkeep.waves[configured.Number] = w
@@ -110,22 +129,37 @@
 	}
 	slots := w.MaxDown - s.downCount(w) - len(w.chosen)
 	for _, machine := range waiting[:max(0, min(slots, len(waiting)))] {
-		w.chosen[machine] = true
+		w.chosen[machine] = &chosenMachine{}
 	}
 	shortOfTime := s.now.Add(time.Duration((len(waiting)+w.MaxDown)/max(1, w.MaxDown)) * expectedUpkeepDuration).
 		After(w.FirstSeen.Add(w.Duration))
 	for machine := range w.chosen {
-		ws := s.workerOn(machine)
-		if ws != nil {
+		if ws := s.workerOn(machine); ws != nil {
 			ws.reserved = true
 			s.evacuate(ws, shortOfTime)
 		}
-		if (ws == nil || len(ws.members) == 0) && !w.ordered[machine] && s.now.Sub(s.term.ClaimedAt) > s.Options.TakeoverDelay {
+		if s.mayOrderUpkeep(w, machine) {
 			s.orderUpkeep(w, machine)
 		}
 	}
 }
 
+// mayOrderUpkeep reports whether the upkeep of a chosen machine may be ordered now.
+func (s *session) mayOrderUpkeep(w *wave, machine string) bool {
+	if state, listed := s.upkeep.machines[machine]; listed && !state.Up {
+		return false
+	}
+	chosen := w.chosen[machine]
+	return !chosen.inFlight && !s.now.Before(chosen.nextOrderAt) && s.isEvacuated(machine) &&
+		s.now.Sub(s.term.ClaimedAt) > s.Options.TakeoverDelay
+}
+
+// isEvacuated reports whether nothing may be running on a machine.
+func (s *session) isEvacuated(machine string) bool {
+	ws := s.workerOn(machine)
+	return ws == nil || len(ws.members) == 0
+}
+
 // waitingMachines returns the listed machines of a wave that are neither chosen nor started, those with the least work to
 // lose first.
 func (s *session) waitingMachines(w *wave) []string {
@@ -133,7 +167,7 @@
 	loss := map[string]float64{}
 	for _, id := range w.Machines {
 		machine, listed := s.upkeep.machines[id]
-		if _, started := w.startedAt[id]; started || w.chosen[id] || !listed {
+		if _, started := w.startedAt[id]; started || w.chosen[id] != nil || !listed {
 			continue
 		}
 		machines = append(machines, id)
@@ -184,9 +218,22 @@
 	}
 }
 
-// orderUpkeep orders the upkeep of an evacuated machine.
+// orderUpkeep records that the upkeep of an evacuated machine is ordered, and sends the order once that is stored. So an owner that the
+// store refuses orders nothing beside its successor, and the successor knows every machine for which an order may still take effect.
 func (s *session) orderUpkeep(w *wave, machine string) {
-	w.ordered[machine] = true
+	chosen := w.chosen[machine]
+	chosen.ordered, chosen.inFlight = true, true
+	s.recordWave(w, func() {
+		if s.confirming || !s.isEvacuated(machine) {
+			chosen.inFlight = false
+			return
+		}
+		s.sendUpkeepOrder(w, machine)
+	})
+}
+
+// sendUpkeepOrder sends a recorded order.
+func (s *session) sendUpkeepOrder(w *wave, machine string) {
 	order := worker.UpkeepOrder{Machine: machine, Wave: w.Number, Holder: s.Options.Instance, Fence: s.term.Epoch}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, machineCallTimeout)
@@ -198,13 +245,14 @@
 
 // handleUpkeepReply records that the upkeep of a machine has started; a failed order is sent again at a later tick.
 func (s *session) handleUpkeepReply(w *wave, machine string, err error) {
-	delete(w.ordered, machine)
-	s.Events.Log(events.UpkeepOrdered, "wave", w.Number, "machine", machine, "error", err)
+	s.Events.Log(events.UpkeepOrdered, "wave", w.Number, "machine", machine, "fence", s.term.Epoch, "error", err)
 	switch {
 	case errors.Is(err, worker.ErrMachineFenced):
 		s.term.StepDown("a higher fencing token was used for machine " + machine)
 		return
 	case err != nil && !errors.Is(err, worker.ErrNoMachine):
+		chosen := w.chosen[machine]
+		chosen.inFlight, chosen.nextOrderAt = false, s.now.Add(upkeepRetryDelay)
 		return
 	}
 	delete(w.chosen, machine)
@@ -212,17 +260,24 @@
 	if ws := s.workerOn(machine); ws != nil {
 		s.handleNewIncarnation(ws)
 	}
-	started := make([]string, 0, len(w.startedAt))
-	for id := range w.startedAt {
-		started = append(started, id)
+	s.recordWave(w, nil)
+}
+
+// recordWave records the progress of a wave and calls onStored, if set, once that is stored.
+func (s *session) recordWave(w *wave, onStored func()) {
+	progress := &storev1.Upkeep{Begun: slices.Sorted(maps.Keys(w.startedAt))}
+	for machine, chosen := range w.chosen {
+		if chosen.ordered {
+			progress.Ordered = append(progress.Ordered, machine)
+		}
 	}
-	sort.Strings(started)
-	record, err := replica.UpkeepRecord(w.Number, started)
+	slices.Sort(progress.Ordered)
+	record, err := replica.UpkeepRecord(w.Number, progress)
 	if err != nil {
 		s.term.StepDown(err.Error())
 		return
 	}
-	s.appendRecords(nil, record)
+	s.appendRecords(onStored, record)
 }
 
 // reportWave writes a new state of a wave for the operator. WaveCompleted should appear only after the records of all started
--- a/internal/mock/machines.go
+++ b/internal/mock/machines.go
@@ -20,6 +20,8 @@
 	maxDown  int
 
 	mu sync.Mutex
+	// orderDelay is how much later an order takes effect, without an answer; 0 for at once.
+	orderDelay time.Duration
 	// machines, upkeepStarted and fences have the machine's id as key. fences are the fencing tokens of accepted orders.
 	machines      map[string]worker.Machine
 	upkeepStarted map[string]bool
@@ -53,9 +55,29 @@
 	return machines, nil
 }
 
+// DelayOrders makes later orders take effect after a delay, without an answer; 0 ends that.
+func (m *Machines) DelayOrders(delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.orderDelay = delay
+}
+
 // Upkeep implements worker.Machines.
-func (m *Machines) Upkeep(_ context.Context, order worker.UpkeepOrder) error {
+func (m *Machines) Upkeep(ctx context.Context, order worker.UpkeepOrder) error {
 	time.Sleep(callLatency)
+	m.mu.Lock()
+	delay := m.orderDelay
+	m.mu.Unlock()
+	if delay > 0 {
+		time.AfterFunc(delay, func() { _ = m.execute(order) })
+		<-ctx.Done()
+		return worker.ErrNoAnswer
+	}
+	return m.execute(order)
+}
+
+// execute carries out an order.
+func (m *Machines) execute(order worker.UpkeepOrder) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	machine, known := m.machines[order.Machine]
--- a/internal/node/upkeep_test.go
+++ b/internal/node/upkeep_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,3 +50,83 @@
 		})
 	}
 }
+
+// startWave starts three instances and a wave of upkeep of all machines that has begun, at most maxDown at a time.
+func startWave(c *cluster, maxDown int) *mock.Machines {
+	machines := mock.NewMachines(c.workers, c.registry, maxDown)
+	wave := config.Wave{Number: 1, Duration: time.Minute, MaxDown: maxDown}
+	for _, entry := range c.workers.Entries() {
+		wave.Machines = append(wave.Machines, "m"+strings.TrimPrefix(entry.ID, "w"))
+	}
+	c.machines, c.waves = machines, []config.Wave{wave}
+	for i := range 3 {
+		c.startNode(fmt.Sprintf("i%d", i))
+	}
+	for range 100 {
+		if machines.UpkeepsStarted() >= 2*maxDown {
+			return machines
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatal("the wave has not begun after 10 s")
+	return nil
+}
+
+// awaitWave waits until the upkeep of all machines has started, and reports violations.
+func awaitWave(c *cluster, machines *mock.Machines, count int) {
+	for range 600 {
+		if machines.UpkeepsStarted() == count {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if started := machines.UpkeepsStarted(); started != count {
+		c.t.Errorf("the upkeep of %d machines has started, want %d", started, count)
+	}
+	for _, violation := range machines.Violations() {
+		c.t.Error(violation)
+	}
+}
+
+// Guards against an owner that orders upkeep beside its successor while the store refuses it, so that more machines are down than
+// allowed.
+func TestRefusedOwnerOrdersNoUpkeep(t *testing.T) {
+	for _, fault := range []mock.Fault{mock.Refuse, mock.DropRequest} {
+		run(t, 0, 24, func(c *cluster) {
+			machines := startWave(c, 3)
+			refused := c.owner()
+			c.inject(func(instance, _ string) mock.Fault {
+				if instance == refused {
+					return fault
+				}
+				return mock.None
+			})
+			time.Sleep(1500 * time.Millisecond)
+			for name := range c.nodes {
+				if name != refused {
+					requireOK(c, c.submit(0, 2, name, tasks(10, 8, 12*time.Second)))
+					break
+				}
+			}
+			time.Sleep(5500 * time.Millisecond)
+			c.inject(nil)
+			awaitWave(c, machines, 24)
+		})
+	}
+}
+
+// Guards against a new owner that takes machines down without counting those for which an order of the previous owner, sent before
+// it was killed, takes effect late.
+func TestLateUpkeepOrdersCountAfterTakeover(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 6 * time.Second, 7 * time.Second} {
+		run(t, 0, 24, func(c *cluster) {
+			machines := startWave(c, 3)
+			machines.DelayOrders(delay)
+			time.Sleep(2500 * time.Millisecond)
+			c.kill(c.owner())
+			machines.DelayOrders(0)
+			requireOK(c, c.submit(0, 2, c.runningInstance(), tasks(16, 8, 6*time.Second)))
+			awaitWave(c, machines, 24)
+		})
+	}
+}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -144,6 +144,6 @@
 	if err := proto.Unmarshal(value, upkeep); err != nil {
 		return errors.Wrap(err, "decode upkeep")
 	}
-	r.upkeepStarted[wave] = upkeep.GetBegun()
+	r.upkeep[wave] = upkeep
 	return nil
 }
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -40,9 +40,9 @@
 	return encode(speedsKey, &storev1.Speeds{Speed: speeds})
 }
 
-// UpkeepRecord returns the record of the machines of a wave whose upkeep has started.
-func UpkeepRecord(wave int64, started []string) (storelog.Record, error) {
-	return encode(upkeepPrefix+strconv.FormatInt(wave, 10), &storev1.Upkeep{Begun: started})
+// UpkeepRecord returns the record of the progress of a wave of upkeep.
+func UpkeepRecord(wave int64, progress *storev1.Upkeep) (storelog.Record, error) {
+	return encode(upkeepPrefix+strconv.FormatInt(wave, 10), progress)
 }
 
 // RunTombstone returns the record that deletes a task's run, which is obsolete once the job has an outcome.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -136,19 +136,20 @@
 	pending map[string]int
 	owner   Ownership
 	// acceptors has the time of the latest job by the CPU of the instances that accepted it, in millicores.
-	acceptors     map[uint32]time.Time
-	speeds        map[string]float64
-	upkeepStarted map[int64][]string
-	ready         bool
-	watcher       Watcher
-	changed       chan struct{}
+	acceptors map[uint32]time.Time
+	speeds    map[string]float64
+	// upkeep is the progress of each wave of upkeep.
+	upkeep  map[int64]*storev1.Upkeep
+	ready   bool
+	watcher Watcher
+	changed chan struct{}
 }
 
 // New returns an empty replica.
 func New(logger *events.Logger) *Replica {
 	return &Replica{
 		events: logger, jobs: map[string]*Job{}, offsets: map[string]int64{}, pending: map[string]int{},
-		acceptors: map[uint32]time.Time{}, upkeepStarted: map[int64][]string{}, changed: make(chan struct{}),
+		acceptors: map[uint32]time.Time{}, upkeep: map[int64]*storev1.Upkeep{}, changed: make(chan struct{}),
 	}
 }
 
@@ -221,11 +222,11 @@
 	return r.speeds
 }
 
-// UpkeepStarted returns the machines of a wave whose upkeep has started.
-func (r *Replica) UpkeepStarted(wave int64) []string {
+// Upkeep returns the progress of a wave of upkeep; nil if none is stored.
+func (r *Replica) Upkeep(wave int64) *storev1.Upkeep {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.upkeepStarted[wave]
+	return r.upkeep[wave]
 }
 
 // State returns a job's state and the accepted job; they are Unknown and nil if the job is not known.
