An owner that the store refuses asks all workers whether there is a successor

Seen: an owner without running tasks that the store refuses stays owner for as long as that lasts, beside its successor.

Cause: it learns of its successor from the store or from a worker that refuses its epoch, and polls only workers that run something.

Fix: while the store refuses its records or leaves them unanswered, it polls all listed workers. If the store is silent for all, no worker has seen another epoch, and it stays owner: the test covers both, with refusals and with silence.

TestRefusedIdleOwnerStops failed before (2 owners after 6 s) and passes now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -147,6 +147,8 @@
 	orders orderQueues
 	// confirming is true after a pause until the store has confirmed the ownership; see confirmOwnership.
 	confirming bool
+	// storeRefuses is true while the store refuses this owner's records or leaves them unanswered.
+	storeRefuses bool
 	// lastTick is the time of the last tick, and lastLateTick that of the last tick that was late.
 	lastTick, lastLateTick time.Time
 	// latency estimates the latency of calls that workers answer at once.
@@ -282,6 +284,7 @@
 		}
 	}
 	s.lastTick = s.now
+	s.storeRefuses = s.term.Appender.RefusedFor() > 0
 	for _, job := range s.jobs {
 		s.openDueOccurrences(job)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -278,13 +278,14 @@
 	return clock + lease.Milliseconds()
 }
 
-// needsPoll reports whether a worker has to be polled: to learn what it runs, or to acknowledge finished tasks.
-func (ws *workerState) needsPoll() bool {
+// needsPoll reports whether a worker has to be polled: to learn what it runs, to acknowledge finished tasks, or while the store refuses
+// this owner, to learn of a successor.
+func (s *session) needsPoll(ws *workerState) bool {
 	if ws.entry.Address == "" || ws.replaced {
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
-		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0))
+		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0 || s.storeRefuses))
 }
 
 // earliestMissing returns since when a member has been missing from the worker's reports; zero if none is.
@@ -313,7 +314,7 @@
 	if s.workers[ws.id] != ws {
 		return
 	}
-	if !ws.polling && ws.needsPoll() && !s.now.Before(ws.nextPoll) {
+	if !ws.polling && s.needsPoll(ws) && !s.now.Before(ws.nextPoll) {
 		s.poll(ws)
 	}
 	if s.now.After(ws.leaseEnd) && len(ws.members) > 0 && (ws.unresponsive || !ws.confirmed) {
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -9,6 +9,7 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/mock"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
@@ -233,3 +234,35 @@
 		}
 	})
 }
+
+// Guards against an owner without running tasks that goes on as owner beside its successor while the store refuses it: it called no
+// worker, so none told it.
+func TestRefusedIdleOwnerStops(t *testing.T) {
+	for _, fault := range []mock.Fault{mock.Refuse, mock.DropRequest} {
+		for _, all := range []bool{false, true} {
+			run(t, 3, 6, func(c *cluster) {
+				refused := c.owner()
+				c.inject(func(instance, _ string) mock.Fault {
+					if all || instance == refused {
+						return fault
+					}
+					return mock.None
+				})
+				time.Sleep(6 * time.Second)
+				owners := 0
+				for _, instance := range c.nodes {
+					if instance.Epoch() > 0 {
+						owners++
+					}
+				}
+				if owners != 1 {
+					t.Errorf("%d instances are owners, want 1", owners)
+				}
+				if isOwner := c.nodes[refused].Epoch() > 0; isOwner != all {
+					t.Errorf("the store refuses all instances: %v; the previous owner is still the owner: %v", all, isOwner)
+				}
+				c.inject(nil)
+			})
+		}
+	}
+}
