Ask the advisor about every step and every worker in turn

Cause: advice is asked for one step at a time. The step was chosen before its workers were looked for; if there was none, no call was made and the next choice was the same. A step that waits for room, a gang larger than all workers and a label that no worker has did the same.

Fix: a step without workers to ask about is passed over. Steps go by priority, those that have had no call first, and every fourth call goes to the step that has waited longest. A worker without a ticket in an answer isn't asked about again for that step while it lives: what a step may run on doesn't change. The reason why a job waits says if no worker has what one of its tasks needs.

Ruled out: passing over without the fourth call; TestAdviceReachesEachStep then starves an old step beside new ones.

--- a/internal/assign/explain.go
+++ b/internal/assign/explain.go
@@ -37,6 +37,12 @@
 	if workers, known := s.plan.Reservations[unit.Task]; known {
 		return "it waits for resources that are being freed on " + joinIDs(workers)
 	}
+	if need := ResourcesOf(unit.Step); !slices.ContainsFunc(s.poolOf(unit).workers, func(worker *Worker) bool {
+		return worker.Capacity.Contains(need)
+	}) {
+		return fmt.Sprintf("no worker of its service has what one of its tasks needs: %d millicores, %d MB and %d accelerators",
+			need.CPU, need.Memory, need.Accelerators)
+	}
 	capacity := func(worker *Worker) Resources { return worker.Capacity }
 	allowed, holds := s.countCapacity(unit, capacity)
 	if allowed == 0 {
--- a/internal/assign/explain_test.go
+++ b/internal/assign/explain_test.go
@@ -20,6 +20,10 @@
 	}{
 		{"free worker", newScene().workers(1, 1).waiting("a", 1, step(1, 8)), 0, "starts now on w00"},
 		{"label", newScene().workers(1, 1).waiting("a", 1, labelled), 0, "no usable worker of its service"},
+		{
+			"too large", newScene().workers(1, 2).waiting("a", 1, step(1, 16)), 0,
+			"no worker of its service has what one of its tasks needs",
+		},
 		{"capacity", newScene().workers(2, 2).waiting("a", 1, large), replica.GangIndex, "hold at most 2 of its 3 members"},
 		{
 			"full", newScene().workers(1, 1).running("b", 1, step(1, 8), 50, "w00").waiting("a", 1, step(1, 8)), 0,
--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 )
 
 // maxTrialWait is how long a gang, or a unit on its last attempt, waits for workers that aren't on trial.
@@ -26,10 +28,13 @@
 	if unit.Allowed != nil && !unit.Allowed[worker.ID] {
 		return false
 	}
-	if label := unit.Step.GetRequiredLabel(); label != "" && !slices.Contains(worker.Labels, label) {
-		return false
-	}
-	return true
+	return HasRequiredLabel(unit.Step, worker.Labels)
+}
+
+// HasRequiredLabel reports whether labels contain the one that a worker needs to run the step, if it needs any.
+func HasRequiredLabel(step *storev1.Step, labels []string) bool {
+	label := step.GetRequiredLabel()
+	return label == "" || slices.Contains(labels, label)
 }
 
 // fitsWhenEmpty reports whether the workers that a unit may use have the capacity for all its members.
@@ -55,13 +60,27 @@
 	}
 }
 
-// remainingOnWorker returns how many more tasks of a unit's step may start on a worker.
-func remainingOnWorker(unit *Unit, worker *Worker) int {
-	limit := int(unit.Step.GetMaxPerWorker())
+// remainingOnWorker returns how many more tasks of a step may start on a worker that runs some of them.
+func remainingOnWorker(step *storev1.Step, running int) int {
+	limit := int(step.GetMaxPerWorker())
 	if limit == 0 {
-		return int(unit.Step.GetCount())
+		return int(step.GetCount())
 	}
-	return max(0, limit-unit.TasksPerWorker[worker.ID])
+	return max(0, limit-running)
+}
+
+// CountTasks returns how many tasks of a step fit into the free resources of a worker that runs some of them.
+func CountTasks(step *storev1.Step, free Resources, running int) int {
+	return countWithin(ResourcesOf(step), free, remainingOnWorker(step, running))
+}
+
+// countWithin returns how often need fits into free, at most limit times.
+func countWithin(need, free Resources, limit int) int {
+	count := 0
+	for ; count < limit && free.Contains(need); count++ {
+		free = free.Sub(need)
+	}
+	return count
 }
 
 // countFitting returns how many members of a unit fit into the free resources of a worker.
@@ -70,12 +89,9 @@
 	if !free.Contains(need) {
 		return 0
 	}
-	count, limit := 0, min(remainingOnWorker(unit, worker), unit.Members())
+	limit := min(remainingOnWorker(unit.Step, unit.TasksPerWorker[worker.ID]), unit.Members())
 	if worker.OnTrial {
 		limit = min(limit, 1)
 	}
-	for ; count < limit && free.Contains(need); count++ {
-		free = free.Sub(need)
-	}
-	return count
+	return countWithin(need, free, limit)
 }
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,8 +18,12 @@
 	maxAdviceWorkers = 30
 	// adviceTimeoutMargin is how much longer than declared the advisor may take, because it may serve other callers first.
 	adviceTimeoutMargin = 2 * time.Second
-	// adviceRetryDelay is the delay before the next call for a step after one that brought no ticket.
+	// adviceRetryDelay is the delay before the next call for a step after one that failed.
 	adviceRetryDelay = 500 * time.Millisecond
+	// candidateRetryDelay is the delay before a step on which no worker could be asked is looked at again.
+	candidateRetryDelay = 100 * time.Millisecond
+	// fairAdviceInterval is the number of calls of which one goes to the step that has waited longest, whatever its priority.
+	fairAdviceInterval = 4
 	// ticketExpiryMargin is how long before its expiry a ticket is no longer used: a start order takes time to arrive.
 	ticketExpiryMargin = 400 * time.Millisecond
 )
@@ -61,35 +66,57 @@
 	if s.Advisor == nil || s.adviceInFlight {
 		return
 	}
-	if st := s.nextStepForAdvice(); st != nil {
-		s.requestTickets(st, s.advisorTiming(st))
+	for _, st := range s.stepsForAdvice() {
+		if workers := s.adviceCandidates(st); len(workers) > 0 {
+			s.requestTickets(st, workers)
+			return
+		}
+		st.nextAdviceAt = s.now.Add(candidateRetryDelay)
 	}
 }
 
-// nextStepForAdvice returns the step that needs tickets first, by priority and then by age; nil if none does.
-func (s *session) nextStepForAdvice() *step {
-	var best *step
+// stepsForAdvice returns the steps that need tickets in the order in which they get advice: by priority, those that have had no call
+// first, and then the one that has waited longest for a call. Every fairAdviceInterval-th call goes by that time alone.
+func (s *session) stepsForAdvice() []*step {
+	var steps []*step
 	for _, j := range s.jobs {
 		if j.hasEnded() || j.cancelled {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
-				if s.needsTickets(st) && (best == nil || st.before(best)) {
-					best = st
+				if s.needsTickets(st) {
+					steps = append(steps, st)
 				}
 			}
 		}
 	}
-	return best
+	byRank := (s.adviceCalls+1)%fairAdviceInterval != 0
+	slices.SortFunc(steps, func(a, b *step) int {
+		if order := cmp.Compare(a.adviceRank(), b.adviceRank()); byRank && order != 0 {
+			return order
+		}
+		return cmp.Or(a.waitsForAdviceSince().Compare(b.waitsForAdviceSince()), cmp.Compare(a.job.spec.GetId(), b.job.spec.GetId()),
+			cmp.Compare(a.index, b.index))
+	})
+	return steps
 }
 
-// before reports whether a step gets advice before another one.
-func (st *step) before(other *step) bool {
-	if a, b := st.job.spec.GetPriority(), other.job.spec.GetPriority(); a != b {
-		return a < b
+// adviceRank orders steps by priority, and of equal priority those that have had no call first.
+func (st *step) adviceRank() uint32 {
+	rank := 2 * st.job.spec.GetPriority()
+	if !st.advisedAt.IsZero() {
+		rank++
 	}
-	return st.readyAt.Before(other.readyAt)
+	return rank
+}
+
+// waitsForAdviceSince returns since when a step has had no call to the advisor.
+func (st *step) waitsForAdviceSince() time.Time {
+	if st.advisedAt.After(st.readyAt) {
+		return st.advisedAt
+	}
+	return st.readyAt
 }
 
 // needsTickets reports whether a step has units that wait, and too few tickets for workers that can run them now.
@@ -115,45 +142,54 @@
 	return waiting > 0 && withTicket < min(waiting, maxAdviceWorkers)
 }
 
-// requestTickets asks the advisor which of the candidates may run a step.
-func (s *session) requestTickets(st *step, timing *config.AdvisorTiming) {
-	workers := s.adviceCandidates(st)
-	if len(workers) == 0 {
-		return
-	}
+// requestTickets asks the advisor which of the workers may run a step.
+func (s *session) requestTickets(st *step, workers []string) {
 	s.adviceInFlight = true
+	s.adviceCalls++
+	st.advisedAt = s.now
 	name := st.job.spec.GetId() + "." + strconv.Itoa(st.occurrence.number) + "." + strconv.Itoa(st.index)
+	timing := s.advisorTiming(st)
 	timeout := timing.BaseTime + time.Duration(len(workers))*timing.TimePerWorker + adviceTimeoutMargin
+	lives := make(map[string]int64, len(workers))
+	for _, id := range workers {
+		lives[id] = s.workers[id].startedAtMs
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		defer cancel()
 		advice, err := s.Advisor.Advise(ctx, name, workers)
-		s.post(func() { s.handleAdvice(st, name, advice, err) })
+		s.post(func() { s.handleAdvice(st, name, lives, advice, err) })
 	}()
 }
 
-// adviceCandidates returns the workers to ask about for a step: usable ones without a ticket, those with the most free
-// resources first.
+// adviceCandidates returns the workers to ask about for a step: usable ones on which it fits and about which the advisor has not
+// decided, those on the rack of its data first, then those with the most free resources.
 func (s *session) adviceCandidates(st *step) []string {
 	type candidate struct {
-		id   string
-		free assign.Resources
+		id     string
+		remote bool
+		free   assign.Resources
 	}
 	var candidates []candidate
-	allowed := s.allowedWorkers(st)
-	need := assign.ResourcesOf(st.spec)
+	allowed, tasks, service := s.allowedWorkers(st), st.tasksPerWorker(), s.serviceOf(st.job.spec)
 	for id, ws := range s.workers {
 		free, freeing := ws.free()
-		if !s.usable(ws) || allowed[id] || ws.entry.Service != s.serviceOf(st.job.spec) || !free.Add(freeing).Contains(need) {
+		life, denied := st.denied[id]
+		if !s.usable(ws) || allowed[id] || (denied && life == ws.startedAtMs) || ws.entry.Service != service ||
+			!assign.HasRequiredLabel(st.spec, ws.entry.Labels) || assign.CountTasks(st.spec, free.Add(freeing), tasks[id]) == 0 {
 			continue
 		}
-		candidates = append(candidates, candidate{id, free})
-	}
-	sort.Slice(candidates, func(a, b int) bool {
-		if x, y := candidates[a].free.CoreEquivalent(), candidates[b].free.CoreEquivalent(); x > y || x < y {
-			return x > y
+		rack := st.spec.GetDataRack()
+		candidates = append(candidates, candidate{id, rack != "" && ws.entry.Rack != rack, free})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.remote && !b.remote:
+			return 1
+		case b.remote && !a.remote:
+			return -1
 		}
-		return candidates[a].id < candidates[b].id
+		return cmp.Or(cmp.Compare(b.free.CoreEquivalent(), a.free.CoreEquivalent()), cmp.Compare(a.id, b.id))
 	})
 	ids := make([]string, 0, maxAdviceWorkers)
 	for _, candidate := range candidates[:min(len(candidates), maxAdviceWorkers)] {
@@ -162,19 +198,24 @@
 	return ids
 }
 
-// handleAdvice adds the tickets that the advisor returned for a step.
-func (s *session) handleAdvice(st *step, name string, advice worker.Advice, err error) {
+// handleAdvice adds the tickets that the advisor returned for a step. The workers for which it returned none may not run the step as
+// long as they live; lives has the incarnations of all workers that it was asked about.
+func (s *session) handleAdvice(st *step, name string, lives map[string]int64, advice worker.Advice, err error) {
 	s.adviceInFlight = false
-	s.Events.Log(events.AdviceReceived, "step", name, "allowed", len(advice.Tickets), "error", err)
-	if err != nil || len(advice.Tickets) == 0 {
+	s.Events.Log(events.AdviceReceived, "step", name, "asked", len(lives), "allowed", len(advice.Tickets), "error", err)
+	s.dirty = true
+	if err != nil {
 		st.nextAdviceAt = s.now.Add(adviceRetryDelay)
 		return
 	}
 	if st.tickets == nil {
-		st.tickets = map[string]ticket{}
+		st.tickets, st.denied = map[string]ticket{}, map[string]int64{}
 	}
-	for id, value := range advice.Tickets {
-		st.tickets[id] = ticket{value: value, expiresAt: s.now.Add(advice.ValidFor)}
+	for id, life := range lives {
+		if value, allowed := advice.Tickets[id]; allowed {
+			st.tickets[id] = ticket{value: value, expiresAt: s.now.Add(advice.ValidFor)}
+		} else {
+			st.denied[id] = life
+		}
 	}
-	s.dirty = true
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -179,8 +179,9 @@
 	urgentDemand map[string]*learned.Demand
 	// waveStatus writes the states of waves for the operator.
 	waveStatus *storelog.Appender
-	// adviceInFlight is true while a call to the advisor is in flight.
+	// adviceInFlight is true while a call to the advisor is in flight, and adviceCalls the number of calls so far.
 	adviceInFlight bool
+	adviceCalls    int
 	lastRetirement time.Time
 	lastPoolReport time.Time
 	// questions are those that the next plan answers.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -47,10 +47,12 @@
 	readyAt, nextWaitReport time.Time
 	// asked is true while a question asks why the step waits.
 	asked bool
-	// tickets allow the step to run on workers, by their id, if its queue needs advice; nextAdviceAt is the earliest time
-	// of the next call to the advisor.
-	tickets      map[string]ticket
-	nextAdviceAt time.Time
+	// tickets allow the step to run on workers, by their id, if its queue needs advice. denied has the workers on which it may not run,
+	// with the start of their incarnation.
+	tickets map[string]ticket
+	denied  map[string]int64
+	// advisedAt is when the advisor was last called, and nextAdviceAt the earliest time of the next call.
+	advisedAt, nextAdviceAt time.Time
 }
 
 // unit is a task, or a gang as a whole.
