Ask for tickets until they hold all members of a gang

Seen by callers: a gang of more than 30 members that each take a whole worker never starts in a queue with advice.

Cause: a step counted as served once 30 of the workers that it fits on now had tickets.

Fix: the tickets must also hold the largest of its units that wait.

TestWideGangGetsTickets failed before (job still queued after 6 s) and passes now.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -119,27 +119,34 @@
 	return st.readyAt
 }
 
-// needsTickets reports whether a step has units that wait, and too few tickets for workers that can run them now.
+// needsTickets reports whether a step has units that wait, and too few tickets for workers that can run them now: for one of them, or
+// for as many workers as there are waiting tasks.
 func (s *session) needsTickets(st *step) bool {
 	if st.readyAt.IsZero() || st.remaining == 0 || s.now.Before(st.nextAdviceAt) || s.advisorTiming(st) == nil {
 		return false
 	}
-	waiting := 0
+	waiting, largest := 0, 0
 	for _, u := range st.units {
 		if !u.done && u.run == nil {
 			waiting += memberCount(u)
+			largest = max(largest, memberCount(u))
 		}
 	}
-	withTicket := 0
+	if waiting == 0 {
+		return false
+	}
+	withTicket, fitting := 0, 0
+	tasks := st.tasksPerWorker()
 	for id := range s.allowedWorkers(st) {
 		if ws, known := s.workers[id]; known && s.usable(ws) {
 			free, _ := ws.free()
-			if free.Contains(assign.ResourcesOf(st.spec)) {
+			if count := assign.CountTasks(st.spec, free, tasks[id]); count > 0 {
 				withTicket++
+				fitting += count
 			}
 		}
 	}
-	return waiting > 0 && withTicket < min(waiting, maxAdviceWorkers)
+	return withTicket < min(waiting, maxAdviceWorkers) || fitting < largest
 }
 
 // requestTickets asks the advisor which of the workers may run a step.
--- a/internal/node/advice_test.go
+++ b/internal/node/advice_test.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// Guards against a gang of more members than workers are asked about at a time, which never got tickets for all of them.
+func TestWideGangGetsTickets(t *testing.T) {
+	advisor := newPolicyAdvisor(60*time.Millisecond, func(string) bool { return true })
+	runWithAdvisor(t, 1, 48, advisor, func(c *cluster) {
+		requireOK(c, c.submit(0, 1, "i0", gang(40, 8, time.Second)))
+		c.await(0, 1, replica.Completed, 6*time.Second)
+	})
+}
+
 // Guards against a step with advice that starves while newer ones keep the advisor busy.
 func TestAdviceReachesEachStep(t *testing.T) {
 	const perCall = 400 * time.Millisecond
