--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -47,6 +47,9 @@
 // finishTasks finishes the tasks of a worker that have ended by now.
 func (w *Workers) finishTasks(fake *fakeWorker) {
 	now := time.Now()
+	if fake.clockMs() > fake.leaseEndMs {
+		w.releaseFinished(fake)
+	}
 	for name, task := range fake.running {
 		switch {
 		case fake.clockMs() > fake.leaseEndMs:
@@ -65,6 +68,17 @@
 	}
 }
 
+// releaseFinished lets the tasks start again that had finished as done when the lease of their worker expired, and whose reports
+// nobody had acknowledged by then.
+func (w *Workers) releaseFinished(fake *fakeWorker) {
+	for _, finished := range fake.finished {
+		if finished.Number > fake.released && finished.Reason == worker.Done {
+			delete(w.done, finished.Task)
+		}
+	}
+	fake.released = fake.lastNumber
+}
+
 // checkpoint returns the work that a task has saved, as the text of a duration. It is empty for a step without checkpoints.
 func (t *fakeTask) checkpoint() string {
 	if !t.step.GetCheckpointing() {
@@ -252,11 +266,13 @@
 
 // checkDuplicateRun records a violation if the task has finished as done or runs on any worker.
 func (w *Workers) checkDuplicateRun(fake *fakeWorker, order worker.Start) {
+	for _, other := range w.byID {
+		w.finishTasks(other)
+	}
 	if w.done[order.Task] {
 		w.addViolation("%s starts on %s after it finished as done", order.Task, fake.entry.ID)
 	}
 	for _, other := range w.byID {
-		w.finishTasks(other)
 		if _, running := other.running[order.Task]; running {
 			w.addViolation("%s starts on %s while it runs on %s", order.Task, fake.entry.ID, other.entry.ID)
 		}
@@ -326,8 +342,8 @@
 	case fake.fenced(order.Fence):
 		return worker.Report{Reply: fake.reply()}, nil, refusedError(worker.RefusedFence)
 	}
-	fake.leaseEndMs = max(fake.leaseEndMs, order.LeaseEndMs)
 	w.finishTasks(fake)
+	fake.leaseEndMs = max(fake.leaseEndMs, order.LeaseEndMs)
 	var unacknowledged []worker.FinishedTask
 	for _, finished := range fake.finished {
 		if finished.Number > order.Acknowledged {
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -58,8 +58,10 @@
 	leaseEndMs int64
 	running    map[string]*fakeTask // by task
 	// finished are the finished tasks that aren't acknowledged, and lastNumber is the number of the last one.
-	finished    []worker.FinishedTask
-	lastNumber  int64
+	finished   []worker.FinishedTask
+	lastNumber int64
+	// released is the number of the last finished task that releaseFinished has seen.
+	released    int64
 	unreachable bool
 	// down is true from a crash until the worker's return. replaced is true if it returned under another id.
 	down, replaced bool
