Keep the record of an open run when an earlier run's failure arrives

Seen: found while reading for the users' record. After a takeover a task starts while it runs elsewhere (TWICE).

Cause: the failure of an earlier run, reported late by a worker that had been silent, was recorded as the phase of the latest run, without its workers. The next owner believed that nothing was running.

Fix: while a run is open the record says so, whichever run has failed.

TestLateFailureKeepsRecordOfOpenRun failed before (three starts, one on w00 while the task ran on w01) and passes now.

--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -178,7 +178,8 @@
 	}
 	var workers []string
 	phase := storev1.RunPhase_RUN_PHASE_FAILED
-	if u.run != nil && u.run.number == number {
+	if u.run != nil {
+		// Also if an earlier run has failed: the record of the open run tells a later owner where it is.
 		phase, workers = storev1.RunPhase_RUN_PHASE_OPEN, u.run.workerIDs()
 	}
 	s.recordRun(u, phase, workers, onStored)
