Acknowledge a worker's reports only until it has confirmed that

Cause: every poll carried the number up to which reports may be discarded, also to the next life of the worker, which numbers its reports anew and is known to be another only from its first report.

Fix: the number is sent until it is confirmed, and not after a poll without an answer.

Ruled out: the start in the registry entry. It is up to one heartbeat and one read old, and a start may be sent before.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -22,7 +22,11 @@
 
 // poll renews a worker's lease, acknowledges finished tasks, and asks what the worker runs.
 func (s *session) poll(ws *workerState) {
-	poll := worker.Poll{Fence: s.term.Epoch, Acknowledged: ws.lastStored}
+	poll := worker.Poll{Fence: s.term.Epoch}
+	if ws.lastAcked < ws.lastStored && ws.lostPolls == 0 {
+		// Only once, and only to the incarnation that has just answered: another one under the same id numbers its tasks anew.
+		poll.Acknowledged = ws.lastStored
+	}
 	if ws.clockMs > 0 && !ws.unresponsive && !s.suspended() {
 		// An unresponsive worker gets no new lease: it would delay the time at which its tasks have certainly ended.
 		poll.LeaseEndMs = s.extendLease(ws)
