A public queue opens only its own jobs

Cause: the check of who may see a job passed every call at a public queue, whatever queue the job is of.

Fix: the job must be of the public queue of the call, or submitted by the caller's account; otherwise it doesn't exist for the caller.

TestPublicQueueOpensOnlyItsOwnJobs failed before (state and cancellation of another account's job: ok) and passes now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,10 +262,11 @@
 	return Answer{}
 }
 
-// authorize returns an OK answer if the caller's account owns the job or the queue is public. For other accounts it
-// answers that there is no such job.
+// authorize returns an OK answer if the caller's account owns the job, or the job was submitted to the public queue of the call.
+// Otherwise it answers that there is no such job.
 func (g *Gateway) authorize(call AdmittedCall, job *storev1.Job) Answer {
-	if job.GetAccount() != call.Account && !call.Queue.Public {
+	ofPublicQueue := call.Queue.Public && job.GetQueue() == call.Queue.Name
+	if job.GetAccount() != call.Account && !ofPublicQueue {
 		return Answer{Result: NoJob, Detail: "no such job"}
 	}
 	return Answer{}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -146,8 +146,10 @@
 	withAdvisor.Advisor = &config.AdvisorTiming{
 		BaseTime: 50 * time.Millisecond, TimePerWorker: 10 * time.Millisecond, ValidFor: 2 * time.Second,
 	}
+	public := queue(3)
+	public.Public = true
 	return &config.Configuration{
-		Version: 1, Queues: []config.Queue{queue(0), withAdvisor, queue(2)},
+		Version: 1, Queues: []config.Queue{queue(0), withAdvisor, queue(2), public},
 		Accounts: map[string]config.Account{
 			"acme":  {Name: "acme", Keys: []string{"key"}, GuaranteedAccelerators: 16},
 			"other": {Name: "other", Keys: []string{"other key"}},
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -281,6 +281,28 @@
 	})
 }
 
+// Guards against a public queue through which callers see and cancel the jobs of other queues.
+func TestPublicQueueOpensOnlyItsOwnJobs(t *testing.T) {
+	run(t, 1, 2, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 1, 3*time.Second)))
+		requireOK(c, c.submit(2, 3, "i0", tasks(1, 1, 3*time.Second)))
+		gw := c.nodes["i0"].Gateway()
+		for _, key := range []string{"", "other key"} {
+			for n, want := range map[int]gateway.Result{1: gateway.NoJob, 2: gateway.OK} {
+				admitted, answer := gw.Admit(gateway.Call{Host: "h", Path: "/q3/" + id(n), Key: key})
+				requireOK(c, answer)
+				if _, answer := gw.State(context.Background(), admitted); answer.Result != want {
+					t.Errorf("state of job %d with the key %q: %+v, want %v", n, key, answer, want)
+				}
+				if answer := gw.Cancel(context.Background(), admitted); answer.Result != want {
+					t.Errorf("cancellation of job %d with the key %q: %+v, want %v", n, key, answer, want)
+				}
+			}
+		}
+		c.await(1, 2, replica.Completed, 10*time.Second)
+	})
+}
+
 // A new owner that planned as soon as the first workers have reported would preempt their tasks although other workers
 // are free.
 func TestNewOwnerWaitsForReportsOfAllWorkers(t *testing.T) {
