A long-running task that serves ends the trial of its worker

Cause: a trial ended only with a task that is done. A long-running one never is, and a worker on trial that runs it gets nothing else.

Ruled out: an end of the trial by time alone. A worker that fails all that it starts would get several tasks after an idle time.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -194,6 +194,9 @@
 	m.percent, m.latencyMs = reported.Percent, reported.Load
 	r.maxPercent = max(r.maxPercent, reported.Percent)
 	r.unit.saveCheckpoint(m, reported.Checkpoint)
+	if r.unit.step.spec.GetLongRunning() && m.percent >= fullPercent && m.worker.health.RecordService(m.confirmedAt, s.now) {
+		s.Events.Log(events.WorkerRecovered, "worker", m.worker.id)
+	}
 	if r.passedProbation(s.now) {
 		s.endProbation(r)
 	}
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -237,6 +237,16 @@
 	w.byID[id].failing = failing
 }
 
+// FailOne makes one of the tasks that run on a worker fail.
+func (w *Workers) FailOne(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.byID[id].running {
+		w.byID[id].finish(name, worker.Failed)
+		return
+	}
+}
+
 // DropStarts makes all workers drop starts, or accept them again. A worker under DropReplies still
 // carries out starts.
 func (w *Workers) DropStarts(drop bool) {
