A worker on trial gets one unit at a time, not one member of a gang

Cause: the planner counted one member of a gang for each worker on trial. If only gangs come, none fits, and no trial ends.

Fix: the limit is one unit, which allocate keeps already by taking the worker out of the plan.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -144,8 +144,10 @@
 	}
 }
 
-func TestWorkerOnTrialGetsOneTaskAtATime(t *testing.T) {
+// The last case guards against gangs that never start because the workers on trial would each get one member only.
+func TestWorkerOnTrialGetsOneUnitAtATime(t *testing.T) {
 	lastAttempt := func(unit *assign.Unit) { unit.LastAttempt = true }
+	waitedMinute := func(unit *assign.Unit) { unit.WaitingSince = snapshotTime.Add(-time.Minute) }
 	lastAttemptAfterMinute := func(unit *assign.Unit) { unit.LastAttempt, unit.WaitingSince = true, snapshotTime.Add(-time.Minute) }
 	gang := step(2, 4)
 	gang.Gang = true
@@ -159,6 +161,7 @@
 		{"last attempt waits for other workers", step(4, 1), lastAttempt, 0},
 		{"last attempt after a minute", step(4, 1), lastAttemptAfterMinute, 1},
 		{"gang waits for other workers", gang, func(*assign.Unit) {}, 0},
+		{"gang after a minute", gang, waitedMinute, 1},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -89,9 +89,5 @@
 	if !free.Contains(need) {
 		return 0
 	}
-	limit := min(remainingOnWorker(unit.Step, unit.TasksPerWorker[worker.ID]), unit.Members())
-	if worker.OnTrial {
-		limit = min(limit, 1)
-	}
-	return countWithin(need, free, limit)
+	return countWithin(need, free, min(remainingOnWorker(unit.Step, unit.TasksPerWorker[worker.ID]), unit.Members()))
 }
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -72,7 +72,7 @@
 	// Speed is relative to the declared estimates: 2 halves them, and 1 is the value of an unknown speed.
 	Speed float64
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
-	// it then gets one task at a time.
+	// it then gets one unit at a time.
 	Usable, OnTrial bool
 	// Empty is true if nothing runs on the worker.
 	Empty bool
