Store the end of a job in parts

Cause: the outcome and the deletions of all runs were one group, which is appended whole. The store refuses a call over CallBytes, and the appender repeats it, with the renewals of the ownership behind it; each next owner does the same.

Fix: the outcome is appended by itself and the deletions follow in parts. An owner that finds runs of a job with an outcome deletes them. A gang whose run record would exceed RecordBytes is rejected when it is submitted.

Ruled out: splitting groups in the appender. A group is a promise that its records are stored together.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -164,6 +165,7 @@
 		restored := &job{spec: j.Job, cancelled: j.Cancelled, recordedRuns: j.Runs}
 		if outcome := j.Outcome; outcome != nil {
 			restored.endedAt, restored.state = time.UnixMilli(outcome.GetEndedUnixMs()), outcome.GetState()
+			s.deleteRuns(slices.Collect(maps.Keys(j.Runs)))
 		}
 		s.addJob(restored)
 	}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -98,10 +99,10 @@
 		s.term.StepDown(err.Error())
 		return
 	}
-	records := []storelog.Record{outcome}
+	var recorded []replica.Task
 	for _, unit := range j.units() {
 		if unit.runNumber > 0 {
-			records = append(records, replica.RunTombstone(unit.task))
+			recorded = append(recorded, unit.task)
 		}
 		s.stopRun(unit, "job ended")
 	}
@@ -112,7 +113,23 @@
 	}
 	s.dirty = true
 	j.outcome.then(onStored)
-	s.appendRecords(j.outcome.complete, records...)
+	s.appendRecords(j.outcome.complete, outcome)
+	s.deleteRuns(recorded)
+}
+
+// maxDeletions is the maximum number of runs whose deletions are appended together, which the store accepts as one call.
+const maxDeletions = 500
+
+// deleteRuns deletes the recorded runs of a job whose outcome is stored or submitted before. The parts may be stored one by one: an
+// owner that finds runs of a job with an outcome deletes them.
+func (s *session) deleteRuns(recorded []replica.Task) {
+	for part := range slices.Chunk(recorded, maxDeletions) {
+		deletions := make([]storelog.Record, len(part))
+		for i, task := range part {
+			deletions[i] = replica.RunTombstone(task)
+		}
+		s.appendRecords(nil, deletions...)
+	}
 }
 
 // units returns all units of the occurrences that were opened.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -32,6 +33,8 @@
 	retryAfter = time.Second
 	// defaultMaxBodyBytes limits a request body if the configuration doesn't.
 	defaultMaxBodyBytes = 256 << 10
+	// maxGangTasks limits a gang: the record of its run names a worker for each task, and the store accepts 256 KiB per record.
+	maxGangTasks = 4000
 )
 
 // Result is the kind of an answer.
@@ -306,6 +309,9 @@
 		if step.GetEstimateMs() < 0 {
 			return Answer{Result: Invalid, Detail: "Steps: EstMs must not be negative"}
 		}
+		if step.GetGang() && step.GetCount() > maxGangTasks {
+			return Answer{Result: Invalid, Detail: fmt.Sprintf("Steps: a gang may have at most %d tasks: split it", maxGangTasks)}
+		}
 	}
 	return Answer{}
 }
--- a/internal/mock/store.go
+++ b/internal/mock/store.go
@@ -50,6 +50,8 @@
 	appends int
 	// bandwidth is the speed of each instance's link in bytes per second; 0 is unlimited.
 	bandwidth int
+	// maxAppendBytes is the size of the records of an append above which it is refused; 0 is unlimited.
+	maxAppendBytes int
 }
 
 // producerState is the state of one producer in its current epoch.
@@ -92,6 +94,13 @@
 	s.bandwidth = bytesPerSecond
 }
 
+// LimitAppends makes the store refuse appends whose records are larger; 0 is unlimited.
+func (s *Store) LimitAppends(maxBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxAppendBytes = maxBytes
+}
+
 // Trim trims all records written so far: Read returns storelog.ErrTrimmed for them. ReadLatest is unaffected.
 func (s *Store) Trim() {
 	s.mu.Lock()
@@ -141,6 +150,13 @@
 func (s *Store) append(batch storelog.Batch) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	size := 0
+	for _, record := range batch.Records {
+		size += recordBytes(record)
+	}
+	if s.maxAppendBytes > 0 && size > s.maxAppendBytes {
+		return 0, storelog.ErrRefused
+	}
 	known, seen := s.producers[batch.Producer]
 	switch {
 	case seen && batch.Epoch < known.epoch:
