Count a job as pending until one of its tasks has started

Cause: a run counts as begun once it is recorded, which is before it starts.

Fix: if no task of a job has started a second after its first run was planned, the owner records that with the run, until one has.

Ruled out: a record at each start. It would double the appends of every job for a case that is rare.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -295,6 +295,7 @@
 		s.checkWorker(ws)
 	}
 	s.checkRuns()
+	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
 	s.advanceWaves()
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -19,6 +19,11 @@
 	state   storev1.JobState
 	// outcome is the record of the outcome; nil if there is none yet or an earlier owner stored it.
 	outcome *storing
+	// begun is true once a task of the job has started. firstRunAt is when its first run was planned in this term, and waitingUnit the unit
+	// whose record says that the job hasn't begun; nil if none does.
+	begun       bool
+	firstRunAt  time.Time
+	waitingUnit *unit
 	// occurrences are those that are due or have recorded runs, in their order.
 	occurrences  []*occurrence
 	recordedRuns map[replica.Task]*storev1.Run
@@ -181,6 +186,7 @@
 	// Recorded runs may be on workers, even if their time has not come by this instance's clock.
 	s.openRecordedOccurrences(j)
 	s.openDueOccurrences(j)
+	s.restoreWaiting(j)
 	if j.cancelled {
 		s.cancelJob(j.spec.GetId())
 	}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -74,7 +74,7 @@
 	}
 	record, err := replica.RunRecord(u.task, &storev1.Run{
 		Phase: phase, Number: u.runNumber, Workers: workers, Failures: u.failures, Counted: u.lastFailedRun,
-		Checkpoint: u.checkpoint, Crashes: u.crashes, OpenedUnixMs: openedAtMs,
+		Checkpoint: u.checkpoint, Crashes: u.crashes, OpenedUnixMs: openedAtMs, JobWaits: u.step.job.waitingUnit == u,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
@@ -193,13 +193,20 @@
 		s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "task "+u.task.String()+" failed too often", onStored)
 		return
 	}
-	var workers []string
-	phase := storev1.RunPhase_RUN_PHASE_FAILED
-	if u.run != nil {
-		// Also if an earlier run has failed: the record of the open run tells a later owner where it is.
-		phase, workers = storev1.RunPhase_RUN_PHASE_OPEN, u.run.workerIDs()
+	s.recordLatestRun(u, onStored)
+}
+
+// recordLatestRun records the unit's latest run as it is now. While a run is open the record says so, also if an earlier run has failed:
+// it tells a later owner where the open run is.
+func (s *session) recordLatestRun(u *unit, onStored func()) {
+	switch {
+	case u.done:
+		s.recordRun(u, storev1.RunPhase_RUN_PHASE_DONE, nil, onStored)
+	case u.run != nil:
+		s.recordRun(u, storev1.RunPhase_RUN_PHASE_OPEN, u.run.workerIDs(), onStored)
+	default:
+		s.recordRun(u, storev1.RunPhase_RUN_PHASE_FAILED, nil, onStored)
 	}
-	s.recordRun(u, phase, workers, onStored)
 }
 
 // maxAttempts returns the number of failed runs of a task at which its job fails.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -51,6 +51,9 @@
 // launch records a run, and starts its members once the record is stored.
 func (s *session) launch(u *unit, workers []string) {
 	u.runNumber++
+	if job := u.step.job; job.firstRunAt.IsZero() {
+		job.firstRunAt = s.now
+	}
 	r := s.newRun(u, u.runNumber, workers, recording)
 	s.Events.Log(events.JobPlaced, "task", u.task, "run", u.runNumber, "workers", len(workers), "first", workers[0],
 		"waited_ms", s.now.Sub(u.step.readyAt).Milliseconds(), "failures", u.failures, "checkpoint", u.checkpoint)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -185,6 +185,7 @@
 	m.missingSince = time.Time{}
 	if m.phase == starting || m.phase == unconfirmed {
 		m.phase, m.confirmedAt = running, s.now
+		s.recordBegun(r.unit.step.job)
 		s.checkStarted(r)
 	}
 	s.learnSpeed(m, reported.Percent)
@@ -228,6 +229,7 @@
 	if known {
 		u.saveCheckpoint(member, task.Checkpoint)
 	}
+	s.recordBegun(u.step.job)
 	switch task.Reason {
 	case worker.Done:
 		if ws.health.OnTrial() {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -206,6 +206,7 @@
 	switch reason := refusalOf(err); {
 	case err == nil:
 		m.phase, m.confirmedAt = running, s.now
+		s.recordBegun(m.run.unit.step.job)
 		s.checkStarted(m.run)
 	case reason == worker.RefusedFence:
 		s.term.StepDown("worker " + m.worker.id + " has seen a higher fencing token")
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -102,6 +102,7 @@
 		return err
 	}
 	if len(value) == 0 {
+		j.setWaiting(task, false)
 		delete(j.Runs, task)
 		return nil
 	}
@@ -109,11 +110,22 @@
 	if err := proto.Unmarshal(value, run); err != nil {
 		return errors.Wrap(err, "decode run")
 	}
+	j.setWaiting(task, run.GetJobWaits())
 	j.Runs[task] = run
 	j.Started = true
 	return nil
 }
 
+// setWaiting counts whether the record of a task's run says that the job waits, in place of its previous record.
+func (j *Job) setWaiting(task Task, waits bool) {
+	if j.Runs[task].GetJobWaits() {
+		j.waiting--
+	}
+	if waits {
+		j.waiting++
+	}
+}
+
 // applyOwner keeps the latest owner record and ignores those of earlier epochs.
 func (r *Replica) applyOwner(record storelog.Record) error {
 	owner := &storev1.Owner{}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -78,6 +78,8 @@
 	Runs map[Task]*storev1.Run
 	// Started is true once a run of one of the job's tasks has been recorded.
 	Started bool
+	// waiting is the number of runs whose record says that no task of the job has started.
+	waiting int
 }
 
 // State is a job's state as shown to callers.
@@ -304,4 +306,7 @@
 }
 
 // isPending reports whether the job counts as pending.
-func (j *Job) isPending() bool { return j.Job != nil && j.state() == Queued }
+func (j *Job) isPending() bool {
+	state := j.state()
+	return j.Job != nil && (state == Queued || (state == Running && j.waiting > 0))
+}
