Read the advisor's timing before the call for a step

Found on reading the change: a configuration that takes the advisor from a queue between two reads of it would have ended the owner's term by a panic. The timing is read once, beside the candidates, and a step without one is passed over.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -67,8 +67,9 @@
 		return
 	}
 	for _, st := range s.stepsForAdvice() {
-		if workers := s.adviceCandidates(st); len(workers) > 0 {
-			s.requestTickets(st, workers)
+		timing, workers := s.advisorTiming(st), s.adviceCandidates(st)
+		if timing != nil && len(workers) > 0 {
+			s.requestTickets(st, timing, workers)
 			return
 		}
 		st.nextAdviceAt = s.now.Add(candidateRetryDelay)
@@ -150,12 +151,11 @@
 }
 
 // requestTickets asks the advisor which of the workers may run a step.
-func (s *session) requestTickets(st *step, workers []string) {
+func (s *session) requestTickets(st *step, timing *config.AdvisorTiming, workers []string) {
 	s.adviceInFlight = true
 	s.adviceCalls++
 	st.advisedAt = s.now
 	name := st.job.spec.GetId() + "." + strconv.Itoa(st.occurrence.number) + "." + strconv.Itoa(st.index)
-	timing := s.advisorTiming(st)
 	timeout := timing.BaseTime + time.Duration(len(workers))*timing.TimePerWorker + adviceTimeoutMargin
 	lives := make(map[string]int64, len(workers))
 	for _, id := range workers {
