Logs that tell owners and lives of workers apart

The users' record of two runs at once can't say which owner a start and an acknowledgement came from, which life of the worker they reached, nor what the owner took the lease for. 404, 415 and 409 have the epoch now; 415 and 409 the start of the worker's life; 415 the number of the report; 409 how long ago the lease ended; 428 is written when a worker has confirmed an acknowledgement. 409 is no longer repeated with each tick while a run on a silent worker is still being recorded (ten lines a second in the soak's logs).

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -55,7 +55,7 @@
 		job.firstRunAt = s.now
 	}
 	r := s.newRun(u, u.runNumber, workers, recording)
-	s.Events.Log(events.JobPlaced, "task", u.task, "run", u.runNumber, "workers", len(workers), "first", workers[0],
+	s.Events.Log(events.JobPlaced, "task", u.task, "run", u.runNumber, "epoch", s.term.Epoch, "workers", len(workers), "first", workers[0],
 		"waited_ms", s.now.Sub(u.step.readyAt).Milliseconds(), "failures", u.failures, "checkpoint", u.checkpoint)
 	s.recordRun(u, storev1.RunPhase_RUN_PHASE_OPEN, workers, func() { s.startMembers(r) })
 }
@@ -86,6 +86,7 @@
 	if m != nil {
 		reason, percent = m.run.stopReason, m.percent
 	}
-	s.Events.Log(events.TaskFinished, "task", task.Task, "run", task.Run, "worker", ws.id, "how", task.Reason,
-		"reason", reason, "percent", percent, "failures", u.failures)
+	s.Events.Log(events.TaskFinished, "task", task.Task, "run", task.Run, "epoch", s.term.Epoch, "worker", ws.id,
+		"worker_start_ms", ws.startedAtMs, "number", task.Number, "how", task.Reason, "reason", reason, "percent", percent,
+		"failures", u.failures)
 }
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -87,7 +87,11 @@
 	s.withdrawCrashes(ws, report.StartedAtMs)
 	s.recordReply(ws, report.Reply)
 	ws.unresponsive, ws.confirmed, ws.lostPolls, ws.acceptedAt = false, true, 0, sentAt
-	ws.lastAcked = max(ws.lastAcked, poll.Acknowledged)
+	if poll.Acknowledged > ws.lastAcked {
+		ws.lastAcked = poll.Acknowledged
+		s.Events.Log(events.ReportsAcknowledged, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch,
+			"number", ws.lastAcked)
+	}
 	s.handleFinishedTasks(ws, report.Finished)
 	s.reconcile(ws, sentAt, report)
 	if ws.pendingStores > 0 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -320,8 +320,9 @@
 	if !ws.polling && s.needsPoll(ws) && !s.now.Before(ws.nextPoll) {
 		s.poll(ws)
 	}
-	if s.now.After(ws.leaseEnd) && len(ws.members) > 0 && (ws.unresponsive || !ws.confirmed) {
-		s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members))
+	if s.now.After(ws.leaseEnd) && ws.hasSentMembers() && (ws.unresponsive || !ws.confirmed) {
+		s.Events.Log(events.WorkerLost, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch, "members", len(ws.members),
+			"lease_ended_ms", s.now.Sub(ws.leaseEnd).Milliseconds())
 		var lost []lostMember
 		if !ws.listed {
 			// A worker that the registry still lists is only out of this instance's reach.
@@ -338,6 +339,16 @@
 	}
 }
 
+// hasSentMembers reports whether a worker may know of any member: one whose run is recorded.
+func (ws *workerState) hasSentMembers() bool {
+	for _, member := range ws.members {
+		if member.phase != recording {
+			return true
+		}
+	}
+	return false
+}
+
 // expireMembers finishes the members on a worker, except those whose run is still being recorded: nothing was sent for them.
 func (s *session) expireMembers(ws *workerState) {
 	for _, member := range ws.members {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -73,6 +73,7 @@
 		"check the program of the job if its task crashes several workers; the job is given up then"}
 	EvacuationChanged   = Event{427, log.InfoLevel, "evacuation of a data centre requested or ended", actionNone}
 	CrashWithdrawn      = Event{426, log.InfoLevel, "crash withdrawn", "nothing; the worker was only silent"}
+	ReportsAcknowledged = Event{428, log.InfoLevel, "reports acknowledged", actionNone}
 	WorkerIgnoresOrders = Event{425, log.WarnLevel, "worker ignores orders", actionWorker}
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
 	PoolState           = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
@@ -97,7 +98,7 @@
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
-		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged,
+		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
