Ask for tickets on full workers for steps that may preempt

A job of priority 0 in a queue with advice gets no ticket while all workers are full, and so preempts nothing, also within its account's guarantee.

Cause: the advisor was asked only about workers with room for the step.

Fix: for priority 0 the whole capacity counts as room. Workers with free resources still come first.

TestUrgentStepGetsTicketsForFullWorkers failed before (queued after 5 s) and passes now.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -169,8 +169,8 @@
 	}()
 }
 
-// adviceCandidates returns the workers to ask about for a step: usable ones on which it fits and about which the advisor has not
-// decided, those on the rack of its data first, then those with the most free resources.
+// adviceCandidates returns the workers to ask about for a step: usable ones on which it fits, for priority 0 also if others run there,
+// and about which the advisor has not decided; those on the rack of its data first, then those with the most free resources.
 func (s *session) adviceCandidates(st *step) []string {
 	type candidate struct {
 		id     string
@@ -181,9 +181,13 @@
 	allowed, tasks, service := s.allowedWorkers(st), st.tasksPerWorker(), s.serviceOf(st.job.spec)
 	for id, ws := range s.workers {
 		free, freeing := ws.free()
+		room := free.Add(freeing)
+		if st.job.spec.GetPriority() == 0 {
+			room = assign.ResourcesFromProto(ws.entry.Capacity) // it may preempt what runs there
+		}
 		life, denied := st.denied[id]
 		if !s.usable(ws) || allowed[id] || (denied && life == ws.startedAtMs) || ws.entry.Service != service ||
-			!assign.HasRequiredLabel(st.spec, ws.entry.Labels) || assign.CountTasks(st.spec, free.Add(freeing), tasks[id]) == 0 {
+			!assign.HasRequiredLabel(st.spec, ws.entry.Labels) || assign.CountTasks(st.spec, room, tasks[id]) == 0 {
 			continue
 		}
 		rack := st.spec.GetDataRack()
--- a/internal/node/advice_test.go
+++ b/internal/node/advice_test.go
@@ -115,3 +115,14 @@
 		}
 	})
 }
+
+// Guards against a job within its account's guarantee that gets no tickets because all workers are full, so that it preempts nothing.
+func TestUrgentStepGetsTicketsForFullWorkers(t *testing.T) {
+	advisor := newPolicyAdvisor(60*time.Millisecond, func(string) bool { return true })
+	runCluster(t, make([]float64, 1), 2, &cluster{advisor: advisor, urgentAdvice: true}, func(c *cluster) {
+		requireOK(c, c.submit(0, 2, "i0", tasks(2, 8, time.Minute)))
+		time.Sleep(2 * time.Second)
+		requireOK(c, c.submit(1, 0, "i0", tasks(1, 8, time.Second)))
+		c.await(1, 0, replica.Completed, 5*time.Second)
+	})
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -37,8 +37,9 @@
 	cancels  map[string]context.CancelFunc
 	// mu guards down and jobs, which the mocks read.
 	mu sync.Mutex
-	// advisor, if set, is the advisor of the queue with priority 1.
-	advisor worker.Advisor
+	// advisor, if set, is the advisor of the queue with priority 1, and with urgentAdvice also of that with priority 0.
+	advisor      worker.Advisor
+	urgentAdvice bool
 	// machines, if set, carry out the waves of upkeep that instances read when they start.
 	machines worker.Machines
 	waves    []config.Wave
@@ -88,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
-			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, capacityGrace: options.capacityGrace,
+			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, urgentAdvice: options.urgentAdvice, capacityGrace: options.capacityGrace,
 			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, cut: map[string]map[string]bool{},
 			jobs: map[string]*storev1.Job{},
 		}
@@ -122,8 +123,9 @@
 
 // operatorReader puts testConfig into force.
 type operatorReader struct {
-	holder      *config.Holder
-	evacuations *config.Evacuations
+	holder       *config.Holder
+	evacuations  *config.Evacuations
+	urgentAdvice bool
 }
 
 // Apply takes each key as the data centre to evacuate while the record has a value.
@@ -133,7 +135,13 @@
 	}
 }
 
-func (r operatorReader) Ready() { r.holder.Set(testConfig()) }
+func (r operatorReader) Ready() {
+	configuration := testConfig()
+	if r.urgentAdvice {
+		configuration.Queues[0].Advisor = configuration.Queues[1].Advisor
+	}
+	r.holder.Set(configuration)
+}
 
 func testConfig() *config.Configuration {
 	queue := func(priority uint32) config.Queue {
@@ -184,7 +192,7 @@
 				wave.FirstSeen = time.Now()
 				waves.Set(wave)
 			}
-			return operatorReader{holder, evacuations}
+			return operatorReader{holder, evacuations, c.urgentAdvice}
 		},
 	}, events.Discard(), c.options()...)
 	ctx, cancel := context.WithCancel(context.Background())
