--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -236,6 +236,30 @@
 	})
 }
 
+// injectFor lets all calls of one instance to the store have a fault.
+func (c *cluster) injectFor(faulty string, fault mock.Fault) {
+	c.inject(func(instance, _ string) mock.Fault {
+		if instance == faulty {
+			return fault
+		}
+		return mock.None
+	})
+}
+
+// requireOneOwner checks that exactly one instance considers itself the owner.
+func (c *cluster) requireOneOwner() {
+	c.t.Helper()
+	owners := 0
+	for _, instance := range c.nodes {
+		if instance.Epoch() > 0 {
+			owners++
+		}
+	}
+	if owners != 1 {
+		c.t.Errorf("%d instances consider themselves the owner, want 1", owners)
+	}
+}
+
 // kill stops an instance and cuts it off from the store, so that it can't release its ownership.
 func (c *cluster) kill(name string) {
 	c.setDown(name, true)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -75,24 +75,11 @@
 	run(t, 3, 6, func(c *cluster) {
 		submitAll(c, 10)
 		disconnected := c.owner()
-		c.inject(func(instance, _ string) mock.Fault {
-			if instance == disconnected {
-				return mock.Refuse
-			}
-			return mock.None
-		})
+		c.injectFor(disconnected, mock.Refuse)
 		time.Sleep(8 * time.Second)
 		c.inject(nil)
 		time.Sleep(2 * time.Second)
-		owners := 0
-		for _, instance := range c.nodes {
-			if instance.Epoch() > 0 {
-				owners++
-			}
-		}
-		if owners != 1 {
-			t.Errorf("%d instances consider themselves the owner, want 1", owners)
-		}
+		c.requireOneOwner()
 		awaitAll(c, 10, time.Minute)
 	})
 }
@@ -404,12 +391,7 @@
 // An instance that gets no answers from the store can't know that a job was never accepted, so it must not answer NoJob.
 func TestInstanceCutOffFromStoreDoesNotDenyJobs(t *testing.T) {
 	run(t, 2, 2, func(c *cluster) {
-		c.inject(func(instance, _ string) mock.Fault {
-			if instance == "i1" {
-				return mock.DropRequest
-			}
-			return mock.None
-		})
+		c.injectFor("i1", mock.DropRequest)
 		time.Sleep(time.Second)
 		requireOK(c, c.submit(1, 2, "i0", tasks(1, 1, 30*time.Second)))
 		time.Sleep(time.Second)
@@ -443,12 +425,7 @@
 	run(t, 2, 2, func(c *cluster) {
 		requireOK(c, c.submit(1, 2, "i0", tasks(1, 1, 4*time.Second)))
 		c.await(1, 2, replica.Running, 2*time.Second)
-		c.inject(func(instance, _ string) mock.Fault {
-			if instance == "i1" {
-				return mock.DropRequest
-			}
-			return mock.None
-		})
+		c.injectFor("i1", mock.DropRequest)
 		time.Sleep(10 * time.Second)
 		c.await(1, 2, replica.Completed, time.Second)
 		admitted, gw := c.admit(1, 2, "i1")
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -242,22 +242,12 @@
 		for _, all := range []bool{false, true} {
 			run(t, 3, 6, func(c *cluster) {
 				refused := c.owner()
-				c.inject(func(instance, _ string) mock.Fault {
-					if all || instance == refused {
-						return fault
-					}
-					return mock.None
-				})
-				time.Sleep(6 * time.Second)
-				owners := 0
-				for _, instance := range c.nodes {
-					if instance.Epoch() > 0 {
-						owners++
-					}
-				}
-				if owners != 1 {
-					t.Errorf("%d instances are owners, want 1", owners)
+				c.injectFor(refused, fault)
+				if all {
+					c.inject(func(string, string) mock.Fault { return fault })
 				}
+				time.Sleep(6 * time.Second)
+				c.requireOneOwner()
 				if isOwner := c.nodes[refused].Epoch() > 0; isOwner != all {
 					t.Errorf("the store refuses all instances: %v; the previous owner is still the owner: %v", all, isOwner)
 				}
--- a/internal/node/upkeep_test.go
+++ b/internal/node/upkeep_test.go
@@ -95,12 +95,7 @@
 		run(t, 0, 24, func(c *cluster) {
 			machines := startWave(c, 3)
 			refused := c.owner()
-			c.inject(func(instance, _ string) mock.Fault {
-				if instance == refused {
-					return fault
-				}
-				return mock.None
-			})
+			c.injectFor(refused, fault)
 			time.Sleep(1500 * time.Millisecond)
 			for name := range c.nodes {
 				if name != refused {
