--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -42,7 +42,7 @@
 	OwnershipReleased = Event{305, log.InfoLevel, "ownership released", actionNone}
 	OwnerPaused       = Event{308, log.WarnLevel, "owner was paused",
 		"check the load of the machine if the line repeats; the owner confirms its ownership before it goes on"}
-	OwnerIsolated = Event{310, log.WarnLevel, "owner isolated or no longer so",
+	OwnerIsolated = Event{310, log.WarnLevel, "isolation of the owner began or ended",
 		"check the network of the instance; while it is isolated it renews no leases, and another instance may be the owner"}
 	OwnerFailed = Event{309, log.ErrorLevel, "owner failed",
 		"report the stack in the line to the developers; another instance becomes the owner"}
