Log what showed the crash of a worker, and the state of the task on it

Event 423 named the task, the count and whether the crash came right after a start; it couldn't tell a task that ran from an order that was refused or stopped, nor an end of the worker that was proved from a silence.

423 has now the sign of the loss, the member's phase, whether its worker had confirmed it, why its run was being stopped, and the times since its start order and since the silence; 409 the sign, the silence and the start of the incarnation. No logic changes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -27,6 +27,9 @@
 	*member
 	// prompt is true if the worker fell silent soon after it had been ordered to start the member.
 	prompt bool
+	// lastPhase is the member's phase before the loss, and stopReason why its run was being stopped then; empty if it wasn't.
+	lastPhase  phase
+	stopReason string
 }
 
 // lostMembers returns the members on a worker for which started reports that they were started. It returns none for a worker that
@@ -43,7 +46,7 @@
 	for _, m := range ws.members {
 		if started(m) {
 			prompt := !m.startSentAt.IsZero() && silentSince.Sub(m.startSentAt) < promptCrashTime
-			all = append(all, lostMember{member: m, prompt: prompt})
+			all = append(all, lostMember{member: m, prompt: prompt, lastPhase: m.phase, stopReason: m.run.stopReason})
 		}
 	}
 	return all
@@ -54,10 +57,23 @@
 	return m.startSent || m.phase == unconfirmed || m.phase == running
 }
 
+// lossSign is what showed that a worker's incarnation has ended, or may have.
+type lossSign string
+
+// Signs of a loss, from the strongest to the weakest.
+const (
+	signRefusal   lossSign = "another incarnation refused a call"
+	signReport    lossSign = "another incarnation reported"
+	signRegistry  lossSign = "the registry has another address"
+	signUpkeep    lossSign = "its upkeep was ordered"
+	signOlderRuns lossSign = "its runs are older than its start"
+	signSilence   lossSign = "silent, and not in the registry"
+)
+
 // countCrash counts the crash of a worker against the tasks that had just started on it, or if none had, against all that ran
 // on it. Their units become suspects if the crash followed the start promptly, or was not the first under the same task; they then
 // run on probation. The job of a task under which workers go on to crash is given up. It returns the members whose crash it counted.
-func (s *session) countCrash(ws *workerState, lost []lostMember) (counted []*member) {
+func (s *session) countCrash(ws *workerState, sign lossSign, lost []lostMember) (counted []*member) {
 	anyPrompt := slices.ContainsFunc(lost, func(c lostMember) bool { return c.prompt })
 	for _, c := range lost {
 		u := c.run.unit
@@ -71,7 +87,9 @@
 		s.dirty = true
 		exclusive := !slices.ContainsFunc(lost, func(other lostMember) bool { return other.run.unit != u })
 		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", c.name, "run", c.run.number, "crashes", crashes,
-			"prompt", c.prompt, "exclusive", exclusive, "suspect", u.suspect)
+			"prompt", c.prompt, "exclusive", exclusive, "suspect", u.suspect, "sign", string(sign), "phase", c.lastPhase.String(),
+			"confirmed", !c.confirmedAt.IsZero(), "stopping", c.stopReason, "start_age_ms", s.age(c.startSentAt).Milliseconds(),
+			"silent_ms", s.age(ws.silentSince).Milliseconds(), "worker_start_ms", ws.startedAtMs)
 		if !u.step.job.cancelled && (crashes >= maxCrashes || (c.prompt && exclusive && crashes >= maxProvenCrashes)) {
 			s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+c.name, nil)
 		}
@@ -79,6 +97,14 @@
 	return counted
 }
 
+// age returns how long ago a time was; 0 if it is unknown.
+func (s *session) age(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return s.now.Sub(t)
+}
+
 // silentLoss is the loss of a worker that was silent for longer than its leases and left the registry: it may have crashed.
 type silentLoss struct {
 	// startedAtMs is the start of the incarnation that was lost.
@@ -127,7 +153,7 @@
 // countMissedCrash counts the crash of a worker that was back before this owner first asked it: its incarnation, which started
 // at startedAtMs, is younger than the runs that an earlier owner started on it.
 func (s *session) countMissedCrash(ws *workerState, startedAtMs int64) {
-	s.countCrash(ws, s.lostMembers(ws, func(m *member) bool {
+	s.countCrash(ws, signOlderRuns, s.lostMembers(ws, func(m *member) bool {
 		return m.phase == unconfirmed && m.run.recordedAtMs > 0 && m.run.recordedAtMs < startedAtMs
 	}))
 }
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -69,7 +69,7 @@
 		s.term.StepDown("worker " + ws.id + " has seen a higher fencing token")
 		return
 	case reason == worker.RefusedIncarnation:
-		s.handleNewIncarnation(ws)
+		s.handleNewIncarnation(ws, signRefusal)
 		return
 	case err != nil:
 		s.handleLostPoll(ws)
@@ -78,7 +78,7 @@
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
 			ws.lastProcessed, ws.lastStored, ws.lastAcked = 0, 0, 0
-			s.countCrash(ws, s.lostMembers(ws, func(m *member) bool { return mayHaveStarted(m) && !isReported(m, report) }))
+			s.countCrash(ws, signReport, s.lostMembers(ws, func(m *member) bool { return mayHaveStarted(m) && !isReported(m, report) }))
 		} else {
 			s.countMissedCrash(ws, report.StartedAtMs)
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,6 +28,11 @@
 	finished
 )
 
+// String returns the phase as the log names it.
+func (p phase) String() string {
+	return [...]string{"recording", "unconfirmed", "starting", "running", "finished"}[p]
+}
+
 // run is one run of a unit.
 type run struct {
 	unit    *unit
@@ -237,7 +242,7 @@
 	s.logRefusedStart(m, reason)
 	switch reason {
 	case worker.RefusedIncarnation:
-		s.handleNewIncarnation(m.worker)
+		s.handleNewIncarnation(m.worker, signRefusal)
 		return
 	case worker.RefusedUnhealthy:
 		s.quarantine(m.worker, "worker refuses to start tasks")
@@ -297,7 +302,7 @@
 		case reason == worker.RefusedFence:
 			s.term.StepDown("worker " + m.worker.id + " has seen a higher fencing token")
 		case reason == worker.RefusedIncarnation:
-			s.handleNewIncarnation(m.worker)
+			s.handleNewIncarnation(m.worker, signRefusal)
 		case err == nil || reason == worker.RefusedOldRun:
 			m.stopAcceptedAt = s.now
 			s.pollSoon(m.worker)
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -258,7 +258,7 @@
 	delete(w.chosen, machine)
 	w.startedAt[machine] = s.now
 	if ws := s.workerOn(machine); ws != nil {
-		s.handleNewIncarnation(ws)
+		s.handleNewIncarnation(ws, signUpkeep)
 	}
 	s.recordWave(w, nil)
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -161,7 +161,7 @@
 	}
 	ws := s.worker(entry.ID)
 	if ws.listed && ws.entry.Address != entry.Address {
-		s.handleNewIncarnation(ws)
+		s.handleNewIncarnation(ws, signRegistry)
 	}
 	if !ws.listed || ws.entry.Draining != entry.Draining || !s.knowsCapacity(ws) {
 		s.dirty = true
@@ -329,7 +329,7 @@
 			lost = s.lostMembers(ws, mayHaveStarted)
 		}
 		s.expireMembers(ws)
-		if counted := s.countCrash(ws, lost); len(counted) > 0 {
+		if counted := s.countCrash(ws, signSilence, lost); len(counted) > 0 {
 			s.silentLosses[ws.id] = silentLoss{startedAtMs: ws.startedAtMs, counted: counted}
 		}
 	}
@@ -358,14 +358,14 @@
 	}
 }
 
-// handleNewIncarnation handles the end of a worker's incarnation: another one answers, or the upkeep of its machine has
-// started. Everything that it ran has ended.
-func (s *session) handleNewIncarnation(ws *workerState) {
-	s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members), "reason", "another incarnation answers")
+// handleNewIncarnation handles the end of a worker's incarnation, which sign has shown. Everything that it ran has ended.
+func (s *session) handleNewIncarnation(ws *workerState, sign lossSign) {
+	s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members), "reason", string(sign), "listed", ws.listed,
+		"silent_ms", s.age(ws.silentSince).Milliseconds(), "worker_start_ms", ws.startedAtMs)
 	lost := s.lostMembers(ws, mayHaveStarted)
 	ws.listed, ws.confirmed, ws.reserved, ws.replaced = false, false, false, true
 	s.expireMembers(ws)
-	s.countCrash(ws, lost)
+	s.countCrash(ws, sign, lost)
 }
 
 // quarantine keeps new tasks from a worker for some time.
