Mock workers: more ways to lose an incarnation

Tests of jobs that are given up need workers that crash and return under a new id one by one, are replaced at once, stay down for longer, or have a clock ahead of the instances', and must see when a worker is stopping a task. WorkerOf now ends what has ended by then first: it named a silent worker whose lease had expired while the task ran elsewhere.

--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -41,7 +41,7 @@
 func (f *fakeWorker) clockMs() int64 { return time.Since(f.startedAt).Milliseconds() }
 
 func (f *fakeWorker) reply() worker.Reply {
-	return worker.Reply{ClockMs: f.clockMs() + 1, StartedAtMs: f.startedAt.UnixMilli()}
+	return worker.Reply{ClockMs: f.clockMs() + 1, StartedAtMs: f.startedAt.Add(f.clockAhead).UnixMilli()}
 }
 
 // fenced reports whether a higher fencing token was used before. Otherwise it records the token.
@@ -150,7 +150,8 @@
 	}
 	w.startCounts[order.Task]++
 	if w.crashing != nil && w.crashing(order.Task) {
-		time.AfterFunc(w.crashAfter, func() { w.crash(fake) })
+		returned := w.returned
+		time.AfterFunc(w.crashAfter, func() { w.crash(fake, returned) })
 	}
 	w.latestRuns[order.Task] = max(w.latestRuns[order.Task], order.Run)
 	if spec := w.findJob(task.Job).GetSpec(); order.Spec != spec {
--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// crashDuration is how long a crashed worker is down.
-const crashDuration = 3 * time.Second
+// defaultCrashDuration is the default of Workers.CrashDuration.
+const defaultCrashDuration = 3 * time.Second
 
 // CrashTasks makes each worker crash some time after it has started one of the tasks that crashing selects. The worker returns
-// after crashDuration and knows nothing of before. It has the same id if returned is nil, and otherwise a new one, with which
+// after CrashDuration and knows nothing of before. It has the same id if returned is nil, and otherwise a new one, with which
 // returned is called.
 func (w *Workers) CrashTasks(crashing func(task string) bool, after time.Duration, returned func(old, id string)) {
 	w.mu.Lock()
@@ -16,18 +16,43 @@
 
 // Crash makes a worker crash as if it had started a task of CrashTasks.
 func (w *Workers) Crash(id string) {
+	w.mu.Lock()
+	returned := w.returned
+	w.mu.Unlock()
+	w.CrashAs(id, returned)
+}
+
+// CrashAs is Crash for a worker that returns as given by returned, whatever CrashTasks was called with.
+func (w *Workers) CrashAs(id string, returned func(old, id string)) {
 	w.mu.Lock()
 	fake := w.byID[id]
 	w.mu.Unlock()
-	w.crash(fake)
+	w.crash(fake, returned)
 }
 
-func (w *Workers) crash(fake *fakeWorker) {
+// Replace ends the incarnation of a worker and starts the next one at once, under a new id, which it returns.
+func (w *Workers) Replace(id string) (next string) {
+	w.mu.Lock()
+	fake := w.byID[id]
+	w.end(fake)
+	w.mu.Unlock()
+	w.restart(fake, func(_, id string) { next = id })
+	return next
+}
+
+func (w *Workers) crash(fake *fakeWorker, returned func(old, id string)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if fake.down || fake.replaced {
 		return
 	}
+	w.end(fake)
+	fake.downSince = time.Now()
+	time.AfterFunc(w.CrashDuration, func() { w.restart(fake, returned) })
+}
+
+// end ends the incarnation of a worker and all that it knows.
+func (w *Workers) end(fake *fakeWorker) {
 	w.finishTasks(fake)
 	for _, finished := range fake.finished {
 		delete(w.done, finished.Task) // nobody has seen these ends
@@ -36,14 +61,13 @@
 	fake.running, fake.finished = map[string]*fakeTask{}, nil
 	close(fake.changed)
 	fake.changed = make(chan struct{})
-	time.AfterFunc(crashDuration, func() { w.restart(fake) })
 }
 
 // restart starts the next incarnation of a crashed worker.
-func (w *Workers) restart(fake *fakeWorker) {
+func (w *Workers) restart(fake *fakeWorker, returned func(old, id string)) {
 	w.mu.Lock()
-	returned := w.returned
 	next := newWorker(fake.entry)
+	next.clockAhead = fake.clockAhead
 	if returned != nil {
 		next.entry.ID += "'"
 	}
@@ -76,9 +100,29 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, fake := range w.byID {
+		w.finishTasks(fake)
 		if _, running := fake.running[task]; running {
 			return id
 		}
 	}
 	return ""
 }
+
+// DownFor returns for how long a worker has been down after a crash; 0 if it isn't down.
+func (w *Workers) DownFor(id string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.byID[id].down {
+		return 0
+	}
+	return time.Since(w.byID[id].downSince)
+}
+
+// Stopping reports whether a worker is stopping a task.
+func (w *Workers) Stopping(id, task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.finishTasks(w.byID[id])
+	running, known := w.byID[id].running[task]
+	return known && !running.stopRequestedAt.IsZero()
+}
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -36,6 +36,8 @@
 	latestRuns map[string]uint32
 	// StopDuration is how long a worker takes to stop a task.
 	StopDuration time.Duration
+	// CrashDuration is how long a crashed worker is down.
+	CrashDuration time.Duration
 	// dropStarts and dropPolls make all workers drop starts or polls.
 	dropStarts, dropPolls bool
 	// loseEvery is the argument of LoseCalls, and calls the number of calls since then.
@@ -52,6 +54,8 @@
 type fakeWorker struct {
 	entry     worker.RegistryEntry
 	startedAt time.Time
+	// clockAhead is how far the time of day of the worker's machine is ahead of the instances'.
+	clockAhead time.Duration
 	// fence is the highest fencing token of an order.
 	fence int64
 	// leaseEndMs is the end of the lease on the worker's clock, which starts at 0 at startedAt.
@@ -65,6 +69,7 @@
 	unreachable bool
 	// down is true from a crash until the worker's return. replaced is true if it returned under another id.
 	down, replaced bool
+	downSince      time.Time
 	// limit is the capacity that starts must not exceed, which follows entry.Capacity with a delay.
 	limit uint32
 	// misdirectedCalls is the number of calls since it returned under another id.
@@ -116,7 +121,7 @@
 func NewWorkers(count int, findJob func(id string) *storev1.Job) *Workers {
 	w := &Workers{
 		byID: map[string]*fakeWorker{}, findJob: findJob, startCounts: map[string]int{}, done: map[string]bool{},
-		latestRuns: map[string]uint32{}, StopDuration: defaultStopDuration,
+		latestRuns: map[string]uint32{}, StopDuration: defaultStopDuration, CrashDuration: defaultCrashDuration,
 	}
 	for i := range count {
 		w.add(fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/4))
@@ -276,6 +281,15 @@
 	w.byID[id].extraLatency = latency
 }
 
+// SetClocksAhead sets how far the time of day of all workers is ahead of the instances'.
+func (w *Workers) SetClocksAhead(ahead time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, fake := range w.byID {
+		fake.clockAhead = ahead
+	}
+}
+
 // DelayNextStart makes a worker carry out the next start after a delay and without a reply. 0 cancels the delay.
 func (w *Workers) DelayNextStart(id string, delay time.Duration) {
 	w.mu.Lock()
