Don't count a start that another incarnation refuses as a crash

What callers saw: sound jobs shown as failed. A worker had been replaced before the owner knew; the order to start a task was refused by its successor, and the end of the worker counted as a crash under a task that had never run there, prompt and often alone.

The member ends before the end of the incarnation is handled, if none of its orders went unanswered. An order without an answer may have run, and still counts; what it shows is another matter.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -242,6 +242,10 @@
 	s.logRefusedStart(m, reason)
 	switch reason {
 	case worker.RefusedIncarnation:
+		if m.unansweredStarts == 0 && !m.mayBeDelayed {
+			// It never ran there, so the end of the incarnation says nothing about the task.
+			s.finishMember(m, worker.Stopped)
+		}
 		s.handleNewIncarnation(m.worker, signRefusal)
 		return
 	case worker.RefusedUnhealthy:
