Give a job up only on evidence that its task crashes workers

What callers saw: sound jobs shown as failed (rule LOST). Each loss of a worker counted one under every task that was there or had been sent there, over the whole life of the job, whatever had shown the loss: a silence, a comparison of two clocks, an order that had never been answered, a run that was being stopped. Three or four such counts ended the job, and an end can't be taken back.

A count makes a unit a suspect, as before: that costs probation or a wait. A job is given up on evidence only. A loss adds evidence if another incarnation has shown itself, or the worker has been gone for 20 s; if the start was confirmed, or the worker answered within a second before it fell silent on the order; if no other job's task started there then; and if the run was lost right after its start, or at the age at which the one before was. It adds the decimal digits of the probability that it is a coincidence: the share of the workers in use that were lost around that time and that no start explains, or the time since a worker was last lost at that address. Four digits end the job, two at most from one loss. A run that lasts for twice as long as those that were lost clears the unit. Suspects get steady workers, are probed before they start, and wait up to 10 s for calmer times after two losses. Evidence survives the owner.

Found on the way: the answer of a new incarnation to a stop ended the record of its predecessor's silence, so that crashes under tasks that were stopped as stalled counted for nothing; crashes of workers whose lease expired while the registry still listed them were never counted. Both made deadly tasks start without end on such fleets.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -6,97 +6,177 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
 const (
 	// promptCrashTime is how soon after the start of a task a worker must fall silent for the task to be a likely cause. A run
 	// that lasts longer has passed its probation.
 	promptCrashTime = time.Second
-	// maxProvenCrashes is how many workers may crash under a task if the last one ran no other unit and crashed promptly.
-	maxProvenCrashes = 3
-	// maxCrashes is how many workers may crash under a task in any case.
-	maxCrashes = 4
-	// maxExclusiveWait is how long a suspect unit waits for workers that run nothing else, and maxFirstExclusiveWait the same
-	// after its first crash, when most suspects only ran beside the cause.
-	maxExclusiveWait      = 4 * time.Second
-	maxFirstExclusiveWait = 500 * time.Millisecond
+	// lossConfirmTime is how long a worker must be silent and missing from the registry to count as gone.
+	lossConfirmTime = 20 * time.Second
 )
 
-// lostMember is a member whose worker crashed.
+// crashRecord counts the workers that were lost under the members of a unit since a run of it last lasted.
+type crashRecord struct {
+	// counted is the number of losses by member, and evidence the sum of what they show; nil if none was counted.
+	counted  []uint32
+	evidence []float32
+	// age is the longest time that a counted run had run, and lastAge that of the latest one; 0 if unknown.
+	age, lastAge time.Duration
+}
+
+func restoreCrashes(recorded *storev1.Run) crashRecord {
+	members := len(recorded.GetCrashes())
+	return crashRecord{
+		counted: slices.Clone(recorded.GetCrashes()), evidence: resize(slices.Clone(recorded.GetCrashEvidence()), members),
+		age: time.Duration(recorded.GetCrashAgeMs()) * time.Millisecond, lastAge: time.Duration(recorded.GetCrashAgeMs()) * time.Millisecond,
+	}
+}
+
+// any reports whether a loss is counted.
+func (r *crashRecord) any() bool { return r.most() > 0 }
+
+// most returns the highest number of losses under one member.
+func (r *crashRecord) most() uint32 {
+	if len(r.counted) == 0 {
+		return 0
+	}
+	return slices.Max(r.counted)
+}
+
+// add counts a loss under a member of a unit with the given number of members.
+func (r *crashRecord) add(member, members int, age time.Duration) {
+	r.counted, r.evidence = resize(r.counted, members), resize(r.evidence, members)
+	r.counted[member]++
+	r.age, r.lastAge = max(r.age, age), age
+}
+
+// withdraw takes back a loss under a member that added no evidence, and reports whether one was counted.
+func (r *crashRecord) withdraw(member int) bool {
+	if member >= len(r.counted) || r.counted[member] == 0 {
+		return false
+	}
+	r.counted[member]--
+	if !r.any() {
+		*r = crashRecord{}
+	}
+	return true
+}
+
+// prove adds evidence to a loss that is counted under a member; it has no effect if the losses were cleared since.
+func (r *crashRecord) prove(member int, evidence float32) {
+	if member < len(r.counted) && r.counted[member] > 0 {
+		r.evidence[member] += evidence
+	}
+}
+
+// condemns reports whether a member has certainly crashed workers.
+func (r *crashRecord) condemns(member int) bool {
+	return member < len(r.evidence) && r.evidence[member] >= requiredEvidence
+}
+
+func resize[T uint32 | float32](values []T, length int) []T {
+	if len(values) >= length {
+		return values
+	}
+	return append(values, make([]T, length-len(values))...)
+}
+
+// lostMember is a member whose worker was lost.
 type lostMember struct {
 	*member
-	// prompt is true if the worker fell silent soon after it had been ordered to start the member.
-	prompt bool
-	// lastPhase is the member's phase before the loss, and stopReason why its run was being stopped then; empty if it wasn't.
+	// age is for how long the member had run when its worker fell silent; -1 if an earlier owner started it.
+	age time.Duration
+	// lastPhase is the member's phase before the loss, and stopReason why its run was being stopped when its worker fell silent;
+	// empty if it wasn't.
 	lastPhase  phase
 	stopReason string
 }
 
+// prompt reports whether the worker fell silent soon after it had been ordered to start the member.
+func (l lostMember) prompt() bool { return l.age >= 0 && l.age < promptCrashTime }
+
 // lostMembers returns the members on a worker for which started reports that they were started. It returns none for a worker that
 // leaves as announced.
 func (s *session) lostMembers(ws *workerState, started func(*member) bool) []lostMember {
 	if ws.entry.Draining || ws.reserved {
 		return nil
 	}
-	silentSince := ws.silentSince
-	if silentSince.IsZero() {
-		silentSince = s.now
-	}
+	silentSince := s.silentSince(ws)
 	var all []lostMember
 	for _, m := range ws.members {
-		if started(m) {
-			prompt := !m.startSentAt.IsZero() && silentSince.Sub(m.startSentAt) < promptCrashTime
-			all = append(all, lostMember{member: m, prompt: prompt, lastPhase: m.phase, stopReason: m.run.stopReason})
+		if !started(m) {
+			continue
 		}
+		lost := lostMember{member: m, age: -1, lastPhase: m.phase}
+		if !m.startSentAt.IsZero() {
+			lost.age = max(0, silentSince.Sub(m.startSentAt))
+		}
+		if m.run.stopReason != "" && m.run.stoppedAt.Before(silentSince) {
+			lost.stopReason = m.run.stopReason
+		}
+		all = append(all, lost)
 	}
 	return all
 }
 
+// silentSince returns since when a lost worker has been silent.
+func (s *session) silentSince(ws *workerState) time.Time {
+	if ws.silentSince.IsZero() {
+		return s.now
+	}
+	return ws.silentSince
+}
+
 // mayHaveStarted reports whether a start order for a member was sent, by this owner or an earlier one.
 func mayHaveStarted(m *member) bool {
 	return m.startSent || m.phase == unconfirmed || m.phase == running
 }
 
-// lossSign is what showed that a worker's incarnation has ended, or may have.
-type lossSign string
-
-// Signs of a loss, from the strongest to the weakest.
-const (
-	signRefusal   lossSign = "another incarnation refused a call"
-	signReport    lossSign = "another incarnation reported"
-	signRegistry  lossSign = "the registry has another address"
-	signUpkeep    lossSign = "its upkeep was ordered"
-	signOlderRuns lossSign = "its runs are older than its start"
-	signSilence   lossSign = "silent, and not in the registry"
-)
+// countedCrash is a member under which a loss was counted, and the evidence that the loss adds once the worker is certainly gone.
+type countedCrash struct {
+	*member
+	evidence float32
+}
 
-// countCrash counts the crash of a worker against the tasks that had just started on it, or if none had, against all that ran
-// on it. Their units become suspects if the crash followed the start promptly, or was not the first under the same task; they then
-// run on probation. The job of a task under which workers go on to crash is given up. It returns the members whose crash it counted.
-func (s *session) countCrash(ws *workerState, sign lossSign, lost []lostMember) (counted []*member) {
-	anyPrompt := slices.ContainsFunc(lost, func(c lostMember) bool { return c.prompt })
+// countCrash counts the loss of a worker against the tasks that had just started on it, or if none had, against all that ran on it,
+// but not against those that were being stopped. Their units become suspects if the loss followed the start promptly, or was not
+// the first under the same task; they then run on probation. The job of a task that has certainly caused losses is given up.
+// It returns the members under which the loss was counted.
+func (s *session) countCrash(ws *workerState, sign lossSign, lost []lostMember) (counted []countedCrash) {
+	anyPrompt := slices.ContainsFunc(lost, lostMember.prompt)
 	for _, c := range lost {
 		u := c.run.unit
-		if u.step.job.hasEnded() || u.done || c.crashCounted || (anyPrompt && !c.prompt) {
+		if u.step.job.hasEnded() || u.done || c.crashCounted || c.stopReason != "" || (anyPrompt && !c.prompt()) {
 			continue
 		}
 		c.crashCounted = true
-		counted = append(counted, c.member)
-		crashes := u.addCrash(c.index)
-		u.suspect = u.suspect || c.prompt || crashes > 1
+		evidence, doubt := s.evidence(ws, c, lost)
+		u.lostAt[ws.entry.Address] = s.silentSince(ws)
+		counted = append(counted, countedCrash{member: c.member, evidence: evidence})
+		u.crashes.add(c.index, memberCount(u), c.age)
+		if sign.certain() {
+			u.crashes.prove(c.index, evidence)
+		}
+		u.suspect = u.suspect || c.prompt() || u.crashes.counted[c.index] > 1
 		s.dirty = true
-		exclusive := !slices.ContainsFunc(lost, func(other lostMember) bool { return other.run.unit != u })
-		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", c.name, "run", c.run.number, "crashes", crashes,
-			"prompt", c.prompt, "exclusive", exclusive, "suspect", u.suspect, "sign", string(sign), "phase", c.lastPhase.String(),
-			"confirmed", !c.confirmedAt.IsZero(), "stopping", c.stopReason, "start_age_ms", s.age(c.startSentAt).Milliseconds(),
+		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", c.name, "run", c.run.number, "crashes", u.crashes.counted[c.index],
+			"evidence", u.crashes.evidence[c.index], "added", evidence, "doubt", doubt, "sign", string(sign), "prompt", c.prompt(),
+			"suspect", u.suspect, "phase", c.lastPhase.String(), "start_age_ms", s.age(c.startSentAt).Milliseconds(),
 			"silent_ms", s.age(ws.silentSince).Milliseconds(), "worker_start_ms", ws.startedAtMs)
-		if !u.step.job.cancelled && (crashes >= maxCrashes || (c.prompt && exclusive && crashes >= maxProvenCrashes)) {
-			s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+c.name, nil)
-		}
+		s.giveUpIfCondemned(c.member)
 	}
 	return counted
 }
 
+// giveUpIfCondemned ends the job of a task that has certainly crashed too many workers.
+func (s *session) giveUpIfCondemned(m *member) {
+	if u := m.run.unit; !u.step.job.cancelled && u.crashes.condemns(m.index) {
+		s.endJob(u.step.job, storev1.JobState_JOB_STATE_FAILED, "workers crashed under task "+m.name, nil)
+	}
+}
+
 // age returns how long ago a time was; 0 if it is unknown.
 func (s *session) age(t time.Time) time.Duration {
 	if t.IsZero() {
@@ -105,104 +185,83 @@
 	return s.now.Sub(t)
 }
 
-// silentLoss is the loss of a worker that was silent for longer than its leases and left the registry: it may have crashed.
+// silentLoss is the loss of a worker that was silent for longer than its leases: it may have crashed, or be out of reach.
 type silentLoss struct {
-	// startedAtMs is the start of the incarnation that was lost.
+	address string
+	// startedAtMs is the start of the incarnation that was lost, and at the time of the loss.
 	startedAtMs int64
-	// counted are the members whose crash was counted.
-	counted []*member
+	at          time.Time
+	counted     []countedCrash
+}
+
+// countSilentLoss counts the loss of a worker that may still answer. It shows nothing until the worker is certainly gone.
+func (s *session) countSilentLoss(ws *workerState, lost []lostMember) {
+	counted := s.countCrash(ws, signSilence, lost)
+	if len(counted) > 0 {
+		s.silentLosses[ws.id] = silentLoss{address: ws.entry.Address, startedAtMs: ws.startedAtMs, at: s.now, counted: counted}
+	}
 }
 
-// withdrawCrashes takes back the crashes that were counted when a worker was silent, once its incarnation of before answers.
-func (s *session) withdrawCrashes(ws *workerState, startedAtMs int64) {
+// resolveSilentLoss takes back what was counted when a worker was silent once its incarnation of before answers, and proves it once
+// another one does.
+func (s *session) resolveSilentLoss(ws *workerState, startedAtMs int64) {
 	loss, known := s.silentLosses[ws.id]
-	if !known {
+	switch {
+	case !known || loss.startedAtMs == 0 || startedAtMs == 0:
 		return
-	}
-	delete(s.silentLosses, ws.id)
-	if loss.startedAtMs != startedAtMs || startedAtMs == 0 {
+	case loss.startedAtMs != startedAtMs:
+		s.proveSilentLoss(ws.id)
 		return
 	}
+	delete(s.silentLosses, ws.id)
 	for _, m := range loss.counted {
 		u := m.run.unit
-		if m.index < len(u.crashes) && u.crashes[m.index] > 0 {
-			u.crashes[m.index]--
-		}
-		if !slices.ContainsFunc(u.crashes, func(crashes uint32) bool { return crashes > 0 }) {
-			u.crashes, u.suspect = nil, false
+		if !u.crashes.withdraw(m.index) {
+			continue
 		}
+		u.suspect = u.suspect && u.crashes.any()
 		s.dirty = true
 		s.Events.Log(events.CrashWithdrawn, "worker", ws.id, "task", m.name, "run", m.run.number)
 	}
 }
 
-// addCrash counts the crash of a member's worker and returns the number of such crashes.
-func (u *unit) addCrash(member int) uint32 {
-	if len(u.crashes) < memberCount(u) {
-		u.crashes = make([]uint32, memberCount(u))
+// proveSilentLossesAt proves the losses of workers at whose address the registry lists another one.
+func (s *session) proveSilentLossesAt(entry worker.RegistryEntry) {
+	for id, loss := range s.silentLosses {
+		if loss.address == entry.Address && id != entry.ID {
+			s.proveSilentLoss(id)
+		}
 	}
-	u.crashes[member]++
-	return u.crashes[member]
-}
-
-// crashedRepeatedly reports whether several workers have crashed under the same task of the unit.
-func (u *unit) crashedRepeatedly() bool {
-	return slices.ContainsFunc(u.crashes, func(crashes uint32) bool { return crashes > 1 })
 }
 
-// countMissedCrash counts the crash of a worker that was back before this owner first asked it: its incarnation, which started
-// at startedAtMs, is younger than the runs that an earlier owner started on it.
-func (s *session) countMissedCrash(ws *workerState, startedAtMs int64) {
-	s.countCrash(ws, signOlderRuns, s.lostMembers(ws, func(m *member) bool {
-		return m.phase == unconfirmed && m.run.recordedAtMs > 0 && m.run.recordedAtMs < startedAtMs
-	}))
-}
-
-// endProbation clears a suspect unit once its run has lasted.
-func (s *session) endProbation(r *run) {
-	u := r.unit
-	if !r.onProbation() {
-		return
-	}
-	u.suspect = false
-	if u.step.spec.GetLongRunning() {
-		// A task without an end outlives many workers.
-		u.crashes = nil
+// confirmLosses takes silent workers for gone that the registry has not listed for lossConfirmTime.
+func (s *session) confirmLosses() {
+	for id, loss := range s.silentLosses {
+		if ws, known := s.workers[id]; known && ws.listed {
+			loss.at = s.now
+			s.silentLosses[id] = loss
+		} else if s.now.Sub(loss.at) > lossConfirmTime {
+			s.proveSilentLoss(id)
+		}
 	}
-	s.dirty = true
-	s.Events.Log(events.ProbationPassed, "task", u.task, "run", r.number)
-}
-
-// passedProbation reports whether a run has lasted for long enough to end its probation.
-func (r *run) passedProbation(now time.Time) bool {
-	return !r.startedAt.IsZero() && now.Sub(r.startedAt) >= promptCrashTime
 }
 
-// onProbation reports whether the run is on probation: it has to show that its unit isn't the cause of crashes. No other unit
-// starts on its workers.
-func (r *run) onProbation() bool { return r.unit.run == r && r.unit.suspect }
-
-// hasProbation reports whether a worker has a run on probation.
-func (ws *workerState) hasProbation() bool {
-	for _, m := range ws.members {
-		if m.run.onProbation() {
-			return true
+// proveSilentLoss counts the crash of a worker that is certainly gone as proven, as far as nothing else speaks against it.
+func (s *session) proveSilentLoss(id string) {
+	loss := s.silentLosses[id]
+	delete(s.silentLosses, id)
+	for _, m := range loss.counted {
+		if u := m.run.unit; !u.done && !u.step.job.hasEnded() {
+			u.crashes.prove(m.index, m.evidence)
+			s.giveUpIfCondemned(m.member)
 		}
 	}
-	return false
-}
-
-// holdsOthers reports whether several workers have crashed under a task of the step. Its job is probably lost, and the tasks of a
-// step behave alike, so its other units wait.
-func (st *step) holdsOthers() bool {
-	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashedRepeatedly() })
 }
 
-// needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
-func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
-	limit := maxFirstExclusiveWait
-	if u.crashedRepeatedly() {
-		limit = maxExclusiveWait
-	}
-	return u.suspect && waited < limit
+// countMissedCrash counts the crash of a worker that was back before this owner first asked it: its incarnation is younger than runs
+// that an earlier owner started on it, by the clocks of both, and reports none of them.
+func (s *session) countMissedCrash(ws *workerState, report worker.Report) {
+	s.countCrash(ws, signOlderRuns, s.lostMembers(ws, func(m *member) bool {
+		return m.phase == unconfirmed && m.run.recordedAtMs > 0 && m.run.recordedAtMs < report.StartedAtMs && !isReported(m, report)
+	}))
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -162,6 +162,8 @@
 	workers map[string]*workerState
 	// silentLosses are the lost workers that may still answer, by their id.
 	silentLosses map[string]silentLoss
+	// losses are the latest losses of workers, by the worker's address.
+	losses map[string]workerLoss
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -200,6 +202,7 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{},
+		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
@@ -294,6 +297,8 @@
 	for _, ws := range s.workers {
 		s.checkWorker(ws)
 	}
+	s.confirmLosses()
+	s.forgetLosses()
 	s.checkRuns()
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -75,8 +75,7 @@
 	checkpointRun     uint32
 	checkpointPercent float64
 	done              bool
-	// crashes is the number of workers that crashed under each member; nil if none did.
-	crashes []uint32
+	crashes           crashRecord
 	// suspect is true if the unit may have caused a crash.
 	suspect bool
 	// record is the latest record of the unit's runs in this term; nil if there is none.
@@ -87,6 +86,8 @@
 	run *run
 	// avoid are the workers on which the unit failed.
 	avoid map[string]bool
+	// lostAt is when a worker was last lost under the unit at each address, as far as this owner has counted it.
+	lostAt map[string]time.Time
 }
 
 // occurrenceCount returns how often a job runs its steps.
@@ -256,14 +257,14 @@
 }
 
 func (s *session) newUnit(st *step, task replica.Task) *unit {
-	u := &unit{task: task, step: st, avoid: map[string]bool{}}
+	u := &unit{task: task, step: st, avoid: map[string]bool{}, lostAt: map[string]time.Time{}}
 	recorded, known := st.job.recordedRuns[task]
 	if !known {
 		return u
 	}
 	u.runNumber, u.failures, u.checkpoint = recorded.GetNumber(), recorded.GetFailures(), recorded.GetCheckpoint()
-	u.lastFailedRun, u.crashes = recorded.GetCounted(), slices.Clone(recorded.GetCrashes())
-	u.suspect = len(u.crashes) > 0
+	u.lastFailedRun, u.crashes = recorded.GetCounted(), restoreCrashes(recorded)
+	u.suspect = u.crashes.any()
 	switch recorded.GetPhase() {
 	case storev1.RunPhase_RUN_PHASE_DONE:
 		u.done = !st.spec.GetLongRunning()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -57,6 +57,9 @@
 	r := s.newRun(u, u.runNumber, workers, recording)
 	s.Events.Log(events.JobPlaced, "task", u.task, "run", u.runNumber, "epoch", s.term.Epoch, "workers", len(workers), "first", workers[0],
 		"waited_ms", s.now.Sub(u.step.readyAt).Milliseconds(), "failures", u.failures, "checkpoint", u.checkpoint)
+	if r.onProbation() {
+		s.probeWorkers(r)
+	}
 	s.recordRun(u, storev1.RunPhase_RUN_PHASE_OPEN, workers, func() { s.startMembers(r) })
 }
 
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -40,6 +40,9 @@
 	if ws.hasProbation() {
 		poll.Wait = min(poll.Wait, promptCrashTime)
 	}
+	if ws.probe {
+		poll.Wait, ws.probe = 0, false
+	}
 	if missing := ws.earliestMissing(); !missing.IsZero() {
 		// The end of a missing task is listed by then, or the next poll shows that the task has ended without it.
 		poll.Wait = min(poll.Wait, max(0, missing.Add(s.Options.StopDuration+pollResolution).Sub(s.now)).Truncate(pollResolution))
@@ -78,15 +81,19 @@
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
 			ws.lastProcessed, ws.lastStored, ws.lastAcked = 0, 0, 0
+			if !ws.unresponsive {
+				s.recordLoss(ws)
+			}
 			s.countCrash(ws, signReport, s.lostMembers(ws, func(m *member) bool { return mayHaveStarted(m) && !isReported(m, report) }))
 		} else {
-			s.countMissedCrash(ws, report.StartedAtMs)
+			s.countMissedCrash(ws, report)
 		}
 		ws.startedAtMs = report.StartedAtMs
 	}
-	s.withdrawCrashes(ws, report.StartedAtMs)
-	s.recordReply(ws, report.Reply)
+	s.resolveSilentLoss(ws, report.StartedAtMs)
+	s.withdrawLoss(ws)
 	ws.unresponsive, ws.confirmed, ws.lostPolls, ws.acceptedAt = false, true, 0, sentAt
+	s.recordReply(ws, report.Reply)
 	if poll.Acknowledged > ws.lastAcked {
 		ws.lastAcked = poll.Acknowledged
 		s.Events.Log(events.ReportsAcknowledged, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch,
@@ -204,6 +211,7 @@
 	}
 	if r.passedProbation(s.now) {
 		s.endProbation(r)
+		s.clearCrashes(r)
 	}
 	if r.stopReason != "" || r.unit.run != r {
 		s.stopMember(m)
--- /dev/null
+++ b/internal/dispatch/probation.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
+)
+
+const (
+	// maxExclusiveWait is how long a suspect unit waits for workers that run nothing else, and for a time in which few others are
+	// lost: one that is the cause may start only a few times more. maxFirstExclusiveWait is the same after its first crash, when
+	// most suspects only ran beside the cause.
+	maxExclusiveWait      = 10 * time.Second
+	maxFirstExclusiveWait = 500 * time.Millisecond
+	// clearingFactor is how much longer than a run that was lost with its worker a run must last to show that the unit isn't the
+	// cause.
+	clearingFactor = 2
+)
+
+// endProbation clears a suspect unit once its run has lasted.
+func (s *session) endProbation(r *run) {
+	if !r.onProbation() {
+		return
+	}
+	r.unit.suspect = false
+	s.dirty = true
+	s.Events.Log(events.ProbationPassed, "task", r.unit.task, "run", r.number)
+}
+
+// clearCrashes forgets the losses under a unit once a run of it has lasted for longer than those that were lost.
+func (s *session) clearCrashes(r *run) {
+	u := r.unit
+	if u.run != r || !u.crashes.any() || r.startedAt.IsZero() ||
+		s.now.Sub(r.startedAt) < max(promptCrashTime, clearingFactor*u.crashes.age) {
+		return
+	}
+	s.Events.Log(events.CrashesCleared, "task", u.task, "run", r.number, "crashes", u.crashes.most())
+	u.crashes = crashRecord{}
+	s.dirty = true
+}
+
+// passedProbation reports whether a run has lasted for long enough to end its probation.
+func (r *run) passedProbation(now time.Time) bool {
+	return !r.startedAt.IsZero() && now.Sub(r.startedAt) >= promptCrashTime
+}
+
+// onProbation reports whether the run is on probation: it has to show that its unit isn't the cause of crashes. No other unit
+// starts on its workers.
+func (r *run) onProbation() bool { return r.unit.run == r && r.unit.suspect }
+
+// hasProbation reports whether a worker has a run on probation.
+func (ws *workerState) hasProbation() bool {
+	for _, m := range ws.members {
+		if m.run.onProbation() {
+			return true
+		}
+	}
+	return false
+}
+
+// probeWorkers asks the workers of a run that is being recorded for an answer at once: a worker that is lost without having answered
+// shortly before its start order says nothing about the run.
+func (s *session) probeWorkers(r *run) {
+	for _, m := range r.members {
+		m.worker.probe = true
+		s.pollSoon(m.worker)
+	}
+}
+
+// crashedRepeatedly reports whether several workers were lost under the same task of the unit.
+func (u *unit) crashedRepeatedly() bool { return u.crashes.most() > 1 }
+
+// holdsOthers reports whether several workers were lost under a task of the step. Its job is probably lost, and the tasks of a
+// step behave alike, so its other units wait.
+func (st *step) holdsOthers() bool {
+	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashedRepeatedly() })
+}
+
+// needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
+func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
+	limit := maxFirstExclusiveWait
+	if u.crashedRepeatedly() {
+		limit = maxExclusiveWait
+	}
+	return u.suspect && waited < limit
+}
+
+// steadyWorkers returns those of the allowed workers whose loss would show that a unit is the cause, by their ids; nil allows all.
+func (s *session) steadyWorkers(u *unit, allowed map[string]bool) map[string]bool {
+	steady := map[string]bool{}
+	for id, ws := range s.workers {
+		if before := s.lostBefore(ws, u, s.now, u.lateJob(u.crashes.lastAge)); (allowed == nil || allowed[id]) && s.now.Sub(before) >= minSteadyTime {
+			steady[id] = true
+		}
+	}
+	return steady
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -38,8 +38,9 @@
 	unit    *unit
 	number  uint32
 	members []*member
-	// stopReason is why the run is being stopped; empty if it isn't.
+	// stopReason is why the run is being stopped, and stoppedAt since when; empty if it isn't.
 	stopReason string
+	stoppedAt  time.Time
 	// openedAt is when the run was planned; startedAt is when all members were running.
 	openedAt, startedAt time.Time
 	// maxPercent is the highest progress that a member has reported.
@@ -243,7 +244,7 @@
 	switch reason {
 	case worker.RefusedIncarnation:
 		if m.unansweredStarts == 0 && !m.mayBeDelayed {
-			// It never ran there, so the end of the incarnation says nothing about the task.
+			// It never ran there: its end says nothing about the task.
 			s.finishMember(m, worker.Stopped)
 		}
 		s.handleNewIncarnation(m.worker, signRefusal)
@@ -281,7 +282,7 @@
 		return
 	}
 	if u.run.stopReason == "" {
-		u.run.stopReason = reason
+		u.run.stopReason, u.run.stoppedAt = reason, s.now
 	}
 	for _, member := range u.run.members {
 		s.stopMember(member)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -63,13 +63,19 @@
 		switch {
 		case u.done, u.run == nil && hold && !u.crashedRepeatedly():
 		case u.run == nil:
-			unit.Avoid, unit.LastAttempt = u.avoid, u.failures+1 >= maxAttempts
-			unit.Reserved = s.reservations[u.task]
-			unit.Explain, explain = explain, false
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
 			unit.Exclusive = u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
+			if unit.Exclusive && u.crashedRepeatedly() && s.losingWorkers() {
+				continue
+			}
+			if unit.Exclusive {
+				unit.Allowed = s.steadyWorkers(u, unit.Allowed)
+			}
+			unit.Avoid, unit.LastAttempt = u.avoid, u.failures+1 >= maxAttempts
+			unit.Reserved = s.reservations[u.task]
+			unit.Explain, explain = explain, false
 			out.Waiting = append(out.Waiting, unit)
 		case !st.spec.GetLongRunning():
 			unit.Work += assign.TaskWork(st.spec) * float64(memberCount(u))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -83,16 +83,18 @@
 	lastProcessed, lastStored, lastAcked int64
 	pendingStores                        int
 	polling                              bool
+	// probe is true if the next poll must not wait.
+	probe bool
 	// acceptedAt is when the latest poll was sent that the worker has answered under this epoch.
 	acceptedAt time.Time
 	nextPoll   time.Time
 	// leaseEnd is when, by this instance's clock, everything that was started on the worker has ended, if the worker isn't
 	// reached again.
 	leaseEnd time.Time
-	// unresponsive is true if the last call was not answered. silentSince is when the first call since the last answer failed;
-	// zero if none did.
-	unresponsive bool
-	silentSince  time.Time
+	// unresponsive is true if the last call was not answered. answeredAt is when the last answer arrived before that, and silentSince
+	// when the first call since then failed; zero if none did.
+	unresponsive            bool
+	answeredAt, silentSince time.Time
 	// ignored is the number of orders in a row without an answer, polls excluded, and lostPolls the same of polls.
 	ignored, lostPolls int
 	// ignoredPause is how long the worker gets no new tasks after it has ignored several orders in a row, and ignoresUntil when that
@@ -160,6 +162,9 @@
 		return
 	}
 	ws := s.worker(entry.ID)
+	if !ws.listed {
+		s.proveSilentLossesAt(entry)
+	}
 	if ws.listed && ws.entry.Address != entry.Address {
 		s.handleNewIncarnation(ws, signRegistry)
 	}
@@ -242,9 +247,12 @@
 	return 0
 }
 
-// recordReply records the worker's clock from any answer.
+// recordReply records the worker's clock from any answer. Only a poll ends the silence of an unresponsive worker: the answer to an
+// order doesn't tell whether its incarnation is still the same.
 func (s *session) recordReply(ws *workerState, reply worker.Reply) {
-	ws.silentSince = time.Time{}
+	if !ws.unresponsive {
+		ws.silentSince, ws.answeredAt = time.Time{}, s.now
+	}
 	if reply.ClockMs > 0 {
 		ws.clockMs, ws.clockReadAt = reply.ClockMs, s.now
 	}
@@ -256,6 +264,7 @@
 	s.recordLostCall(ws)
 	if !ws.unresponsive && !s.overloaded() {
 		ws.unresponsive = true
+		s.recordLoss(ws)
 		s.Events.Log(events.WorkerUnresponsive, "worker", ws.id, "members", len(ws.members),
 			"lease_left_ms", ws.leaseEnd.Sub(s.now).Milliseconds())
 	}
@@ -323,15 +332,9 @@
 	if s.now.After(ws.leaseEnd) && ws.hasSentMembers() && (ws.unresponsive || !ws.confirmed) {
 		s.Events.Log(events.WorkerLost, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch, "members", len(ws.members),
 			"lease_ended_ms", s.now.Sub(ws.leaseEnd).Milliseconds())
-		var lost []lostMember
-		if !ws.listed {
-			// A worker that the registry still lists is only out of this instance's reach.
-			lost = s.lostMembers(ws, mayHaveStarted)
-		}
+		lost := s.lostMembers(ws, mayHaveStarted)
 		s.expireMembers(ws)
-		if counted := s.countCrash(ws, signSilence, lost); len(counted) > 0 {
-			s.silentLosses[ws.id] = silentLoss{startedAtMs: ws.startedAtMs, counted: counted}
-		}
+		s.countSilentLoss(ws, lost)
 	}
 	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
 		(ws.replaced || ws.lastAcked >= ws.lastStored) {
@@ -363,9 +366,15 @@
 	s.Events.Log(events.WorkerLost, "worker", ws.id, "members", len(ws.members), "reason", string(sign), "listed", ws.listed,
 		"silent_ms", s.age(ws.silentSince).Milliseconds(), "worker_start_ms", ws.startedAtMs)
 	lost := s.lostMembers(ws, mayHaveStarted)
+	if !ws.unresponsive {
+		s.recordLoss(ws)
+	}
 	ws.listed, ws.confirmed, ws.reserved, ws.replaced = false, false, false, true
 	s.expireMembers(ws)
 	s.countCrash(ws, sign, lost)
+	if sign.certain() {
+		s.proveSilentLoss(ws.id)
+	}
 }
 
 // quarantine keeps new tasks from a worker for some time.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -75,6 +75,7 @@
 	CrashWithdrawn      = Event{426, log.InfoLevel, "crash withdrawn", "nothing; the worker was only silent"}
 	ReportsAcknowledged = Event{428, log.InfoLevel, "reports acknowledged", actionNone}
 	WorkerIgnoresOrders = Event{425, log.WarnLevel, "worker ignores orders", actionWorker}
+	CrashesCleared      = Event{429, log.InfoLevel, "crashes under a task cleared", "nothing; the task has lasted"}
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
 	PoolState           = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
 )
@@ -98,7 +99,7 @@
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
-		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged,
+		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
