--- a/internal/node/link_test.go
+++ b/internal/node/link_test.go
@@ -58,12 +58,16 @@
 	return r.c.workers.Pace(ctx, target, order)
 }
 
-// Poll implements worker.Client.
+// Poll implements worker.Client. The answer to a poll in progress is lost when the instance is cut off.
 func (r reachableWorkers) Poll(ctx context.Context, target worker.Target, order worker.Poll) (worker.Report, error) {
 	if err := r.reach(ctx, target.ID); err != nil {
 		return worker.Report{}, err
 	}
-	return r.c.workers.Poll(ctx, target, order)
+	report, err := r.c.workers.Poll(ctx, target, order)
+	if lost := r.reach(ctx, target.ID); lost != nil {
+		return worker.Report{}, lost
+	}
+	return report, err
 }
 
 // heal makes all workers reachable from all instances.
