Take a task for stalled only on a report without progress

What callers saw: work that was lost, and workers quarantined and avoided, when a worker was out of reach for less than its lease.

Cause: a stall was measured by the owner's clock from the last progress that it had heard of, also while it heard nothing; on a cut link a run was stopped after 1.5 to 3.5 s of a lease of 6 s. A stall is now shown by a report that still lists the task without progress. The poll that would show it is answered by then, so a task that hangs is found as early as before.

TestSilentWorkerIsNotStalled fails before this change and passes with it; TestGangIsMovedOffHungWorker and the other tests of internal/node, internal/dispatch and internal/learned pass.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -47,6 +47,10 @@
 		// The end of a missing task is listed by then, or the next poll shows that the task has ended without it.
 		poll.Wait = min(poll.Wait, max(0, missing.Add(s.Options.StopDuration+pollResolution).Sub(s.now)).Truncate(pollResolution))
 	}
+	if untilStall := ws.earliestStall().Sub(s.now); untilStall > 0 {
+		// Only a report shows that a task has stalled.
+		poll.Wait = min(poll.Wait, untilStall.Truncate(pollResolution)+pollResolution)
+	}
 	ws.polling = true
 	target, sentAt := worker.Target{ID: ws.id, Address: ws.entry.Address}, s.now
 	delay, hedged := s.hedgeDelay(), poll.Wait == 0 && s.canSpareCalls()
@@ -193,7 +197,7 @@
 // recordProgress records what a worker reports about a member that it runs.
 func (s *session) recordProgress(m *member, reported worker.RunningTask) {
 	r := m.run
-	m.missingSince = time.Time{}
+	m.missingSince, m.reportedAt = time.Time{}, s.now
 	if m.phase == starting || m.phase == unconfirmed {
 		m.phase, m.confirmedAt = running, s.now
 		s.recordBegun(r.unit.step.job)
--- a/internal/dispatch/runchecks.go
+++ b/internal/dispatch/runchecks.go
@@ -26,7 +26,7 @@
 				s.stopMember(member)
 			case member.phase == starting && s.now.Sub(r.openedAt) > s.Options.GangWait:
 				s.stopRun(r.unit, "a member did not start")
-			case s.stalled(member):
+			case member.stalled():
 				s.quarantine(ws, "a task stalled")
 				r.unit.avoid[ws.id] = true
 				s.stopRun(r.unit, "stalled")
@@ -37,17 +37,35 @@
 	}
 }
 
-// stalled reports whether a task has made no progress for too long. A gang member that is done waits for the others.
-func (s *session) stalled(m *member) bool {
+// stalled reports whether the reports show that a task has made no progress for too long. The silence of its worker shows nothing.
+func (m *member) stalled() bool {
+	at := m.stallsAt()
+	return !at.IsZero() && m.reportedAt.After(at)
+}
+
+// stallsAt returns from when on a report without progress shows that a task has stalled; zero for a task that can't stall. A gang
+// member that is done waits for the others.
+func (m *member) stallsAt() time.Time {
 	step := m.run.unit.step.spec
 	if m.run.startedAt.IsZero() || step.GetLongRunning() || m.percent >= fullPercent {
-		return false
+		return time.Time{}
 	}
 	last := m.progressedAt
 	if m.run.startedAt.After(last) {
 		last = m.run.startedAt
 	}
-	return s.now.Sub(last) > max(minStallTime, time.Duration(stallEstimateShare*float64(assign.Estimate(step))))
+	return last.Add(max(minStallTime, time.Duration(stallEstimateShare*float64(assign.Estimate(step)))))
+}
+
+// earliestStall returns the first time from which on a report would show that a task on the worker has stalled; zero if none can.
+func (ws *workerState) earliestStall() time.Time {
+	var first time.Time
+	for _, m := range ws.members {
+		if at := m.stallsAt(); m.run.stopReason == "" && !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
 }
 
 // leaving reports whether a worker may leave at about the time when a stop ordered now ends.
