Test that waves of upkeep need a recent list of the machines

Machines are listed only while a wave is in progress, and the owner judges the next wave by the last list of the one before. The test lets a worker return under another id and a machine join between two waves: the first machine starts its upkeep while its new worker runs tasks, and the wave of the second is completed at once. The mock machines now know the wave of an upkeep, can join and can answer lists late.

--- a/internal/mock/machines.go
+++ b/internal/mock/machines.go
@@ -22,19 +22,27 @@
 	mu sync.Mutex
 	// orderDelay is how much later an order takes effect, without an answer; 0 for at once.
 	orderDelay time.Duration
-	// machines, upkeepStarted and fences have the machine's id as key. fences are the fencing tokens of accepted orders.
+	// listDelay is how much longer than callLatency a list takes.
+	listDelay time.Duration
+	// machines and fences have the machine's id as key. fences are the fencing tokens of accepted orders.
 	machines      map[string]worker.Machine
-	upkeepStarted map[string]bool
+	upkeepStarted map[upkeepKey]bool
 	fences        map[string]int64
 	violations    []string
 }
 
+// upkeepKey identifies the upkeep of a machine in a wave.
+type upkeepKey struct {
+	wave    int64
+	machine string
+}
+
 // NewMachines returns the machines of workers. It is a violation if more than maxDown of them are down at once. Upkeep
 // deletes and adds the records of workers in registry.
 func NewMachines(workers *Workers, registry *Store, maxDown int) *Machines {
 	m := &Machines{
 		workers: workers, registry: registry, maxDown: maxDown, machines: map[string]worker.Machine{},
-		upkeepStarted: map[string]bool{}, fences: map[string]int64{},
+		upkeepStarted: map[upkeepKey]bool{}, fences: map[string]int64{},
 	}
 	for _, entry := range workers.Entries() {
 		id := "m" + strings.TrimPrefix(entry.ID, "w")
@@ -45,7 +53,10 @@
 
 // List implements worker.Machines.
 func (m *Machines) List(context.Context) ([]worker.Machine, error) {
-	time.Sleep(callLatency)
+	m.mu.Lock()
+	delay := m.listDelay
+	m.mu.Unlock()
+	time.Sleep(callLatency + delay)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var machines []worker.Machine
@@ -55,6 +66,15 @@
 	return machines, nil
 }
 
+// Add brings a machine up with a new worker, which it adds to the registry.
+func (m *Machines) Add(id, newWorker string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.workers.Add(newWorker)
+	m.machines[id] = worker.Machine{ID: id, Worker: newWorker, Up: true}
+	m.registry.Put(newWorker, []byte(newWorker))
+}
+
 // DelayOrders makes later orders take effect after a delay, without an answer; 0 ends that.
 func (m *Machines) DelayOrders(delay time.Duration) {
 	m.mu.Lock()
@@ -62,6 +82,13 @@
 	m.orderDelay = delay
 }
 
+// DelayLists makes later lists take longer.
+func (m *Machines) DelayLists(delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listDelay = delay
+}
+
 // Upkeep implements worker.Machines.
 func (m *Machines) Upkeep(ctx context.Context, order worker.UpkeepOrder) error {
 	time.Sleep(callLatency)
@@ -81,18 +108,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	machine, known := m.machines[order.Machine]
+	upkeep := upkeepKey{order.Wave, order.Machine}
 	switch {
 	case !known:
 		return worker.ErrNoMachine
 	case order.Fence < m.fences[order.Machine]:
 		return worker.ErrMachineFenced
-	case m.upkeepStarted[order.Machine]:
+	case m.upkeepStarted[upkeep]:
 		return nil
 	case !machine.Up:
 		return worker.ErrMachineBusy
 	}
 	m.fences[order.Machine] = order.Fence
-	m.upkeepStarted[order.Machine] = true
+	m.upkeepStarted[upkeep] = true
 	if runs := m.workers.RunCount(machine.Worker); runs > 0 {
 		m.violations = append(m.violations, order.Machine+" starts its upkeep while its worker runs tasks")
 	}
@@ -108,20 +136,11 @@
 	}
 	m.workers.SetUnreachable(machine.Worker, true)
 	m.registry.Put(machine.Worker, nil)
-	time.AfterFunc(upkeepDuration, func() { m.finishUpkeep(order.Machine, machine.Worker+"-2") })
+	time.AfterFunc(upkeepDuration, func() { m.Add(order.Machine, machine.Worker+"-2") })
 	return nil
 }
 
-// finishUpkeep brings a machine up again with a new worker.
-func (m *Machines) finishUpkeep(id, newWorker string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.workers.Add(newWorker)
-	m.machines[id] = worker.Machine{ID: id, Worker: newWorker, Up: true}
-	m.registry.Put(newWorker, []byte(newWorker))
-}
-
-// UpkeepsStarted returns the number of machines whose upkeep has started.
+// UpkeepsStarted returns the number of upkeeps that have started, over all waves.
 func (m *Machines) UpkeepsStarted() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -40,9 +40,10 @@
 	// advisor, if set, is the advisor of the queue with priority 1, and with urgentAdvice also of that with priority 0.
 	advisor      worker.Advisor
 	urgentAdvice bool
-	// machines, if set, carry out the waves of upkeep that instances read when they start.
-	machines worker.Machines
-	waves    []config.Wave
+	// machines, if set, carry out the waves of upkeep that instances read when they start, or later from waveHolders.
+	machines    worker.Machines
+	waves       []config.Wave
+	waveHolders map[string]*config.Waves
 	// upkeepStatus holds the state of the waves.
 	upkeepStatus *mock.Store
 	// planner, if set, makes the plans of the instances that start after it was set.
@@ -91,7 +92,7 @@
 			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
 			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, urgentAdvice: options.urgentAdvice, capacityGrace: options.capacityGrace,
 			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, cut: map[string]map[string]bool{},
-			jobs: map[string]*storev1.Job{},
+			jobs: map[string]*storev1.Job{}, waveHolders: map[string]*config.Waves{},
 		}
 		c.workers = mock.NewWorkers(workers, func(id string) *storev1.Job {
 			c.mu.Lock()
@@ -188,6 +189,7 @@
 			return storelog.Record{Key: fmt.Sprint(number), Value: []byte{byte(state)}}
 		},
 		NewOperatorReader: func(holder *config.Holder, waves *config.Waves, evacuations *config.Evacuations) storelog.Reader {
+			c.waveHolders[name] = waves
 			for _, wave := range c.waves {
 				wave.FirstSeen = time.Now()
 				waves.Set(wave)
--- a/internal/node/upkeep_test.go
+++ b/internal/node/upkeep_test.go
@@ -125,3 +125,42 @@
 		})
 	}
 }
+
+// Guards against an owner that judges a wave by the list of machines of an earlier one: it ordered the upkeep of a machine whose worker,
+// unknown to that list, was at work, and called a wave completed because that list lacked its machine.
+func TestWaveNeedsRecentMachineList(t *testing.T) {
+	run(t, 0, 3, func(c *cluster) {
+		machines := mock.NewMachines(c.workers, c.registry, 1)
+		c.machines, c.waves = machines, []config.Wave{{Number: 1, Machines: []string{"m00"}, Duration: time.Minute, MaxDown: 1}}
+		c.startNode("i0")
+		awaitWave(c, machines, 1)
+		time.Sleep(10 * time.Second)
+		c.workers.SetUnreachable("w01", true)
+		c.registry.Put("w01", nil)
+		machines.Add("m01", "w01-2")
+		machines.Add("m03", "w03")
+		time.Sleep(10 * time.Second)
+		requireOK(c, c.submit(1, 2, "i0", tasks(4, 8, 20*time.Second)))
+		time.Sleep(2 * time.Second)
+		machines.DelayLists(500 * time.Millisecond)
+		for number, machine := range map[int64]string{2: "m01", 3: "m03"} {
+			c.waveHolders["i0"].Set(config.Wave{
+				Number: number, Machines: []string{machine}, Duration: 10 * time.Minute, MaxDown: 1, FirstSeen: time.Now(),
+			})
+		}
+		time.Sleep(5 * time.Second)
+		for _, violation := range machines.Violations() {
+			t.Error(violation)
+		}
+		for _, record := range c.upkeepStatus.Records() {
+			if record.Key == "3" && record.Value[0] == byte(replica.WaveCompleted) {
+				t.Error("wave 3 is completed while m03 has not begun its upkeep")
+			}
+		}
+		c.await(1, 2, replica.Completed, 40*time.Second)
+		time.Sleep(10 * time.Second)
+		if started := machines.UpkeepsStarted(); started != 3 {
+			t.Errorf("%d upkeeps have started, want one in each wave", started)
+		}
+	})
+}
