Act on waves of upkeep only with a recent list of the machines

What callers saw: a wave said to be completed while a machine of it had not begun its upkeep, and tasks that an upkeep ended without an evacuation.

Cause: that a machine isn't listed, or that its listed worker is unknown, counts as proof that nothing is left to do there, whatever the age of the list. A wave is now advanced only by a list that was requested after this owner knew of the wave, within the last 3 s.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -21,6 +21,8 @@
 	machineListInterval = time.Second
 	// machineCallTimeout limits a call about machines.
 	machineCallTimeout = 2 * time.Second
+	// maxMachineListAge is the age above which a list of the machines is too old to act on: machines and workers have come and gone.
+	maxMachineListAge = machineListInterval + machineCallTimeout
 	// expectedUpkeepDuration is about how long a machine is away, its evacuation included; it shows when a wave runs short
 	// of time.
 	expectedUpkeepDuration = 5 * time.Second
@@ -40,6 +42,8 @@
 // wave is one wave of upkeep in progress.
 type wave struct {
 	config.Wave
+	// knownAt is when this owner first knew of the wave.
+	knownAt time.Time
 	// startedAt is when the upkeep of each machine started; it is zero for those that an earlier owner started.
 	startedAt map[string]time.Time
 	// chosen are the machines that are being evacuated or whose upkeep is ordered.
@@ -69,7 +73,7 @@
 		}
 		s.reportWave(w, replica.WaveRunning)
 		s.listMachines()
-		if !s.upkeep.listedAt.IsZero() {
+		if !s.upkeep.listedAt.Before(w.knownAt) && s.now.Sub(s.upkeep.listedAt) < maxMachineListAge {
 			s.advanceWave(w)
 		}
 	}
@@ -80,7 +84,7 @@
 func (s *session) waveOf(configured config.Wave) *wave {
 	w, known := s.upkeep.waves[configured.Number]
 	if !known {
-		w = &wave{startedAt: map[string]time.Time{}, chosen: map[string]*chosenMachine{}}
+		w = &wave{knownAt: s.now, startedAt: map[string]time.Time{}, chosen: map[string]*chosenMachine{}}
 		progress := s.Replica.Upkeep(configured.Number)
 		for _, machine := range progress.GetOrdered() {
 			w.chosen[machine] = &chosenMachine{ordered: true}
