Test the lease of a worker that started again while it was idle

Idle workers aren't polled, so the owner orders the lease of the next start by the clock of the worker's former life, which is ahead. The worker grants its longest lease, 10 s in the deployments' settings, and the owner counts on 6 s. The test lets idle workers start again under their ids and cuts one off a second after a start on it: its task starts on the other worker while it runs. Mock workers now shorten leases to their longest.

--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -44,6 +44,14 @@
 	return worker.Reply{ClockMs: f.clockMs() + 1, StartedAtMs: f.startedAt.Add(f.clockAhead).UnixMilli()}
 }
 
+// extendLease extends the lease of a worker to endMs on its clock, within MaxLease.
+func (w *Workers) extendLease(fake *fakeWorker, endMs int64) {
+	if w.MaxLease > 0 {
+		endMs = min(endMs, fake.clockMs()+w.MaxLease.Milliseconds())
+	}
+	fake.leaseEndMs = max(fake.leaseEndMs, endMs)
+}
+
 // fenced reports whether a higher fencing token was used before. Otherwise it records the token.
 func (f *fakeWorker) fenced(fence int64) bool {
 	if fence < f.fence {
@@ -127,7 +135,7 @@
 	if order.LeaseEndMs < fake.clockMs() {
 		return refusedError(worker.RefusedLeaseExpired)
 	}
-	fake.leaseEndMs = max(fake.leaseEndMs, order.LeaseEndMs)
+	w.extendLease(fake, order.LeaseEndMs)
 	if known, ok := fake.running[order.Task]; ok && known.run == order.Run {
 		return nil
 	}
@@ -214,6 +222,7 @@
 	deadline := time.Now().Add(order.Wait)
 	for {
 		report, wait, err := w.report(fake, order)
+		order.LeaseEndMs = 0 // the lease is granted when the poll arrives
 		if err != nil || wait == nil || !time.Now().Before(deadline) {
 			return report, err
 		}
@@ -246,7 +255,7 @@
 		return worker.Report{Reply: fake.reply()}, nil, refusedError(worker.RefusedFence)
 	}
 	w.finishTasks(fake)
-	fake.leaseEndMs = max(fake.leaseEndMs, order.LeaseEndMs)
+	w.extendLease(fake, order.LeaseEndMs)
 	var unacknowledged []worker.FinishedTask
 	for _, finished := range fake.finished {
 		if finished.Number > order.Acknowledged {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -52,6 +53,8 @@
 	cores map[string]float64
 	// capacityGrace is the instances' setting.
 	capacityGrace time.Duration
+	// maxLease is the longest lease that the workers grant; 0 for lease.
+	maxLease time.Duration
 	// down are the instances that get no answer from the store, and cut the workers that an instance can't reach.
 	down map[string]bool
 	cut  map[string]map[string]bool
@@ -90,7 +93,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
-			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, urgentAdvice: options.urgentAdvice, capacityGrace: options.capacityGrace,
+			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, urgentAdvice: options.urgentAdvice, capacityGrace: options.capacityGrace, maxLease: options.maxLease,
 			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, cut: map[string]map[string]bool{},
 			jobs: map[string]*storev1.Job{}, waveHolders: map[string]*config.Waves{},
 		}
@@ -99,6 +102,7 @@
 			defer c.mu.Unlock()
 			return c.jobs[id]
 		})
+		c.workers.MaxLease = cmp.Or(c.maxLease, lease)
 		for _, entry := range c.workers.Entries() {
 			c.registry.Put(entry.ID, []byte(entry.ID))
 		}
@@ -169,7 +173,7 @@
 // startNode starts an instance, or restarts one that was stopped.
 func (c *cluster) startNode(name string) {
 	started := node.New(node.Settings{
-		Name: name, Cores: c.cores[name], TakeoverDelay: 3 * time.Second, MaxLease: lease, ConfigApplyTime: 2 * time.Second,
+		Name: name, Cores: c.cores[name], TakeoverDelay: 3 * time.Second, MaxLease: c.workers.MaxLease, ConfigApplyTime: 2 * time.Second,
 		StopDuration: time.Second, GangWait: 3 * time.Second, RestoreDuration: 250 * time.Millisecond, CapacityGrace: c.capacityGrace,
 		Retention: time.Minute, GracePeriod: 6 * time.Second,
 	}, node.Platform{
--- /dev/null
+++ b/internal/node/lease_test.go
@@ -0,0 +1,29 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+)
+
+// Guards against a task that starts again while it runs: workers that had started again while they were idle granted their longest lease,
+// because the owner ordered its end by the clock of their former life, and it took the lease for expired too early.
+func TestRestartedIdleWorkerHoldsLongestLease(t *testing.T) {
+	runCluster(t, make([]float64, 1), 2, &cluster{maxLease: 10 * time.Second}, func(c *cluster) {
+		time.Sleep(20 * time.Second)
+		c.workers.Crash("w00")
+		c.workers.Crash("w01")
+		time.Sleep(5 * time.Second)
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, 30*time.Second)))
+		time.Sleep(time.Second)
+		silent := c.workers.WorkerOf(id(1) + ".0.0.0")
+		c.cutOff("i0", silent)
+		time.Sleep(15 * time.Second)
+		if starts := c.workers.StartCount(id(1) + ".0.0.0"); starts != 2 {
+			t.Errorf("the task started %d times, want again on the other worker", starts)
+		}
+		c.heal()
+		c.await(1, 2, replica.Completed, time.Minute)
+	})
+}
