Soak: a run that a signal ends kills its instances

Seen: a soak that was ended by SIGTERM left its instances running on their ports, and the next run on these ports failed at its start.

Cause: nothing handled the signal, so the deferred stop of the instances didn't run. Now SIGINT and SIGTERM end the context of the processes, which kills exactly those that the run has started and prevents later launches, as of a fault that restarts an instance; the soak exits with 1 once all have been reaped. SIGKILL still leaves them.

--- a/test/soak/instance.go
+++ b/test/soak/instance.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -38,6 +39,9 @@
 	storeLink                                        *link
 	process                                          *exec.Cmd
 	exited                                           chan error
+	// ctx ends the process and prevents others. processes counts those of all instances.
+	ctx       context.Context //nolint:containedctx // the run's, for each launch.
+	processes *sync.WaitGroup
 	// logBytes is the size of the log at the last launch.
 	logBytes int64
 }
@@ -72,15 +76,20 @@
 	if i.logBytes, err = logFile.Seek(0, io.SeekEnd); err != nil {
 		return err
 	}
-	i.process = exec.Command(i.program, "serve") //nolint:gosec,noctx // the program under test, stopped by signals.
+	i.process = exec.CommandContext(i.ctx, i.program, "serve") //nolint:gosec // the program under test.
 	i.process.Env = append(os.Environ(), "DOTTERELGAUGE_NODE_FILE="+i.settingsPath)
 	i.process.Stdout, i.process.Stderr = logFile, logFile
+	i.processes.Add(1)
 	if err := i.process.Start(); err != nil {
+		i.processes.Done()
 		return err
 	}
 	process, exited := i.process, make(chan error, 1)
 	i.exited = exited
-	go func() { exited <- process.Wait() }()
+	go func() {
+		defer i.processes.Done()
+		exited <- process.Wait()
+	}()
 	return nil
 }
 
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -64,6 +66,8 @@
 	configs    *configs
 	properties *properties
 	started    time.Time
+	// processes counts the processes that were started and haven't exited.
+	processes *sync.WaitGroup
 	// processMu is held during a fault of processes and storeMu during a fault of store calls, so that only one of each kind
 	// is active at a time.
 	processMu, storeMu sync.Mutex
@@ -85,7 +89,10 @@
 	if err != nil {
 		return err
 	}
-	s := &soak{properties: newProperties(), started: time.Now()}
+	s := &soak{properties: newProperties(), started: time.Now(), processes: &sync.WaitGroup{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.exitOnSignal(cancel, opts, directory)
 	s.load, s.configs = newLoad(s), &configs{soak: s}
 	s.load.longTasks = opts.LongTasks
 	if s.platform, err = standin.New(opts.Workers); err != nil {
@@ -93,7 +100,7 @@
 	}
 	defer s.platform.Close()
 	defer s.stop()
-	if err := s.start(opts, directory); err != nil {
+	if err := s.start(ctx, opts, directory); err != nil {
 		return err
 	}
 	s.runPhases(opts)
@@ -105,14 +112,31 @@
 	return s.properties.report(opts.Safety)
 }
 
-// start starts the instances and waits until all are ready.
-func (s *soak) start(opts options, directory string) error {
+// exitOnSignal makes SIGINT and SIGTERM end the run and, with cancel, the processes of the instances, which would keep their ports.
+func (s *soak) exitOnSignal(cancel func(), opts options, directory string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		received := <-signals
+		cancel()
+		s.processes.Wait()
+		if !opts.Keep {
+			_ = os.RemoveAll(directory) // the run has no result in any case
+		}
+		fmt.Fprintln(os.Stderr, "soak: ended by signal:", received)
+		os.Exit(1)
+	}()
+}
+
+// start starts the instances and waits until all are ready. The end of ctx kills them.
+func (s *soak) start(ctx context.Context, opts options, directory string) error {
 	s.configs.publish()
 	for n := range opts.Instances {
 		inst, err := newInstance(s.platform, opts.Program, directory, n, opts.BasePort+portsPerInstance*n, opts.MaxLease)
 		if err != nil {
 			return err
 		}
+		inst.ctx, inst.processes = ctx, s.processes
 		if err := inst.launch(); err != nil {
 			return err
 		}
