Mock workers: a crashed worker starts no task

Cause: the mock's, not the scheduler's. A worker under DropReplies or DelayNextStart carried out starts while it was down, or after another incarnation had replaced it; the run went on in the lost incarnation and could finish as done there.

TestCrashedWorkerStartsNothing fails without the change in both its cases.

--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -126,8 +126,12 @@
 	})
 }
 
-// startTask carries out a start, or returns the refusal. It records a violation if the start breaks a guarantee.
+// startTask carries out a start, or returns the refusal. It records a violation if the start breaks a guarantee. A worker that has
+// crashed carries out nothing.
 func (w *Workers) startTask(fake *fakeWorker, order worker.Start) error {
+	if fake.down || fake.replaced {
+		return worker.ErrNoAnswer
+	}
 	w.finishTasks(fake)
 	if fake.fenced(order.Fence) {
 		return refusedError(worker.RefusedFence)
