--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -1,10 +1,19 @@
 package mock
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // defaultCrashDuration is the default of Workers.CrashDuration.
 const defaultCrashDuration = 3 * time.Second
 
+// idSuffix is appended to the id of a worker that returns under a new one.
+const idSuffix = "'"
+
+// FirstID returns the id of the first incarnation of a worker.
+func FirstID(id string) string { return strings.TrimRight(id, idSuffix) }
+
 // CrashTasks makes each worker crash some time after it has started one of the tasks that crashing selects. The worker returns
 // after CrashDuration and knows nothing of before. It has the same id if returned is nil, and otherwise a new one, with which
 // returned is called.
@@ -69,7 +78,7 @@
 	next := newWorker(fake.entry)
 	next.clockAhead = fake.clockAhead
 	if returned != nil {
-		next.entry.ID += "'"
+		next.entry.ID += idSuffix
 	}
 	next.limit = fake.limit
 	fake.down, fake.replaced = false, true
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -28,6 +28,13 @@
 	// minPartition and maxPartition limit the length of a partition. A takeover and leases of 6 s last about minPartition together.
 	minPartition = 12 * time.Second
 	maxPartition = 24 * time.Second
+	// A fault of --crashes affects one worker in crashedShare.
+	crashedShare = 3
+	// crashPause is the time from a crash until the workers are back and tasks may run on them again.
+	crashPause = 5 * time.Second
+	// flapRounds is how often a half of the flapping workers crashes, and flapInterval the time from one half's crash to the other's.
+	flapRounds   = 6
+	flapInterval = 2500 * time.Millisecond
 	// slowReplyDelay is the additional time that a slow worker takes to answer.
 	slowReplyDelay = 400 * time.Millisecond
 )
@@ -86,15 +93,26 @@
 		if on {
 			s.platform.Workers.SetAccelerators(id, shrunkAccelerators, capacityGrace)
 		} else {
-			s.platform.Workers.SetAccelerators(id, allAccelerators, 0)
+			s.platform.Workers.SetAccelerators(s.currentID(id), allAccelerators, 0)
 		}
 	})},
 }
 
-// injectAll injects the selected faults in turn until ctx is done and each was injected at least once.
-func (s *soak) injectAll(ctx context.Context, selected []fault, random *rand.Rand) {
+// crashFaults are injected with --crashes, beside the others and at most one at a time, so that the others keep their order.
+var crashFaults = []fault{
+	{"workers crash", crashWorkers},
+	{"workers return under new ids", func(s *soak, random *rand.Rand) {
+		s.platform.RenewIDs(true)
+		defer s.platform.RenewIDs(false)
+		crashWorkers(s, random)
+	}},
+	{"workers flap", flapWorkers},
+}
+
+// injectAll injects the selected faults in turn, up to maxActive at a time, until ctx is done and each was injected at least once.
+func (s *soak) injectAll(ctx context.Context, selected []fault, maxActive int, random *rand.Rand) {
 	random.Shuffle(len(selected), func(a, b int) { selected[a], selected[b] = selected[b], selected[a] })
-	slots := make(chan struct{}, maxActiveFaults)
+	slots := make(chan struct{}, maxActive)
 	var running sync.WaitGroup
 	for n := 0; n < len(selected) || ctx.Err() == nil; n++ {
 		next := selected[n%len(selected)]
@@ -199,11 +217,10 @@
 	s.processMu.Lock()
 	defer s.processMu.Unlock()
 	inst := s.owner(random)
-	entries := s.platform.Workers.Entries()
-	random.Shuffle(len(entries), func(a, b int) { entries[a], entries[b] = entries[b], entries[a] })
+	ids := s.shuffledWorkers(random)
 	workers := map[string]bool{}
-	for _, entry := range entries[:1+random.IntN(max(1, len(entries)/3))] {
-		workers[entry.ID] = true
+	for _, id := range ids[:1+random.IntN(max(1, len(ids)/3))] {
+		workers[mock.FirstID(id)] = true
 	}
 	inst.storeLink.cut.Store(true)
 	s.platform.SetPartition(inst.name, workers)
@@ -212,6 +229,29 @@
 	inst.storeLink.cut.Store(false)
 }
 
+// crashWorkers crashes a part of the workers at the same moment and waits until they are back.
+func crashWorkers(s *soak, random *rand.Rand) {
+	ids := s.shuffledWorkers(random)
+	for _, id := range ids[:max(1, len(ids)/crashedShare)] {
+		s.platform.Workers.Crash(id)
+	}
+	time.Sleep(crashPause)
+}
+
+// flapWorkers crashes the halves of a part of the workers by turns.
+func flapWorkers(s *soak, random *rand.Rand) {
+	ids := s.shuffledWorkers(random)
+	ids = ids[:max(1, len(ids)/crashedShare)]
+	for round := range flapRounds {
+		for n, id := range ids {
+			if n%2 == round%2 {
+				s.platform.Workers.Crash(s.currentID(id))
+			}
+		}
+		time.Sleep(flapInterval)
+	}
+}
+
 // storeFault returns a fault that affects a share, in percent, of the store calls of all instances or of one.
 func storeFault(kind mock.Fault, percent int, oneInstance bool) func(*soak, *rand.Rand) {
 	return func(s *soak, random *rand.Rand) {
@@ -249,6 +289,26 @@
 	}
 }
 
+// shuffledWorkers returns the ids of all workers in a random order.
+func (s *soak) shuffledWorkers(random *rand.Rand) []string {
+	var ids []string
+	for _, entry := range s.platform.Workers.Entries() {
+		ids = append(ids, entry.ID)
+	}
+	random.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+	return ids
+}
+
+// currentID returns the id of a worker's current incarnation.
+func (s *soak) currentID(id string) string {
+	for _, entry := range s.platform.Workers.Entries() {
+		if mock.FirstID(entry.ID) == mock.FirstID(id) {
+			return entry.ID
+		}
+	}
+	return id
+}
+
 // randomWorker returns the id of a worker.
 func (s *soak) randomWorker(random *rand.Rand) string {
 	entries := s.platform.Workers.Entries()
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -37,8 +38,9 @@
 	Only      []string      `help:"Names of the faults to inject; all if not set."`
 	Capacity  bool          `help:"Also crash workers and shrink their capacity."`
 	Partition bool          `help:"Also cut the owner off together with some workers."`
+	Crashes   bool          `help:"Also crash a third of the workers at once, or by turns, again and again."`
 	LongTasks bool          `help:"Also submit tasks that run for longer than a takeover and the leases last."`
-	Calm      bool          `help:"Inject no faults."`
+	Calm      bool          `help:"Inject no faults, or only those of --crashes."`
 	BasePort  int           `help:"First port; each instance uses three." default:"29000"`
 	MaxLease  time.Duration `help:"Longest lease of a worker." default:"10s"`
 	Safety    bool          `help:"Print the properties with a time limit, but don't fail if they are violated."`
@@ -169,11 +171,17 @@
 	loadRunning.Go(func() { s.load.run(submitting, polling, loadRandom, opts.PerSecond) })
 	faultPhase, stopFaults := context.WithTimeout(context.Background(), opts.Time)
 	defer stopFaults()
+	var crashing sync.WaitGroup
+	if opts.Crashes {
+		crashRandom := rand.New(rand.NewPCG(opts.Seed, 4))
+		crashing.Go(func() { s.injectAll(faultPhase, slices.Clone(crashFaults), 1, crashRandom) })
+	}
 	if opts.Calm {
 		<-faultPhase.Done()
 	} else {
-		s.injectAll(faultPhase, selectFaults(opts.Only, opts.Capacity, opts.Partition), random)
+		s.injectAll(faultPhase, selectFaults(opts.Only, opts.Capacity, opts.Partition), maxActiveFaults, random)
 	}
+	crashing.Wait()
 	time.Sleep(recoveryTime)
 	s.configs.checkWithoutFaults()
 	stopSubmitting()
--- a/test/soak/properties.go
+++ b/test/soak/properties.go
@@ -87,6 +87,10 @@
 			s.properties.check("an accepted job completes", o.state == "completed",
 				"job %s is %q; states observed: %v", o.id, o.state, o.observations)
 		}
+		if o.accepted {
+			s.properties.check("a sound job is never given up", o.state != "failed",
+				"job %s is failed; states observed: %v", o.id, o.observations)
+		}
 		if o.rejected {
 			s.properties.check("a rejected job never runs", !started[o.id], "job %s was started", o.id)
 		}
--- a/test/standin/standin.go
+++ b/test/standin/standin.go
@@ -42,7 +42,9 @@
 	mu     sync.Mutex
 	topics map[string]*mock.Store
 	fault  func(instance, call string) mock.Fault
-	// addresses are those at which an instance reaches each worker, as IP:port, by instance and worker id.
+	// entriesMu is held while registry entries are written or deleted.
+	entriesMu sync.Mutex
+	// addresses are those at which an instance reaches each worker, as IP:port, by instance and the worker's first id.
 	addresses map[string]map[string]string
 	// draining is by worker id.
 	draining map[string]bool
@@ -85,14 +87,29 @@
 	return p.serve(p.storeHandler(instance))
 }
 
-// SetPartition lets an instance reach the given workers only, and the other instances the others only. An empty name ends that.
+// SetPartition lets an instance reach the workers with the given first ids only, and the other instances the others only. An empty
+// name ends that.
 func (p *Platform) SetPartition(instance string, workers map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.partition, p.partitioned = instance, workers
 }
 
-// reaches reports whether an instance reaches a worker.
+// RenewIDs makes crashed workers return under new ids at their addresses, or under their ids again.
+func (p *Platform) RenewIDs(renew bool) {
+	if !renew {
+		p.Workers.CrashTasks(nil, 0, nil)
+		return
+	}
+	p.Workers.CrashTasks(nil, 0, func(old, _ string) {
+		p.entriesMu.Lock()
+		p.Topic(topicWorkers).Put(old, nil)
+		p.entriesMu.Unlock()
+		p.writeEntries()
+	})
+}
+
+// reaches reports whether an instance reaches the worker with a first id.
 func (p *Platform) reaches(instance, id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -217,6 +234,8 @@
 
 // writeEntries writes the current registry entry of each worker to the store.
 func (p *Platform) writeEntries() {
+	p.entriesMu.Lock()
+	defer p.entriesMu.Unlock()
 	for _, entry := range p.Workers.Entries() {
 		p.mu.Lock()
 		state := "ready"
--- a/test/standin/store.go
+++ b/test/standin/store.go
@@ -117,7 +117,7 @@
 // recordFor returns a record as an instance reads it: a worker's entry has the address at which the instance reaches the worker.
 func (p *Platform) recordFor(instance, topic string, record storelog.Record) storelog.Record {
 	p.mu.Lock()
-	address, known := p.addresses[instance][record.Key]
+	address, known := p.addresses[instance][mock.FirstID(record.Key)]
 	p.mu.Unlock()
 	if topic != topicWorkers || !known {
 		return record
--- a/test/standin/workers.go
+++ b/test/standin/workers.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dotterelgauge/dotterelgauge/internal/mock"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
@@ -23,13 +24,14 @@
 	worker.RefusedTicket: "ticket",
 }
 
-// workerHandler returns the HTTP interface of one worker for one instance. Calls and answers are lost while the instance doesn't reach it.
+// workerHandler returns the HTTP interface of the worker with a first id, under all its ids, for one instance. Calls and answers are
+// lost while the instance doesn't reach it.
 func (p *Platform) workerHandler(instance, id string) http.Handler {
-	target := worker.Target{ID: id}
 	mux := http.NewServeMux()
-	handle := func(path string, execute func(*http.Request, wireOrder) (any, error)) {
+	handle := func(path string, execute func(*http.Request, worker.Target, wireOrder) (any, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("X-Expect-Instance") != id {
+			target := worker.Target{ID: r.Header.Get("X-Expect-Instance")}
+			if mock.FirstID(target.ID) != id {
 				w.WriteHeader(http.StatusMisdirectedRequest)
 				return
 			}
@@ -42,7 +44,7 @@
 				<-r.Context().Done()
 				return
 			}
-			body, err := execute(r, order)
+			body, err := execute(r, target, order)
 			if !p.reaches(instance, id) {
 				<-r.Context().Done()
 				return
@@ -50,24 +52,24 @@
 			writeAnswer(w, r, body, err)
 		})
 	}
-	handle("/api/run-start", func(r *http.Request, order wireOrder) (any, error) {
+	handle("/api/run-start", func(r *http.Request, target worker.Target, order wireOrder) (any, error) {
 		reply, err := p.Workers.Start(r.Context(), target, worker.Start{
 			Task: order.Task, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Fence: order.Fence,
 			LeaseEndMs: order.UntilMs,
 		})
 		return encodeReply(reply), err
 	})
-	handle("/api/run-stop", func(r *http.Request, order wireOrder) (any, error) {
+	handle("/api/run-stop", func(r *http.Request, target worker.Target, order wireOrder) (any, error) {
 		reply, err := p.Workers.Stop(r.Context(), target, worker.Stop{Task: order.Task, Run: order.Run, Fence: order.Fence})
 		return encodeReply(reply), err
 	})
-	handle("/api/pace", func(r *http.Request, order wireOrder) (any, error) {
+	handle("/api/pace", func(r *http.Request, target worker.Target, order wireOrder) (any, error) {
 		reply, err := p.Workers.Pace(r.Context(), target, worker.Pace{
 			Task: order.Task, Run: order.Run, Percent: order.Percent, Fence: order.Fence,
 		})
 		return encodeReply(reply), err
 	})
-	handle("/api/hold", func(r *http.Request, order wireOrder) (any, error) {
+	handle("/api/hold", func(r *http.Request, target worker.Target, order wireOrder) (any, error) {
 		report, err := p.Workers.Poll(r.Context(), target, worker.Poll{
 			Fence: order.Fence, Acknowledged: order.LastSeen, LeaseEndMs: order.UntilMs, Wait: millis(order.WaitMs),
 		})
@@ -82,6 +84,8 @@
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, body)
+	case errors.As(err, &refused) && refused.Refusal == worker.RefusedIncarnation:
+		w.WriteHeader(http.StatusMisdirectedRequest)
 	case errors.As(err, &refused):
 		writeJSON(w, http.StatusConflict, map[string]any{"ClockMs": 0, "Reason": refusalReasons[refused.Refusal]})
 	default:
