Ask for six digits of evidence, and count a repeated age of the loss

Causes: four digits, one mistake in ten thousand starts, are too few where thousands of tasks meet losses. A worker that had answered up to a second before it fell silent on a start order counted as one that had got the order. And a quiet time counted as if workers were never lost.

A task that is the cause loses its workers at the same age each time, so a loss at about the age of the one before narrows the period in which a coincidence would have to fall, from a second to as little as 0.2 s. With that, six digits take no more losses than four did. A worker counts as there if it answered within 100 ms before its silence. Half a loss is added to each period, so a small or idle fleet shows less. What is learned late of losses before a run that lasted is dropped.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -22,15 +22,17 @@
 	// counted is the number of losses by member, and evidence the sum of what they show; nil if none was counted.
 	counted  []uint32
 	evidence []float32
-	// age is the longest time that a counted run had run, and lastAge that of the latest one; 0 if unknown.
+	// age is the longest time that a counted run had run, and lastAge that of the latest one; negative if unknown.
 	age, lastAge time.Duration
+	// clearedBy is the number of the latest run that has lasted. What is learned later of losses up to that run doesn't matter.
+	clearedBy uint32
 }
 
 func restoreCrashes(recorded *storev1.Run) crashRecord {
-	members := len(recorded.GetCrashes())
+	age := time.Duration(recorded.GetCrashAgeMs()) * time.Millisecond
 	return crashRecord{
-		counted: slices.Clone(recorded.GetCrashes()), evidence: resize(slices.Clone(recorded.GetCrashEvidence()), members),
-		age: time.Duration(recorded.GetCrashAgeMs()) * time.Millisecond, lastAge: time.Duration(recorded.GetCrashAgeMs()) * time.Millisecond,
+		counted: slices.Clone(recorded.GetCrashes()), age: age, lastAge: age,
+		evidence: resize(slices.Clone(recorded.GetCrashEvidence()), len(recorded.GetCrashes())),
 	}
 }
 
@@ -52,25 +54,33 @@
 	r.age, r.lastAge = max(r.age, age), age
 }
 
-// withdraw takes back a loss under a member that added no evidence, and reports whether one was counted.
-func (r *crashRecord) withdraw(member int) bool {
-	if member >= len(r.counted) || r.counted[member] == 0 {
+// withdraw takes back a loss under a member of a run that added no evidence, and reports whether it was counted.
+func (r *crashRecord) withdraw(m *member) bool {
+	if !r.counts(m) {
 		return false
 	}
-	r.counted[member]--
+	r.counted[m.index]--
 	if !r.any() {
-		*r = crashRecord{}
+		r.clear(r.clearedBy)
 	}
 	return true
 }
 
-// prove adds evidence to a loss that is counted under a member; it has no effect if the losses were cleared since.
-func (r *crashRecord) prove(member int, evidence float32) {
-	if member < len(r.counted) && r.counted[member] > 0 {
-		r.evidence[member] += evidence
+// prove adds the evidence of a loss under a member of a run, if it is still counted.
+func (r *crashRecord) prove(m *member, evidence float32) {
+	if r.counts(m) {
+		r.evidence[m.index] += evidence
 	}
 }
 
+// counts reports whether a loss under a member of a run may be counted.
+func (r *crashRecord) counts(m *member) bool {
+	return m.run.number > r.clearedBy && m.index < len(r.counted) && r.counted[m.index] > 0
+}
+
+// clear forgets all losses up to a run.
+func (r *crashRecord) clear(run uint32) { *r = crashRecord{clearedBy: run} }
+
 // condemns reports whether a member has certainly crashed workers.
 func (r *crashRecord) condemns(member int) bool {
 	return member < len(r.evidence) && r.evidence[member] >= requiredEvidence
@@ -157,7 +167,7 @@
 		counted = append(counted, countedCrash{member: c.member, evidence: evidence})
 		u.crashes.add(c.index, memberCount(u), c.age)
 		if sign.certain() {
-			u.crashes.prove(c.index, evidence)
+			u.crashes.prove(c.member, evidence)
 		}
 		u.suspect = u.suspect || c.prompt() || u.crashes.counted[c.index] > 1
 		s.dirty = true
@@ -216,7 +226,7 @@
 	delete(s.silentLosses, ws.id)
 	for _, m := range loss.counted {
 		u := m.run.unit
-		if !u.crashes.withdraw(m.index) {
+		if !u.crashes.withdraw(m.member) {
 			continue
 		}
 		u.suspect = u.suspect && u.crashes.any()
@@ -252,7 +262,7 @@
 	delete(s.silentLosses, id)
 	for _, m := range loss.counted {
 		if u := m.run.unit; !u.done && !u.step.job.hasEnded() {
-			u.crashes.prove(m.index, m.evidence)
+			u.crashes.prove(m.member, m.evidence)
 			s.giveUpIfCondemned(m.member)
 		}
 	}
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -8,17 +8,21 @@
 
 const (
 	// requiredEvidence is the evidence at which a task counts as the cause of losses, in decimal digits of the probability that a
-	// task without a fault meets them by coincidence. A single loss adds at most maxEvidence: how often workers are lost at other
-	// times is only an estimate.
-	requiredEvidence = 4
-	maxEvidence      = 2
+	// task without a fault meets them by coincidence.
+	requiredEvidence = 6
+	// ageTolerance is by how much the ages may differ at which a task that is the cause loses its workers.
+	ageTolerance = 100 * time.Millisecond
 	// simultaneous is the time within which losses may have one cause.
 	simultaneous = 500 * time.Millisecond
-	// calmRate is the share of the workers lost per second below which a loss adds about maxEvidence.
+	// unseenLosses is added to the losses of a period: none in it doesn't mean that workers are never lost.
+	unseenLosses = 0.5
+	// calmRate is the share of the workers lost per second above which a loss shows little.
 	calmRate = 0.01
 	// lossWindow is how long before and after a loss others count as its surroundings. A worker that doesn't answer a poll is
 	// noticed within this time.
 	lossWindow = pollWait + 2*pollTimeoutMargin
+	// maxProbeAge is how long before it fell silent a worker must have answered for an order without an answer to have reached it.
+	maxProbeAge = 100 * time.Millisecond
 	// lossMemory is how long losses are remembered: longer than it takes to learn that a silent worker was lost.
 	lossMemory = 30 * time.Second
 	// minSteadyTime is how long after a loss that no task explains another one at the same address is no surprise.
@@ -58,7 +62,7 @@
 // recordLoss remembers that a worker has fallen silent, or was replaced.
 func (s *session) recordLoss(ws *workerState) {
 	lost := s.lostMembers(ws, mayHaveStarted)
-	if ws.entry.Draining || ws.reserved {
+	if ws.entry.Address == "" || ws.entry.Draining || ws.reserved {
 		return
 	}
 	if len(lost) == 0 && ws.silentSince.IsZero() {
@@ -108,60 +112,71 @@
 	return u.step.job
 }
 
-// lossShare returns the share of the workers in use that were lost between two times, except at the address. Without a late job only
-// unexplained losses count, and with one all but those of workers that ran its tasks.
-func (s *session) lossShare(from, to time.Time, exceptAt string, late *job) float64 {
-	lost := map[string]bool{}
+// countLosses returns how many workers in use were lost between two times, and how many were in use. It leaves out the worker at the
+// address. Without a late job only unexplained losses count, and with one all but those of workers that ran its tasks.
+func (s *session) countLosses(from, to time.Time, exceptAt string, late *job) (lost, used int) {
+	seen := map[string]bool{}
 	for address, loss := range s.losses {
 		counts := !loss.explained
 		if late != nil {
 			counts = !slices.Contains(loss.jobs, late)
 		}
 		if counts && len(loss.jobs) > 0 && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) {
-			lost[address] = true
+			seen[address] = true
 		}
 	}
-	if len(lost) == 0 {
-		return 0
-	}
-	used := len(lost)
+	used = len(seen)
 	for _, ws := range s.workers {
-		if !lost[ws.entry.Address] && len(ws.members) > 0 {
+		if address := ws.entry.Address; !seen[address] && address != exceptAt && len(ws.members) > 0 {
 			used++
 		}
 	}
-	return float64(len(lost)) / float64(used)
+	return len(seen), used
 }
 
 // evidence returns what the loss of a worker shows about a member on it, provided that the worker's incarnation has ended: the
 // decimal digits of the probability that it is a coincidence. If it shows nothing, doubt says why.
 func (s *session) evidence(ws *workerState, c lostMember, lost []lostMember) (evidence float32, doubt string) {
-	u, silentSince := c.run.unit, s.silentSince(ws)
+	u := c.run.unit
+	// A task that is the cause loses its workers right after the start, or at the same age each time.
+	period := promptCrashTime
+	if u.crashes.any() {
+		period = min(period, 2*max(ageTolerance, (c.age-u.crashes.lastAge).Abs()))
+	}
 	switch {
 	case c.age < 0:
 		return 0, "an earlier owner started it"
-	case c.lastPhase != running && (ws.silentSince.Before(c.startSentAt) || ws.silentSince.Sub(ws.answeredAt) >= promptCrashTime):
+	case c.lastPhase != running && (ws.silentSince.Before(c.startSentAt) || ws.silentSince.Sub(ws.answeredAt) > maxProbeAge):
 		// The worker may have been gone before the order was sent.
 		return 0, "its start is not confirmed"
-	case !c.prompt() && (c.age-u.crashes.lastAge).Abs() > promptCrashTime/2:
+	case !c.prompt() && period == promptCrashTime:
 		return 0, "it had lasted, and not as long as before"
 	case slices.ContainsFunc(lost, func(o lostMember) bool { return o.run.unit.step.job != u.step.job && o.prompt() == c.prompt() }):
 		return 0, "tasks of other jobs were lost too"
 	}
+	coincidence := s.coincidence(ws, c, period)
+	if coincidence >= 1 {
+		return 0, "workers are lost all the time"
+	}
+	return float32(-math.Log10(coincidence)), ""
+}
+
+// coincidence returns the probability that a worker is lost in the given period of a member's run if the member isn't the cause.
+func (s *session) coincidence(ws *workerState, c lostMember, period time.Duration) float64 {
+	late, at, silentSince := c.run.unit.lateJob(c.age), ws.entry.Address, s.silentSince(ws)
 	from, to := silentSince.Add(-lossWindow), silentSince.Add(lossWindow)
 	if to.After(s.now) {
 		to = s.now
 	}
-	atOnce := s.lossShare(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), ws.entry.Address, u.lateJob(c.age))
-	rate := s.lossShare(from, to, ws.entry.Address, u.lateJob(c.age)) / to.Sub(from).Seconds()
-	coincidence := max(atOnce, rate*promptCrashTime.Seconds())
-	if before := s.lostBefore(ws, u, c.startSentAt, u.lateJob(c.age)); !before.IsZero() {
-		coincidence = max(coincidence, min(1, promptCrashTime.Seconds()/c.startSentAt.Sub(before).Seconds()))
+	lost, used := s.countLosses(from, to, at, late)
+	highest := (float64(lost) + unseenLosses) / (float64(used) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
+	if lost, used := s.countLosses(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), at, late); lost > 0 {
+		highest = max(highest, float64(lost)/float64(used))
 	}
-	if coincidence >= 1 {
-		return 0, "workers are lost all the time"
+	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, late); !before.IsZero() {
+		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
 	}
-	return float32(min(maxEvidence, -math.Log10(coincidence))), ""
+	return highest
 }
 
 // lostBefore returns when a worker at the same address was last lost before a time, either under the unit or with no task as a likely
@@ -180,5 +195,6 @@
 
 // losingWorkers reports whether so many workers are being lost that a loss now would show little.
 func (s *session) losingWorkers() bool {
-	return s.lossShare(s.now.Add(-lossWindow), s.now, "", nil) > calmRate*lossWindow.Seconds()
+	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", nil)
+	return float64(lost) > calmRate*lossWindow.Seconds()*float64(used)
 }
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -36,7 +36,7 @@
 		return
 	}
 	s.Events.Log(events.CrashesCleared, "task", u.task, "run", r.number, "crashes", u.crashes.most())
-	u.crashes = crashRecord{}
+	u.crashes.clear(r.number)
 	s.dirty = true
 }
 
