--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -19,9 +19,10 @@
 
 // crashRecord counts the workers that were lost under the members of a unit since a run of it last lasted.
 type crashRecord struct {
-	// counted is the number of losses by member, and evidence the sum of what they show; nil if none was counted.
-	counted  []uint32
-	evidence []float32
+	// counted is the number of losses by member, evidence the sum of what they show, and pending what those would show that aren't
+	// certain yet; nil if none was counted.
+	counted           []uint32
+	evidence, pending []float32
 	// age is the longest time that a counted run had run, and lastAge that of the latest one; negative if unknown.
 	age, lastAge time.Duration
 	// clearedBy is the number of the latest run that has lasted. What is learned later of losses up to that run doesn't matter.
@@ -33,6 +34,7 @@
 	return crashRecord{
 		counted: slices.Clone(recorded.GetCrashes()), age: age, lastAge: age,
 		evidence: resize(slices.Clone(recorded.GetCrashEvidence()), len(recorded.GetCrashes())),
+		pending:  make([]float32, len(recorded.GetCrashes())),
 	}
 }
 
@@ -47,28 +49,31 @@
 	return slices.Max(r.counted)
 }
 
-// add counts a loss under a member of a unit with the given number of members.
-func (r *crashRecord) add(member, members int, age time.Duration) {
-	r.counted, r.evidence = resize(r.counted, members), resize(r.evidence, members)
+// add counts a loss under a member of a unit with the given number of members. Its evidence is pending.
+func (r *crashRecord) add(member, members int, age time.Duration, evidence float32) {
+	r.counted, r.evidence, r.pending = resize(r.counted, members), resize(r.evidence, members), resize(r.pending, members)
 	r.counted[member]++
+	r.pending[member] += evidence
 	r.age, r.lastAge = max(r.age, age), age
 }
 
-// withdraw takes back a loss under a member of a run that added no evidence, and reports whether it was counted.
-func (r *crashRecord) withdraw(m *member) bool {
+// withdraw takes back a loss whose evidence is pending, and reports whether it was counted.
+func (r *crashRecord) withdraw(m *member, evidence float32) bool {
 	if !r.counts(m) {
 		return false
 	}
 	r.counted[m.index]--
+	r.pending[m.index] -= evidence
 	if !r.any() {
 		r.clear(r.clearedBy)
 	}
 	return true
 }
 
-// prove adds the evidence of a loss under a member of a run, if it is still counted.
+// prove turns pending evidence into evidence, if the loss is still counted.
 func (r *crashRecord) prove(m *member, evidence float32) {
 	if r.counts(m) {
+		r.pending[m.index] -= evidence
 		r.evidence[m.index] += evidence
 	}
 }
@@ -86,6 +91,16 @@
 	return member < len(r.evidence) && r.evidence[member] >= requiredEvidence
 }
 
+// mayCondemn reports whether a member is condemned once its pending evidence counts.
+func (r *crashRecord) mayCondemn() bool {
+	for i, evidence := range r.evidence {
+		if evidence+r.pending[i] >= requiredEvidence {
+			return true
+		}
+	}
+	return false
+}
+
 func resize[T uint32 | float32](values []T, length int) []T {
 	if len(values) >= length {
 		return values
@@ -165,7 +180,7 @@
 		evidence, doubt := s.evidence(ws, c, lost)
 		u.lostAt[ws.entry.Address] = s.silentSince(ws)
 		counted = append(counted, countedCrash{member: c.member, evidence: evidence})
-		u.crashes.add(c.index, memberCount(u), c.age)
+		u.crashes.add(c.index, memberCount(u), c.age, evidence)
 		if sign.certain() {
 			u.crashes.prove(c.member, evidence)
 		}
@@ -226,7 +241,7 @@
 	delete(s.silentLosses, ws.id)
 	for _, m := range loss.counted {
 		u := m.run.unit
-		if !u.crashes.withdraw(m.member) {
+		if !u.crashes.withdraw(m.member, m.evidence) {
 			continue
 		}
 		u.suspect = u.suspect && u.crashes.any()
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -13,7 +13,7 @@
 	// ageTolerance is by how much the ages may differ at which a task that is the cause loses its workers.
 	ageTolerance = 100 * time.Millisecond
 	// simultaneous is the time within which losses may have one cause.
-	simultaneous = 500 * time.Millisecond
+	simultaneous = 250 * time.Millisecond
 	// unseenLosses is added to the losses of a period: none in it doesn't mean that workers are never lost.
 	unseenLosses = 0.5
 	// calmRate is the share of the workers lost per second above which a loss shows little.
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -86,6 +86,11 @@
 	return u.suspect && waited < limit
 }
 
+// awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone.
+func (u *unit) awaitsVerdict(now time.Time) bool {
+	return u.crashes.mayCondemn() && now.Sub(u.lastRunEndedAt) < lossConfirmTime
+}
+
 // steadyWorkers returns those of the allowed workers whose loss would show that a unit is the cause, by their ids; nil allows all.
 func (s *session) steadyWorkers(u *unit, allowed map[string]bool) map[string]bool {
 	steady := map[string]bool{}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -61,7 +61,7 @@
 		unit := common
 		unit.Task = u.task
 		switch {
-		case u.done, u.run == nil && hold && !u.crashedRepeatedly():
+		case u.done, u.run == nil && (hold && !u.crashedRepeatedly() || u.awaitsVerdict(s.now)):
 		case u.run == nil:
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
