Start a unit on probation alone on its worker, also within a plan

Two jobs, each with a task that crashes its worker, were started again and again: 18 times in two minutes on a fleet without an empty worker, and neither was given up.

Both waited for equally long, so one plan started both on the same worker; only a unit that still waited for an empty worker kept others from it. Each loss then had another job's task as a likely cause, and added no evidence.

TestTasksThatCrashWorkersTogetherAreGivenUp and TestUnitsOnProbationStartAlone fail without the change and pass with it.

--- a/internal/assign/exclusive_test.go
+++ b/internal/assign/exclusive_test.go
@@ -29,3 +29,22 @@
 		t.Errorf("%v: the empty workers are not used", users)
 	}
 }
+
+// Guards against units on probation that start in the same plan on a worker as others: if it crashes, nothing shows which was the cause.
+func TestUnitsOnProbationStartAlone(t *testing.T) {
+	onProbation := func(unit *assign.Unit) { unit.OnProbation = true }
+	s := newScene().workers(2, 8).running("other", 1, step(1, 1), 10, "w00").running("other", 1, step(1, 1), 10, "w01").
+		waiting("suspect", 1, step(1, 1), onProbation).waiting("next", 1, step(1, 1)).waiting("second", 1, step(1, 1), onProbation)
+	starts := map[string]int{}
+	for _, start := range assign.MakePlan(&s.snapshot).Starts {
+		starts[start.Workers[0]]++
+	}
+	for id, count := range starts {
+		if count > 1 {
+			t.Errorf("%d units start on %s, want 1", count, id)
+		}
+	}
+	if len(starts) != 2 {
+		t.Errorf("units start on %d workers, want 2", len(starts))
+	}
+}
--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -28,6 +28,9 @@
 	if unit.Allowed != nil && !unit.Allowed[worker.ID] {
 		return false
 	}
+	if unit.OnProbation && worker.starting {
+		return false
+	}
 	return HasRequiredLabel(unit.Step, worker.Labels)
 }
 
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -117,9 +117,10 @@
 	for _, id := range workers {
 		worker := s.workers[id]
 		worker.Empty = false
-		if worker.OnTrial || unit.Exclusive {
+		if worker.OnTrial || unit.OnProbation || unit.Exclusive {
 			worker.Usable = false
 		}
+		worker.starting = worker.starting || !afterStops
 		if unit.TasksPerWorker != nil {
 			unit.TasksPerWorker[id]++
 		}
@@ -136,7 +137,7 @@
 	need := ResourcesOf(unit.Step)
 	for _, id := range workers {
 		worker := s.workers[id]
-		if worker.OnTrial {
+		if worker.OnTrial || unit.OnProbation {
 			worker.Usable = true
 		}
 		if unit.TasksPerWorker != nil {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -83,6 +83,8 @@
 	reserved Resources
 	// urgentOnly is true if the worker is kept for urgent units.
 	urgentOnly bool
+	// starting is true if this plan starts a unit on the worker.
+	starting bool
 }
 
 // Unit is a task or a whole gang that starts together, and waits to start.
@@ -115,8 +117,9 @@
 	// TasksPerWorker counts the running tasks of the step by worker id. All units of the step share the map, and a plan adds
 	// the tasks that it starts. It is nil if the step has no limit per worker.
 	TasksPerWorker map[string]int
-	// Exclusive is true if the unit needs workers that run nothing else.
-	Exclusive bool
+	// OnProbation is true if the unit may crash its workers: no other unit starts on them. Exclusive is true if it also needs workers
+	// that run nothing else.
+	OnProbation, Exclusive bool
 	// Explain is true if the plan should have a reason for what it does with the unit.
 	Explain bool
 	// density is the result of Density, and ahead the number of units that are served before this one; rank sets them.
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -66,7 +66,7 @@
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
-			unit.Exclusive = u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
+			unit.OnProbation, unit.Exclusive = u.suspect, u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
 			if unit.Exclusive && u.crashedRepeatedly() && s.losingWorkers() {
 				continue
 			}
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -217,3 +218,22 @@
 		}
 	})
 }
+
+// Guards against tasks of two jobs that crash their workers and are started again and again: on a fleet without an empty worker one plan
+// started both on the same worker, and neither showed that it was the cause.
+func TestTasksThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new ids %v", newIDs), func(t *testing.T) {
+			run(t, 2, 6, func(c *cluster) {
+				c.crashJobs(atOnce, newIDs, 1, 2)
+				requireOK(c, c.submit(0, 2, "i0", longRunning(6, 6)))
+				time.Sleep(12 * time.Second)
+				requireOK(c, c.submit(1, 2, "i0", tasks(1, 1, 20*time.Second)))
+				requireOK(c, c.submit(2, 2, "i0", tasks(1, 1, 20*time.Second)))
+				c.await(1, 2, replica.Failed, 2*time.Minute)
+				c.await(2, 2, replica.Failed, 2*time.Minute)
+				c.checkCrashStarts(1, 2)
+			})
+		})
+	}
+}
