Keep the earlier loss of a worker whose later one is withdrawn

A worker that had crashed, and then didn't answer one poll, counted as never lost: the record of the silence had replaced that of the crash, and was deleted with the next answer. A task that started there next and was lost with it got more evidence than that loss shows, and suspects were placed there as on a steady worker.

TestWithdrawnLossKeepsEarlierOne fails without the change and passes with it.

--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -87,10 +87,14 @@
 	return l.silentSince
 }
 
-// withdrawLoss forgets the loss of a worker whose incarnation of before answers.
+// withdrawLoss forgets the loss of a worker whose incarnation of before answers, but not one before that.
 func (s *session) withdrawLoss(ws *workerState) {
-	if s.losses[ws.entry.Address].startedAtMs == ws.startedAtMs {
+	switch loss, known := s.losses[ws.entry.Address]; {
+	case !known || loss.startedAtMs != ws.startedAtMs:
+	case loss.previous.IsZero():
 		delete(s.losses, ws.entry.Address)
+	default:
+		s.losses[ws.entry.Address] = workerLoss{silentSince: loss.previous}
 	}
 }
 
