Losses at any age are evidence on a calm fleet, and suspects of one cause stay apart

What callers would have seen: a task that crashes its workers at ages that differ by more than half a second was never given up, as such losses showed nothing. They show now how rarely a worker is lost within that age, if that is under a fifth. A job that fills the fleet was given up after 17 to 19 bursts of crashes, as all losses under its own tasks were left out of the surroundings; only those at the same age are now. An order without an answer explained a loss though it may not have arrived.

Tried and dropped: to ask ten idle workers for an answer after each loss. One found dead then had often been dead for long, so noisy fleets looked worse than they are, and deadly tasks started 6 to 9 times.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,6 +164,8 @@
 	silentLosses map[string]silentLoss
 	// losses are the latest losses of workers, by the worker's address.
 	losses map[string]workerLoss
+	// steady has the steady workers of the plan in the making, for each cause of losses.
+	steady map[lossCause]map[string]bool
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -10,6 +10,9 @@
 	// requiredEvidence is the evidence at which a task counts as the cause of losses, in decimal digits of the probability that a
 	// task without a fault meets them by coincidence.
 	requiredEvidence = 6
+	// maxCoincidence is the probability above which a loss at a new age shows nothing. Else the losses of a task without a fault, which
+	// have any age, would add up.
+	maxCoincidence = 0.2
 	// ageTolerance is by how much the ages may differ at which a task that is the cause loses its workers.
 	ageTolerance = 100 * time.Millisecond
 	// simultaneous is the time within which losses may have one cause.
@@ -55,8 +58,8 @@
 	previous time.Time
 	// startedAtMs is the start of the incarnation that was lost.
 	startedAtMs int64
-	// jobs are those that had tasks on the worker.
-	jobs []*job
+	// ages are the times for which the tasks of each job had run on the worker; one of them if it had several.
+	ages map[*job]time.Duration
 }
 
 // recordLoss remembers that a worker has fallen silent, or was replaced.
@@ -70,15 +73,28 @@
 		return
 	}
 	loss := workerLoss{
-		silentSince: s.silentSince(ws), explained: slices.ContainsFunc(lost, lostMember.prompt),
+		silentSince: s.silentSince(ws), ages: map[*job]time.Duration{},
 		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), startedAtMs: ws.startedAtMs,
 	}
-	for _, m := range lost {
-		loss.jobs = append(loss.jobs, m.run.unit.step.job)
+	for _, l := range lost {
+		loss.ages[l.run.unit.step.job] = l.age
+		loss.explained = loss.explained || (l.prompt() && ws.mayHaveReceived(l))
 	}
 	s.losses[ws.entry.Address] = loss
 }
 
+// mayHaveReceived reports whether a lost worker has confirmed the start of a member, or answered shortly before it fell silent on the
+// order. Otherwise it may have been gone before the order was sent.
+func (ws *workerState) mayHaveReceived(l lostMember) bool {
+	return l.lastPhase == running || (!ws.silentSince.Before(l.startSentAt) && ws.silentSince.Sub(ws.answeredAt) <= maxProbeAge)
+}
+
+// lostWith reports whether a task of the job was lost that had run for about the given time.
+func (l workerLoss) lostWith(j *job, age time.Duration) bool {
+	known, had := l.ages[j]
+	return had && (known-age).Abs() <= ageTolerance
+}
+
 // unexplainedBefore returns when the latest unexplained loss before a time was; zero if there was none.
 func (l workerLoss) unexplainedBefore(at time.Time) time.Time {
 	if l.explained || l.silentSince.After(at) {
@@ -107,25 +123,25 @@
 	}
 }
 
-// lateJob returns the job of a unit if its runs are lost with their workers late, so that no start explains these losses; nil
-// otherwise.
-func (u *unit) lateJob(age time.Duration) *job {
-	if age < promptCrashTime {
-		return nil
-	}
-	return u.step.job
+// lossCause is a task that is taken for the cause of a loss: its job, and for how long it had run.
+type lossCause struct {
+	job *job
+	age time.Duration
 }
 
-// countLosses returns how many workers in use were lost between two times, and how many were in use. It leaves out the worker at the
-// address. Without a late job only unexplained losses count, and with one all but those of workers that ran its tasks.
-func (s *session) countLosses(from, to time.Time, exceptAt string, late *job) (lost, used int) {
+func (u *unit) lossCause(age time.Duration) lossCause { return lossCause{job: u.step.job, age: age} }
+
+// explains reports whether the loss of another worker has the same cause, or is explained too if the task had just started.
+func (c lossCause) explains(other workerLoss) bool {
+	return other.lostWith(c.job, c.age) || (c.age < promptCrashTime && other.explained)
+}
+
+// countLosses returns how many workers in use were lost between two times without the cause, and how many were in
+// use. It leaves out the worker at the address.
+func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause) (lost, used int) {
 	seen := map[string]bool{}
 	for address, loss := range s.losses {
-		counts := !loss.explained
-		if late != nil {
-			counts = !slices.Contains(loss.jobs, late)
-		}
-		if counts && len(loss.jobs) > 0 && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) {
+		if len(loss.ages) > 0 && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
 			seen[address] = true
 		}
 	}
@@ -143,54 +159,54 @@
 func (s *session) evidence(ws *workerState, c lostMember, lost []lostMember) (evidence float32, doubt string) {
 	u := c.run.unit
 	// A task that is the cause loses its workers right after the start, or at the same age each time.
-	period := promptCrashTime
+	period := max(promptCrashTime, c.age)
 	if u.crashes.any() {
 		period = min(period, 2*max(ageTolerance, (c.age-u.crashes.lastAge).Abs()))
 	}
 	switch {
 	case c.age < 0:
 		return 0, "an earlier owner started it"
-	case c.lastPhase != running && (ws.silentSince.Before(c.startSentAt) || ws.silentSince.Sub(ws.answeredAt) > maxProbeAge):
-		// The worker may have been gone before the order was sent.
+	case !ws.mayHaveReceived(c):
 		return 0, "its start is not confirmed"
-	case !c.prompt() && period == promptCrashTime:
-		return 0, "it had lasted, and not as long as before"
 	case slices.ContainsFunc(lost, func(o lostMember) bool { return o.run.unit.step.job != u.step.job && o.prompt() == c.prompt() }):
 		return 0, "tasks of other jobs were lost too"
 	}
 	coincidence := s.coincidence(ws, c, period)
-	if coincidence >= 1 {
-		return 0, "workers are lost all the time"
+	if coincidence >= 1 || (period > promptCrashTime && coincidence > maxCoincidence) {
+		return 0, "a worker is often lost in that time"
 	}
 	return float32(-math.Log10(coincidence)), ""
 }
 
 // coincidence returns the probability that a worker is lost in the given period of a member's run if the member isn't the cause.
 func (s *session) coincidence(ws *workerState, c lostMember, period time.Duration) float64 {
-	late, at, silentSince := c.run.unit.lateJob(c.age), ws.entry.Address, s.silentSince(ws)
+	cause, at, silentSince := c.run.unit.lossCause(c.age), ws.entry.Address, s.silentSince(ws)
 	from, to := silentSince.Add(-lossWindow), silentSince.Add(lossWindow)
 	if to.After(s.now) {
 		to = s.now
 	}
-	lost, used := s.countLosses(from, to, at, late)
+	lost, used := s.countLosses(from, to, at, cause)
 	highest := (float64(lost) + unseenLosses) / (float64(used) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
-	if lost, used := s.countLosses(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), at, late); lost > 0 {
+	if lost, used := s.countLosses(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), at, cause); lost > 0 {
 		highest = max(highest, float64(lost)/float64(used))
 	}
-	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, late); !before.IsZero() {
+	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
 		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
 	}
 	return highest
 }
 
-// lostBefore returns when a worker at the same address was last lost before a time, either under the unit or with no task as a likely
-// cause, such as one of a late job; zero if none was lately.
-func (s *session) lostBefore(ws *workerState, u *unit, at time.Time, late *job) time.Time {
+// lostBefore returns when a worker at the same address was last lost before a time, either under the unit, if there is one, or with no task as a likely
+// cause, such as the given one; zero if none was lately.
+func (s *session) lostBefore(ws *workerState, u *unit, at time.Time, cause lossCause) time.Time {
 	loss := s.losses[ws.entry.Address]
 	before := loss.unexplainedBefore(at)
-	if late != nil && slices.Contains(loss.jobs, late) {
+	if cause.explains(loss) {
 		before = loss.previous
 	}
+	if u == nil {
+		return before
+	}
 	if lost := u.lostAt[ws.entry.Address]; lost.After(before) && !lost.After(at) {
 		before = lost
 	}
@@ -199,6 +215,6 @@
 
 // losingWorkers reports whether so many workers are being lost that a loss now would show little.
 func (s *session) losingWorkers() bool {
-	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", nil)
+	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", lossCause{})
 	return float64(lost) > calmRate*lossWindow.Seconds()*float64(used)
 }
--- a/internal/dispatch/evidence_test.go
+++ b/internal/dispatch/evidence_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
 )
 
 // Guards against a task that is blamed for the loss of a worker which had been lost shortly before: the earlier loss was forgotten when
@@ -20,3 +22,20 @@
 		t.Errorf("the latest loss was at %v, want %v", got, earlier)
 	}
 }
+
+// Guards against a job that is given up because the loss of a silent worker was proved after a run had lasted and another loss was counted.
+func TestClearedLossIsNotProved(t *testing.T) {
+	now := time.Now()
+	u := &unit{step: &step{job: &job{}}}
+	u.run = &run{unit: u, number: 1, startedAt: now.Add(-time.Minute)}
+	lost := &member{run: u.run}
+	s := &session{now: now, silentLosses: map[string]silentLoss{"w": {counted: []countedCrash{{member: lost, evidence: 1}}}}}
+	s.Events = events.Discard()
+	u.crashes.add(0, 1, 0, 1)
+	s.clearCrashes(u.run)
+	u.crashes.add(0, 1, 0, 1)
+	s.proveSilentLoss("w")
+	if got := u.crashes.evidence[0]; got != 0 {
+		t.Errorf("evidence %v from a loss before the run that lasted, want 0", got)
+	}
+}
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -93,9 +94,25 @@
 
 // steadyWorkers returns those of the allowed workers whose loss would show that a unit is the cause, by their ids; nil allows all.
 func (s *session) steadyWorkers(u *unit, allowed map[string]bool) map[string]bool {
+	cause := u.lossCause(u.crashes.lastAge)
+	if s.steady[cause] == nil {
+		s.steady[cause] = s.findSteadyWorkers(cause)
+	}
+	steady := maps.Clone(s.steady[cause])
+	for id := range steady {
+		lately := s.now.Sub(u.lostAt[s.workers[id].entry.Address]) < minSteadyTime
+		if lately || (allowed != nil && !allowed[id]) {
+			delete(steady, id)
+		}
+	}
+	return steady
+}
+
+// findSteadyWorkers returns the ids of the workers at whose addresses none was lost lately, unless for the given cause.
+func (s *session) findSteadyWorkers(cause lossCause) map[string]bool {
 	steady := map[string]bool{}
 	for id, ws := range s.workers {
-		if before := s.lostBefore(ws, u, s.now, u.lateJob(u.crashes.lastAge)); (allowed == nil || allowed[id]) && s.now.Sub(before) >= minSteadyTime {
+		if s.now.Sub(s.lostBefore(ws, nil, s.now, cause)) >= minSteadyTime {
 			steady[id] = true
 		}
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -10,6 +10,7 @@
 
 // snapshot returns the input of a plan.
 func (s *session) snapshot() *assign.Snapshot {
+	s.steady = map[lossCause]map[string]bool{}
 	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores(), NoPreemption: !s.knowsRuns()}
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
