--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -136,8 +136,8 @@
 	return other.lostWith(c.job, c.age) || (c.age < promptCrashTime && other.explained)
 }
 
-// countLosses returns how many workers in use were lost between two times without the cause, and how many were in
-// use. It leaves out the worker at the address.
+// countLosses returns how many workers in use were lost between two times for other causes, and how many were in use. It leaves out the
+// worker at the address.
 func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause) (lost, used int) {
 	seen := map[string]bool{}
 	for address, loss := range s.losses {
@@ -185,6 +185,7 @@
 	if to.After(s.now) {
 		to = s.now
 	}
+	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address.
 	lost, used := s.countLosses(from, to, at, cause)
 	highest := (float64(lost) + unseenLosses) / (float64(used) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
 	if lost, used := s.countLosses(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), at, cause); lost > 0 {
@@ -196,8 +197,8 @@
 	return highest
 }
 
-// lostBefore returns when a worker at the same address was last lost before a time, either under the unit, if there is one, or with no task as a likely
-// cause, such as the given one; zero if none was lately.
+// lostBefore returns when a worker at the same address was last lost before a time, under the unit, if one is given, or for no known cause;
+// zero if none was lately.
 func (s *session) lostBefore(ws *workerState, u *unit, at time.Time, cause lossCause) time.Time {
 	loss := s.losses[ws.entry.Address]
 	before := loss.unexplainedBefore(at)
