A loss under another owner's run makes a suspect, and a poll that breaks shows that its worker was there

Its first worker was lost in a takeover, so nobody knew for how long it had run, and the unit didn't become a suspect. At its second start, not on probation, another deadly task of another job started on the same worker. Its third start order had no answer: the worker held a poll open when it crashed, so its last answer was old. None of the three losses added evidence.

A loss after an unknown time makes a suspect now: the next run is on probation, alone. A poll that a worker holds open and that fails before its time shows that the worker was there until then.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -184,7 +184,7 @@
 		if sign.certain() {
 			u.crashes.prove(c.member, evidence)
 		}
-		u.suspect = u.suspect || c.prompt() || u.crashes.counted[c.index] > 1
+		u.suspect = u.suspect || c.prompt() || c.age < 0 || u.crashes.counted[c.index] > 1
 		s.dirty = true
 		s.Events.Log(events.WorkerCrashed, "worker", ws.id, "task", c.name, "run", c.run.number, "crashes", u.crashes.counted[c.index],
 			"evidence", u.crashes.evidence[c.index], "added", evidence, "doubt", doubt, "sign", string(sign), "prompt", c.prompt(),
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -79,6 +79,7 @@
 		s.handleNewIncarnation(ws, signRefusal)
 		return
 	case err != nil:
+		s.recordBrokenPoll(ws, poll, sentAt)
 		s.handleLostPoll(ws)
 		return
 	}
@@ -113,6 +114,14 @@
 	s.pollSoon(ws)
 }
 
+// recordBrokenPoll records that a worker was there until now if a poll that it held open has failed before its time: one that is gone
+// refuses a poll at once, or leaves it unanswered.
+func (s *session) recordBrokenPoll(ws *workerState, poll worker.Poll, sentAt time.Time) {
+	if held := s.now.Sub(sentAt); poll.Wait > 0 && held > maxProbeAge && held < poll.Wait && s.age(ws.silentSince) <= maxProbeAge {
+		ws.answeredAt = s.now
+	}
+}
+
 // isReported reports whether a report lists a member as running or finished.
 func isReported(m *member, report worker.Report) bool {
 	return slices.ContainsFunc(report.Running, func(r worker.RunningTask) bool { return r.Task == m.name && r.Run == m.run.number }) ||
