Start no unit with several losses in the first 5 s of a term

A loss under another owner's run shows nothing.

A suspect with two losses waits now until the term has lasted for 5 s, within the 10 s that it waits for steady workers anyway.

--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -14,6 +14,9 @@
 	// most suspects only ran beside the cause.
 	maxExclusiveWait      = 10 * time.Second
 	maxFirstExclusiveWait = 500 * time.Millisecond
+	// minSteadyTerm is how long an owner waits at the start of its term with a unit that has lost several workers. A loss in a takeover
+	// shows nothing, and one takeover often follows another.
+	minSteadyTerm = 5 * time.Second
 	// clearingFactor is how much longer than a run that was lost with its worker a run must last to show that the unit isn't the
 	// cause.
 	clearingFactor = 2
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -68,7 +68,7 @@
 				unit.WaitingSince = u.lastRunEndedAt
 			}
 			unit.OnProbation, unit.Exclusive = u.suspect, u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
-			if unit.Exclusive && u.crashedRepeatedly() && s.losingWorkers() {
+			if unit.Exclusive && u.crashedRepeatedly() && (s.losingWorkers() || s.now.Sub(s.startedAt) < minSteadyTerm) {
 				continue
 			}
 			if unit.Exclusive {
