--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -166,8 +166,8 @@
 }
 
 // countCrash counts the loss of a worker against the tasks that had just started on it, or if none had, against all that ran on it,
-// but not against those that were being stopped. Their units become suspects if the loss followed the start promptly, or was not
-// the first under the same task; they then run on probation. The job of a task that has certainly caused losses is given up.
+// but not against those that were being stopped. Their units become suspects if the loss followed the start promptly or after an
+// unknown time, or was not the first under the same task; they then run on probation. The job of a task that has certainly caused losses is given up.
 // It returns the members under which the loss was counted.
 func (s *session) countCrash(ws *workerState, sign lossSign, lost []lostMember) (counted []countedCrash) {
 	anyPrompt := slices.ContainsFunc(lost, lostMember.prompt)
