--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 )
 
 // cases are the cases by name. Each returns what broke its rule.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
-	"junk": playJunk, "lost": playLost, "avoid": playAvoid, "kept": playKept, "twice-lost": playTwiceLost,
+	"junk": playJunk, "lost": playLost, "avoid": playAvoid, "flap": playFlap, "kept": playKept, "pending": playPending, "twice-lost": playTwiceLost,
 }
 
 var errNotReady = errors.New("the instances are not ready in time")
@@ -41,7 +44,7 @@
 // addWorkers adds workers of kind a, four a rack.
 func (f *fleet) addWorkers(count int) error {
 	for n := range count {
-		if _, err := f.addWorker(fmt.Sprintf("w%d", n+1), fmt.Sprintf("i-%010d", n+1), whole, "a", fmt.Sprintf("r%d", n/4)); err != nil {
+		if err := f.addWorker(fmt.Sprintf("w%d", n+1), fmt.Sprintf("i-%010d", n+1), whole, "a", fmt.Sprintf("r%d", n/4)); err != nil {
 			return err
 		}
 	}
@@ -197,6 +200,74 @@
 	return broken
 }
 
+// The limits of a worker that goes down and up by turns (`srv_flap`): the period, of which it is down for half, and how long.
+const (
+	flapPeriod = 1400 * time.Millisecond
+	flapTime   = 6500 * time.Millisecond
+)
+
+// playFlap: the 4 workers of one rack, of 44, go down and up by turns together for a while, and jobs need that rack.
+func playFlap(f *fleet, trouble bool) ([]string, error) {
+	f.addQueue("batch", 2, 3, 3, 3*time.Second)
+	if err := f.addWorkers(40); err != nil {
+		return nil, err
+	}
+	for n := range 4 {
+		if err := f.addWorker(fmt.Sprintf("x%d", n), fmt.Sprintf("i-x%d00000000", n), whole, "a", "r99"); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.begin(); err != nil {
+		return nil, err
+	}
+	others := step{Count: 40, Cpu: 20000, MemMb: 8000, Gpu: 4, MaxPerServer: 1}
+	if !f.submit(simpleJob(1, "batch", work{RunsMs: 100000}, others)) {
+		return nil, errors.New("the first job was not accepted")
+	}
+	time.Sleep(4 * time.Second)
+	var all []*job
+	for n := range 4 {
+		j := simpleJob(2+n, "batch", work{RunsMs: 5000}, step{Count: 1, Cpu: 20000, MemMb: 8000, Gpu: 5, RequiredLabel: "r99"})
+		if !f.submit(j) {
+			return nil, errors.New("a job was not accepted")
+		}
+		all = append(all, j)
+	}
+	time.Sleep(300 * time.Millisecond)
+	rack := f.workers[40:]
+	for from, life := time.Now(), 1; trouble && time.Since(from) < flapTime; life++ {
+		for _, w := range rack {
+			w.crash(false)
+		}
+		time.Sleep(flapPeriod / 2)
+		for n, w := range rack {
+			w.restart(fmt.Sprintf("i-x%d%08d", n, life), whole)
+		}
+		time.Sleep(flapPeriod / 2)
+	}
+	time.Sleep(20 * time.Second)
+	return f.failedWithoutCause(all), nil
+}
+
+// failedWithoutCause returns the jobs that are shown as failed though no run of their tasks has ended so.
+func (f *fleet) failedWithoutCause(jobs []*job) []string {
+	var broken []string
+	for _, j := range jobs {
+		state, failed := f.state(j), 0
+		f.mu.Lock()
+		for _, s := range f.starts {
+			if strings.HasPrefix(s.task, j.id) && s.how == "failed" {
+				failed++
+			}
+		}
+		f.mu.Unlock()
+		if state == "failed" && failed == 0 {
+			broken = append(broken, fmt.Sprintf("LOST: %s is shown as failed, and none of its runs has ended so", j.id))
+		}
+	}
+	return broken
+}
+
 // playKept: a task that lasts fails once, while the fastest worker is idle: it is kept for urgent jobs.
 func playKept(f *fleet, trouble bool) ([]string, error) {
 	f.addQueue("urgent", 0, 3, 1, 250*time.Millisecond)
@@ -343,3 +414,60 @@
 	}
 	return nil
 }
+
+// playPending: the one worker with room is lost right before jobs come, and the owner is killed half a second after them.
+func playPending(f *fleet, trouble bool) ([]string, error) {
+	f.addQueue("long", 2, 2, 3, 3*time.Second)
+	f.addQueue("batch", 2, 2, 3, 3*time.Second)
+	if err := f.addWorkers(8); err != nil {
+		return nil, err
+	}
+	if err := f.begin(); err != nil {
+		return nil, err
+	}
+	if !f.submit(simpleJob(1, "long", work{RunsMs: 100000}, step{Count: 7, Cpu: 32000, MemMb: 32000, Gpu: 8})) {
+		return nil, errors.New("the first job was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	for _, w := range f.workers {
+		if trouble && !f.busy(w) {
+			w.crash(true)
+		}
+	}
+	var waiting []*job
+	for n := range 4 {
+		j := simpleJob(2+n, "batch", work{RunsMs: 1000}, step{Count: 1, Cpu: 8000, MemMb: 8000, Gpu: 2})
+		if !f.submit(j) {
+			return nil, errors.New("a job was not accepted")
+		}
+		waiting = append(waiting, j)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if owner := f.owner(); trouble && owner != nil {
+		owner.signal(syscall.SIGKILL)
+	}
+	time.Sleep(9 * time.Second)
+	begun := 0
+	for _, j := range waiting {
+		if f.ranWithin(j.id+".0.0.0", f.began, time.Now()) {
+			begun++
+		}
+	}
+	status, body := f.call(http.MethodGet, "batch", "", nil)
+	var answer struct{ Pending int }
+	if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return nil, errors.New("the queue could not be asked")
+	}
+	if 2*answer.Pending < len(waiting)-begun {
+		return []string{fmt.Sprintf("MIXED: %d jobs that were accepted 9 s before haven't begun, and %d are given as Pending",
+			len(waiting)-begun, answer.Pending)}, nil
+	}
+	return nil, nil
+}
+
+// busy reports whether a worker runs a task.
+func (f *fleet) busy(w *worker) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running) > 0
+}
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -136,7 +136,9 @@
 	for _, i := range f.instances {
 		i.mu.Lock()
 		i.closed = true
-		_ = i.process.Process.Kill()
+		if i.process != nil {
+			_ = i.process.Process.Kill()
+		}
 		i.mu.Unlock()
 	}
 	time.Sleep(restartDelay)
@@ -145,16 +147,16 @@
 }
 
 // addWorker adds a worker with an id and registers it.
-func (f *fleet) addWorker(name, id string, capacity room, labels ...string) (*worker, error) {
+func (f *fleet) addWorker(name, id string, capacity room, labels ...string) error {
 	w, err := newWorker(f, name, id, capacity, labels)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	f.mu.Lock()
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
 	w.register()
-	return w, nil
+	return nil
 }
 
 // addQueue adds a queue to the configuration, which configure writes.
@@ -197,19 +199,35 @@
 	return nil, errNoPorts
 }
 
-// addInstance starts an instance.
+// startTime is how long a process must run for its ports to be taken for free.
+const startTime = 300 * time.Millisecond
+
+// addInstance starts an instance. If its process ends at once, one of its ports was taken meanwhile, and it gets others.
 func (f *fleet) addInstance(name string) error {
-	free, err := ports(3)
-	if err != nil {
-		return err
-	}
-	at := func(i int) string { return "127.0.0.1:" + strconv.Itoa(free[i]) }
-	i := &instance{fleet: f, name: name, front: at(0), readiness: at(1), metrics: strconv.Itoa(free[2])}
-	if err := os.WriteFile(i.settingsPath(), []byte(i.settings()), 0o600); err != nil {
-		return err
-	}
+	i := &instance{fleet: f, name: name}
 	f.instances = append(f.instances, i)
-	return i.launch()
+	for range 5 {
+		free, err := ports(3)
+		if err != nil {
+			return err
+		}
+		at := func(n int) string { return "127.0.0.1:" + strconv.Itoa(free[n]) }
+		i.front, i.readiness, i.metrics = at(0), at(1), strconv.Itoa(free[2])
+		if err := os.WriteFile(i.settingsPath(), []byte(i.settings()), 0o600); err != nil {
+			return err
+		}
+		exited, err := i.launch()
+		if err != nil {
+			return err
+		}
+		select {
+		case <-exited:
+		case <-time.After(startTime):
+			i.supervise(exited)
+			return nil
+		}
+	}
+	return errNoPorts
 }
 
 func (i *instance) settingsPath() string { return filepath.Join(i.fleet.directory, i.name+".toml") }
@@ -281,38 +299,52 @@
 // restartDelay is how long the platform waits before it starts a process again that has ended.
 const restartDelay = 500 * time.Millisecond
 
-// launch starts the process of an instance, and again each time that it has ended, until the fleet is closed.
-func (i *instance) launch() error {
+// launch starts the process of an instance, and returns a channel that is closed once it has ended.
+func (i *instance) launch() (<-chan struct{}, error) {
 	out, err := os.OpenFile(filepath.Join(i.fleet.directory, i.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	process := exec.Command(i.fleet.program, "serve") //nolint:gosec,noctx // the program under review; close ends it.
 	process.Env = []string{"PATH=" + os.Getenv("PATH"), "DOTTERELGAUGE_NODE_FILE=" + i.settingsPath()}
 	process.Stdout, process.Stderr = out, out
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	i.mu.Lock()
 	i.process = process
 	i.mu.Unlock()
 	i.fleet.log("instance %s starts", i.name)
+	exited := make(chan struct{})
 	go func() {
 		_ = process.Wait()
 		_ = out.Close()
-		time.Sleep(restartDelay)
-		i.mu.Lock()
-		closed := i.closed
-		i.mu.Unlock()
-		if closed {
-			return
-		}
-		if err := i.launch(); err != nil {
-			i.fleet.log("instance %s does not start: %v", i.name, err)
+		close(exited)
+	}()
+	return exited, nil
+}
+
+// supervise starts the process again each time that it has ended, until the fleet is closed.
+func (i *instance) supervise(exited <-chan struct{}) {
+	go func() {
+		for {
+			<-exited
+			time.Sleep(restartDelay)
+			i.mu.Lock()
+			closed := i.closed
+			i.mu.Unlock()
+			if closed {
+				return
+			}
+			next, err := i.launch()
+			if err != nil {
+				i.fleet.log("instance %s does not start: %v", i.name, err)
+				return
+			}
+			exited = next
 		}
 	}()
-	return nil
 }
 
 // signal sends a signal to the process.
