--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -141,6 +141,9 @@
 	time.Sleep(time.Until(end.Add(finish)))
 	state := f.state(long)
 	time.Sleep(time.Until(end.Add(finish + window)))
+	if f.inUse() >= 0.5 {
+		return nil, errors.New("half of the capacity is in use")
+	}
 	if !f.ranWithin(task, end.Add(finish), end.Add(finish+window)) && state != "completed" {
 		return []string{fmt.Sprintf("LOST: from %v to %v after the end of the traffic %s is %s and has nothing running; "+
 			"it needs 4000 of 32000 on each of 7 idle workers", finish, finish+window, long.id, state)}, nil
@@ -148,6 +151,22 @@
 	return nil, nil
 }
 
+// inUse returns the share of the cores of the workers that are up which their tasks need.
+func (f *fleet) inUse() float64 {
+	used, all := 0, 0
+	for _, w := range f.workers {
+		w.mu.Lock()
+		if !w.down && !w.silent {
+			all += w.capacity.Cpu
+			for _, r := range w.running {
+				used += r.need.Cpu
+			}
+		}
+		w.mu.Unlock()
+	}
+	return float64(used) / float64(all)
+}
+
 // playJunk: another writer writes an entry under a worker's id, with a service that no page names and an address of its own.
 func playJunk(f *fleet, trouble bool) ([]string, error) {
 	f.addQueue("batch", 2, 2, 3, 3*time.Second)
@@ -235,13 +254,13 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	rack := f.workers[40:]
-	for from, life := time.Now(), 1; trouble && time.Since(from) < flapTime; life++ {
+	for from := time.Now(); trouble && time.Since(from)+flapPeriod <= flapTime; {
 		for _, w := range rack {
 			w.crash(false)
 		}
 		time.Sleep(flapPeriod / 2)
-		for n, w := range rack {
-			w.restart(fmt.Sprintf("i-x%d%08d", n, life), whole)
+		for _, w := range rack {
+			w.restart(w.id, whole)
 		}
 		time.Sleep(flapPeriod / 2)
 	}
@@ -388,7 +407,7 @@
 		if trouble {
 			w.crash(false)
 			time.Sleep(1500 * time.Millisecond)
-			w.restart(w.id+"b", whole)
+			w.restart(w.id, whole)
 			calmFrom = time.Now()
 		}
 	}
