Log why a unit is left out of the plans, and what a new owner restores

Callers saw jobs with nothing running beside free workers, and the logs couldn't tell why: a unit whose run of an earlier owner counts as open is in no plan, so no 421 was written for it, and neither for a unit that is held after lost workers.

421 now states both, with the worker that hasn't answered and the end of its lease, and the time since the unit's last run; job show has the same reasons. 311 counts the open runs and the waiting units at the start of a term. No decision changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -166,6 +166,8 @@
 	losses map[string]workerLoss
 	// steady has the steady workers of the plan in the making, for each cause of losses.
 	steady map[lossCause]map[string]bool
+	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
+	held map[replica.Task]assign.Reason
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -302,6 +304,7 @@
 	s.confirmLosses()
 	s.forgetLosses()
 	s.checkRuns()
+	s.logUnreachedRuns()
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -104,9 +104,6 @@
 			return reason.Text
 		}
 	}
-	if st.holdsOthers() {
-		return "workers crashed under one of its tasks: the others wait until that task runs without a crash"
-	}
 	return ""
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -175,6 +175,7 @@
 		}
 		s.addJob(restored)
 	}
+	s.logRestored()
 }
 
 // addJob adds a job, with its occurrences that are due or have recorded runs.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -26,6 +27,7 @@
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
 	s.reservations = plan.Reservations
+	maps.Copy(plan.Reasons, s.held)
 	s.logWaits(plan.Reasons)
 	s.answerQuestions(plan.Reasons)
 	for _, preemption := range plan.Preemptions {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -27,23 +27,64 @@
 		"core_s", int(assign.JobWork(spec)), "objective_ms", assign.TimeToObjective(spec).Milliseconds())
 }
 
+// logRestored logs what the store holds at the start of the term.
+func (s *session) logRestored() {
+	open, waiting := 0, 0
+	for _, j := range s.jobs {
+		if j.hasEnded() {
+			continue
+		}
+		for _, u := range j.units() {
+			switch {
+			case u.run != nil:
+				open++
+			case !u.done:
+				waiting++
+			}
+		}
+	}
+	s.Events.Log(events.JobsRestored, "epoch", s.term.Epoch, "jobs", len(s.jobs), "open_runs", open, "waiting_units", waiting,
+		"workers_of_open_runs", len(s.workers))
+}
+
 // logWaits logs why steps wait.
 func (s *session) logWaits(reasons map[replica.Task]assign.Reason) {
 	for task, reason := range reasons {
-		u := s.unitByTask(task)
-		if reason.Starts || s.now.Before(u.step.nextWaitReport) {
+		if u := s.unitByTask(task); !reason.Starts && !s.now.Before(u.step.nextWaitReport) {
+			s.logWait(u, reason.Text)
+		}
+	}
+}
+
+// logWait logs why a unit of a step waits.
+func (s *session) logWait(u *unit, reason string) {
+	st := u.step
+	waited := s.now.Sub(st.readyAt)
+	st.nextWaitReport = s.now.Add(waited)
+	waiting := 0
+	for _, other := range st.units {
+		if !other.done && other.run == nil {
+			waiting++
+		}
+	}
+	s.Events.Log(events.StepWaiting, "task", u.task, "queue", st.job.spec.GetQueue(), "priority", st.job.spec.GetPriority(),
+		"ready_ms", waited.Milliseconds(), "since_last_run_ms", s.age(u.lastRunEndedAt).Milliseconds(), "units", waiting, "reason", reason)
+}
+
+// logUnreachedRuns logs the steps that wait for the end of a run that an earlier owner started on a worker which hasn't answered this one.
+func (s *session) logUnreachedRuns() {
+	for _, ws := range s.workers {
+		if ws.confirmed {
 			continue
 		}
-		waited := s.now.Sub(u.step.readyAt)
-		u.step.nextWaitReport = s.now.Add(waited)
-		waiting := 0
-		for _, other := range u.step.units {
-			if !other.done && other.run == nil {
-				waiting++
+		for _, m := range ws.members {
+			u := m.run.unit
+			if m.phase != unconfirmed || u.step.readyAt.IsZero() || s.now.Before(u.step.nextWaitReport) {
+				continue
 			}
+			s.logWait(u, fmt.Sprintf("run %d of %s may still be on worker %s, which has not answered this owner: its lease ends in %d ms at the latest",
+				m.run.number, m.name, ws.id, ws.leaseEnd.Sub(s.now).Milliseconds()))
 		}
-		s.Events.Log(events.StepWaiting, "task", task, "queue", u.step.job.spec.GetQueue(),
-			"priority", u.step.job.spec.GetPriority(), "ready_ms", waited.Milliseconds(), "units", waiting, "reason", reason.Text)
 	}
 }
 
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -10,7 +10,7 @@
 
 // snapshot returns the input of a plan.
 func (s *session) snapshot() *assign.Snapshot {
-	s.steady = map[lossCause]map[string]bool{}
+	s.steady, s.held = map[lossCause]map[string]bool{}, map[replica.Task]assign.Reason{}
 	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores(), NoPreemption: !s.knowsRuns()}
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
@@ -62,13 +62,16 @@
 		unit := common
 		unit.Task = u.task
 		switch {
-		case u.done, u.run == nil && (hold && !u.crashedRepeatedly() || u.awaitsVerdict(s.now)):
+		case u.done:
 		case u.run == nil:
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
 			unit.OnProbation, unit.Exclusive = u.suspect, u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
-			if unit.Exclusive && u.crashedRepeatedly() && (s.losingWorkers() || s.now.Sub(s.startedAt) < minSteadyTerm) {
+			if reason := s.holdReason(u, hold, unit.Exclusive); reason != "" {
+				if explain {
+					s.held[u.task], explain = assign.Reason{Text: reason}, false
+				}
 				continue
 			}
 			if unit.Exclusive {
@@ -89,6 +92,20 @@
 	}
 }
 
+// holdReason returns why a waiting unit is left out of the plan; empty if it isn't. With others, the step holds units that lost no
+// workers, and exclusive is true if the unit needs workers that run nothing else.
+func (s *session) holdReason(u *unit, others, exclusive bool) string {
+	switch {
+	case others && !u.crashedRepeatedly():
+		return "workers crashed under one of its tasks: the others wait until that task runs without a crash"
+	case u.awaitsVerdict(s.now):
+		return "it is probably given up once it is certain that a worker that fell silent under it is gone"
+	case exclusive && u.crashedRepeatedly() && (s.losingWorkers() || s.now.Sub(s.startedAt) < minSteadyTerm):
+		return "workers crashed under it: it waits for a time in which few others are lost"
+	}
+	return ""
+}
+
 // waitingWork returns the work of the units that neither run nor are done, in core-seconds.
 func (o *occurrence) waitingWork() float64 {
 	work := 0.0
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -46,6 +46,7 @@
 		"check the network of the instance; while it is isolated it renews no leases, and another instance may be the owner"}
 	OwnerFailed = Event{309, log.ErrorLevel, "owner failed",
 		"report the stack in the line to the developers; another instance becomes the owner"}
+	JobsRestored    = Event{311, log.InfoLevel, "jobs restored", actionNone}
 	TakeoverRefused = Event{307, log.InfoLevel, "takeover refused", actionNone}
 )
 
@@ -94,7 +95,7 @@
 		InstanceStarted, InstanceReady, InstanceNotReady, DrainStarted, DrainEnded, DrainCutShort,
 		InstanceFailed, SettingsChecked, LinesDropped,
 		StoreUnreachable, StoreReachable, RecordNotDecoded,
-		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused, OwnerPaused, OwnerFailed, OwnerIsolated,
+		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused, OwnerPaused, OwnerFailed, OwnerIsolated, JobsRestored,
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
