--- /dev/null
+++ b/internal/node/stored_lease_test.go
@@ -0,0 +1,91 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+)
+
+// maxIdleTime is how long a job may have nothing running beside free workers.
+const maxIdleTime = 3 * time.Second
+
+// longLease is longer than the leases that an owner asks for.
+const longLease = 10 * time.Second
+
+// lose makes a worker unreachable for good and takes it out of the registry. What runs there ends with its lease.
+func (c *cluster) lose(id string) {
+	c.workers.SetUnreachable(id, true)
+	c.registry.Put(id, nil)
+}
+
+// replaceOwner kills the owner, waits until another instance is the owner, and restarts the killed one.
+func (c *cluster) replaceOwner() {
+	killed := c.owner()
+	c.kill(killed)
+	c.owner()
+	c.startNode(killed)
+	time.Sleep(time.Second)
+}
+
+// requireStarted fails the test if a task has not started as often as wanted within the limit.
+func (c *cluster) requireStarted(task string, starts int, limit time.Duration) {
+	c.t.Helper()
+	began := time.Now()
+	for c.workers.StartCount(task) < starts && time.Since(began) < time.Minute {
+		time.Sleep(50 * time.Millisecond)
+	}
+	if took := time.Since(began); took > limit {
+		c.t.Errorf("%s has started %d times after %v, want %d within %v", task, c.workers.StartCount(task), took, starts, limit)
+	}
+}
+
+// Guards against jobs that have nothing running beside free workers after a change of the owner: the new owner waited for a worker that
+// was gone, although the run there had ended under the owner before.
+func TestRunsThatEndedDoNotDelayNewOwner(t *testing.T) {
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(time.Second)
+		requireOK(c, c.submit(2, 2, "i0", tasks(1, 8, 22*time.Second)))
+		time.Sleep(time.Second)
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		time.Sleep(10 * time.Second)
+		c.replaceOwner()
+		c.await(2, 2, replica.Completed, 30*time.Second)
+		c.requireStarted(id(1)+".0.0.0", 2, maxIdleTime)
+	})
+}
+
+// Guards against jobs that have nothing running beside free workers after a change of the owner: the new owner counted the lease of a lost
+// worker from its own claim, although the owner before had renewed it last long ago.
+func TestNewOwnerKnowsLeasesOfLostWorkers(t *testing.T) {
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(2 * time.Second)
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		time.Sleep(4600 * time.Millisecond)
+		c.replaceOwner()
+		c.requireStarted(id(1)+".0.0.0", 2, maxIdleTime)
+	})
+}
+
+// Guards against jobs that wait anew for the lease of a lost worker after each change of the owner.
+func TestTakeoversDoNotExtendWaitForLostWorker(t *testing.T) {
+	const takeovers, interval = 6, 5 * time.Second
+	// The first owner is lost with the worker, so only its successor's claim tells when the lease has ended.
+	const maxWait = longLease + 8*time.Second
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(2 * time.Second)
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		lost := time.Now()
+		for range takeovers {
+			c.replaceOwner()
+			time.Sleep(interval)
+			if c.workers.StartCount(id(1)+".0.0.0") > 1 {
+				break
+			}
+		}
+		c.requireStarted(id(1)+".0.0.0", 2, max(0, maxWait-time.Since(lost)))
+	})
+}
