Renew no lease with the poll after a lost one

Cause: a worker counts as unresponsive after two polls without an answer, and the second one renewed the lease once more: everything that counts on its end, at this owner and at the next one, waited from there.

The poll after a lost one renews nothing; the next one that is answered does. By then the lease has 3 s left at least.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -27,8 +27,8 @@
 		// Only once, and only to the incarnation that has just answered: another one under the same id numbers its tasks anew.
 		poll.Acknowledged = ws.lastStored
 	}
-	if ws.clockMs > 0 && !ws.unresponsive && !s.suspended() {
-		// An unresponsive worker gets no new lease: it would delay the time at which its tasks have certainly ended.
+	if ws.clockMs > 0 && !ws.unresponsive && ws.lostPolls == 0 && !s.suspended() {
+		// A worker that didn't answer the last poll gets no new lease: it would delay the time at which its tasks have certainly ended.
 		poll.LeaseEndMs = s.extendLease(ws)
 	}
 	if ws.confirmed && !ws.unresponsive && ws.lostPolls == 0 && ws.pendingStores == 0 && ws.clockMs > 0 {
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -27,3 +27,15 @@
 		c.await(1, 2, replica.Completed, time.Minute)
 	})
 }
+
+// Guards against jobs that wait longer than a lease lasts for a worker that is lost: the poll that found out renewed the lease again.
+func TestPollAfterLostPollRenewsNoLease(t *testing.T) {
+	// A poll may be answered just after the loss, and a lease lasts for 6 s, on a clock that is 3% slow.
+	const maxWait = 2*time.Second + 6*time.Second*103/100 + 500*time.Millisecond
+	run(t, 1, 2, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(8 * time.Second)
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		c.requireStarted(id(1)+".0.0.0", 2, maxWait)
+	})
+}
