Renew the lease of a worker as soon as the record of its final lease is deleted

What callers would have seen: tasks that lapse on a worker which has answered again.

Cause: while the deletion of the record is on its way, a poll renews no lease, but it waited for up to 2 s for the end of a task all the same, and the next one, which renews the lease, came after that. An owner that can spare calls waits for half a second only after a silence.

Such a poll returns at once, and the next one follows when the deletion is stored (300 ms later if the store doesn't answer).

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -30,7 +30,7 @@
 	if s.mayRenewLease(ws) {
 		poll.LeaseEndMs = s.extendLease(ws)
 	}
-	if ws.confirmed && !ws.unresponsive && ws.lostPolls == 0 && ws.pendingStores == 0 && ws.clockMs > 0 {
+	if ws.confirmed && !ws.unresponsive && ws.lostPolls == 0 && ws.pendingStores == 0 && ws.clockMs > 0 && ws.lease == renewable {
 		poll.Wait = pollWait
 		if s.now.Sub(ws.lostAt) < lossyDuration && s.canSpareCalls() {
 			poll.Wait = lossyPollWait
@@ -107,7 +107,7 @@
 	}
 	s.handleFinishedTasks(ws, report.Finished)
 	s.reconcile(ws, sentAt, report)
-	if ws.pendingStores > 0 {
+	if ws.pendingStores > 0 || ws.lease == releasing {
 		ws.nextPoll = s.now.Add(pollRetryDelay)
 		return
 	}
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -137,3 +137,22 @@
 	defer c.mu.Unlock()
 	delete(c.cut[instance], id)
 }
+
+// Guards against tasks that lapse on a worker which has answered again: its lease had been recorded as final, and was renewed late.
+func TestReturnedWorkerKeepsItsTasks(t *testing.T) {
+	// The owner renews a lease of 6 s every 2 s, and a weak one doesn't poll more often after a silence.
+	for silence := 2 * time.Second; silence < 4*time.Second; silence += 50 * time.Millisecond {
+		runWithCores(t, []float64{0.001}, 2, nil, func(c *cluster) {
+			requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, 30*time.Second)))
+			time.Sleep(15 * time.Second)
+			silent := c.workers.WorkerOf(id(1) + ".0.0.0")
+			c.cutOff("i0", silent)
+			time.Sleep(silence)
+			c.heal()
+			time.Sleep(10 * time.Second)
+			if starts := c.workers.StartCount(id(1) + ".0.0.0"); starts != 1 {
+				t.Errorf("after a silence of %v the task has started %d times, want once", silence, starts)
+			}
+		})
+	}
+}
