Say when a unit waits for room on its rack

What callers saw: "there are not enough free resources for its 16 members: 96 fit now" for a gang that waited for a rack with room for all its members, while other racks had room many times over.

Cause: the reason counts the free resources of all workers that a unit may use, but the planner doesn't place a unit elsewhere while it waits for a preferred rack. The reason names that wait, its limit and what fits elsewhere now.

The new case of TestPlanHasReasonsForUnitsThatAskForThem failed before with "not enough free resources for its 1 members: 1 fit now". Plans don't change.

--- a/internal/assign/explain.go
+++ b/internal/assign/explain.go
@@ -52,6 +52,14 @@
 		return fmt.Sprintf("the %d workers that it may use hold at most %d of its %d members", allowed, holds, unit.Members())
 	}
 	_, fitting := s.countCapacity(unit, freeNow)
+	if racks := s.preferredRacks(unit); racks != nil && fitting >= unit.Members() && s.shouldWaitForRack(unit, racks) {
+		where := "one rack"
+		if name := unit.Step.GetDataRack(); name != "" {
+			where = "rack " + name
+		}
+		return fmt.Sprintf("it waits up to %d ms for room for its %d members on %s; %d members fit elsewhere now",
+			maxRackWait(unit).Milliseconds(), unit.Members(), where, fitting)
+	}
 	_, withoutLower := s.countCapacity(unit, func(worker *Worker) Resources { return s.freeWithoutLower(unit, worker) })
 	return fmt.Sprintf("there are not enough free resources for its %d members: %d fit now, %d without runs of lower priority; "+
 		"%d units are served before it", unit.Members(), fitting, withoutLower, unit.ahead)
--- a/internal/assign/explain_test.go
+++ b/internal/assign/explain_test.go
@@ -12,6 +12,8 @@
 	labelled, large := step(1, 1), step(3, 8)
 	labelled.RequiredLabel = "none has it"
 	large.Gang = true
+	near := step(1, 8)
+	near.DataRack = "r0"
 	cases := []struct {
 		name  string
 		scene *scene
@@ -29,6 +31,10 @@
 			"full", newScene().workers(1, 1).running("b", 1, step(1, 8), 50, "w00").waiting("a", 1, step(1, 8)), 0,
 			"not enough free resources for its 1 members",
 		},
+		{
+			"rack", newScene().workers(2, 1).running("b", 1, step(1, 8), 50, "w00").waiting("a", 1, near), 0,
+			"waits up to 4000 ms for room for its 1 members on rack r0; 1 members fit elsewhere",
+		},
 		{
 			"preemption", newScene().workers(1, 1).running("b", 1, step(1, 8), 50, "w00").waiting("a", 0, step(1, 8), claimed), 0,
 			"being freed on w00",
