Bound the wait for a rack while the service is mostly idle

One run on each rack is enough: no rack then has room for all members of a gang, or for a task beside its data.

Cause: shouldWaitForRack lets a unit wait for a preferred rack for up to its estimate, whatever is free elsewhere.

While the pool is mostly idle (idlePoolShare, as for workers kept for urgent jobs) a unit of a job that has nothing running waits for 1.5 s; plans follow each other by 0.5 s at most, which leaves 1 s for the start. A run that ends starts the wait anew, so a job that is preempted again and again waits for 1.5 s after each. Other tasks of a job that runs, and units in a service that is in use, wait as before: elsewhere a run takes several times as long.

TestGangWithoutRoomOnOneRackRunsInIdleService: in state waiting after 3 s before, running within 3 s now. TestUnitWaitsForItsRackOnlyBrieflyInIdlePool: case "idle pool" started 0 gangs before, 1 now; the other cases hold before and after.

--- a/internal/assign/explain.go
+++ b/internal/assign/explain.go
@@ -58,7 +58,7 @@
 			where = "rack " + name
 		}
 		return fmt.Sprintf("it waits up to %d ms for room for its %d members on %s; %d members fit elsewhere now",
-			maxRackWait(unit).Milliseconds(), unit.Members(), where, fitting)
+			s.maxRackWait(unit).Milliseconds(), unit.Members(), where, fitting)
 	}
 	_, withoutLower := s.countCapacity(unit, func(worker *Worker) Resources { return s.freeWithoutLower(unit, worker) })
 	return fmt.Sprintf("there are not enough free resources for its %d members: %d fit now, %d without runs of lower priority; "+
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -106,7 +106,7 @@
 // shouldWaitForRack reports whether a unit should wait for one of the racks instead of running more slowly elsewhere: one of
 // them has the capacity for it, and the unit hasn't waited for too long.
 func (s *planState) shouldWaitForRack(unit *Unit, racks []rack) bool {
-	if s.Now.Sub(unit.WaitingSince) >= maxRackWait(unit) {
+	if s.Now.Sub(unit.WaitingSince) >= s.maxRackWait(unit) {
 		return false
 	}
 	for _, rack := range racks {
@@ -124,8 +124,8 @@
 }
 
 // maxRackWait returns how long a unit waits for a preferred rack.
-func maxRackWait(unit *Unit) time.Duration {
-	return time.Duration(float64(unit.Step.GetEstimateMs())*maxRackWaitShare) * time.Millisecond
+func (s *planState) maxRackWait(unit *Unit) time.Duration {
+	return s.preferenceWait(unit, time.Duration(float64(unit.Step.GetEstimateMs())*maxRackWaitShare)*time.Millisecond)
 }
 
 // preferredRacks returns the racks on which a unit runs at full speed, nil if it does so on any worker.
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -19,13 +19,17 @@
 	runs map[string][]*RunningUnit
 	// victims is the set of the runs that the plan preempts.
 	victims map[*RunningUnit]bool
-	plan    Plan
+	// runningJobs has the ids of the jobs of which the snapshot or the plan has a run that isn't being stopped.
+	runningJobs map[string]bool
+	plan        Plan
 }
 
 // pool is the workers of a service.
 type pool struct {
 	workers []*Worker
 	racks   []rack
+	// idle is true if the snapshot has more free cores than idlePoolShare.
+	idle bool
 }
 
 // rack is the workers of a service in one rack.
@@ -37,7 +41,8 @@
 func newPlanState(snapshot *Snapshot) *planState {
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
-		victims: map[*RunningUnit]bool{}, plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
+		victims: map[*RunningUnit]bool{}, runningJobs: map[string]bool{},
+		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
 	}
 	for i := range snapshot.Workers {
 		worker := &snapshot.Workers[i]
@@ -49,6 +54,11 @@
 	}
 	for _, pool := range s.pools {
 		slices.SortFunc(pool.racks, func(a, b rack) int { return cmp.Compare(a.name, b.name) })
+		capacity, free := pool.cores()
+		pool.idle = free > idlePoolShare*capacity
+	}
+	for i := range snapshot.Running {
+		s.runningJobs[snapshot.Running[i].Task.Job] = true
 	}
 	return s
 }
@@ -150,6 +160,7 @@
 // start adds the start of a unit on the workers to the plan.
 func (s *planState) start(unit *Unit, workers []string) {
 	s.allocate(unit, workers, false)
+	s.runningJobs[unit.Task.Job] = true
 	s.plan.Starts = append(s.plan.Starts, Start{Task: unit.Task, Workers: workers})
 }
 
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -2,8 +2,8 @@
 //
 // A plan is a pure function of a snapshot: it uses no clock and no I/O. Workers may refuse a plan; the caller then plans
 // again on a new snapshot. feasible.go decides where a unit may run, rank.go in which order units are served, place.go
-// which workers they get, urgent.go which workers are kept for urgent units, reserve.go what happens to reservations, and
-// preempt.go which runs are preempted.
+// which workers they get, preference.go how long they wait for better ones, urgent.go which workers are kept for urgent units,
+// reserve.go what happens to reservations, and preempt.go which runs are preempted.
 package assign
 
 import (
--- a/internal/assign/urgent.go
+++ b/internal/assign/urgent.go
@@ -8,7 +8,7 @@
 const (
 	// maxUrgentShare limits the share of the cores of a service that is kept for urgent units, so that others make progress.
 	maxUrgentShare = 1.0 / 3
-	// idlePoolShare is the share of free cores above which no workers are kept: all units find resources then.
+	// idlePoolShare is the share of free cores above which a pool is idle, and no workers are kept: all units find resources then.
 	idlePoolShare = 0.5
 )
 
@@ -17,11 +17,11 @@
 // preemption.
 func (s *planState) markUrgentOnly() {
 	for service, pool := range s.pools {
-		cores, free := pool.cores()
-		remaining := min(s.UrgentCores[service], maxUrgentShare*cores)
-		if free > idlePoolShare*cores {
+		if pool.idle {
 			continue
 		}
+		cores, _ := pool.cores()
+		remaining := min(s.UrgentCores[service], maxUrgentShare*cores)
 		for _, worker := range pool.fastestFirst() {
 			if remaining <= 0 {
 				break
