Let long-running tasks return to workers on which they failed if no other has room

Cause: a unit avoids the workers on which it failed as long as the others could hold it when empty; whether they have room doesn't count, nor for how long. For a task that runs until it is cancelled that is for good.

A unit that has waited for as long as it may (4 s for a long-running task; 1.5 s for a unit of a job that has nothing running in a mostly idle service, as for racks) gets a worker that it avoids if no other has room. It is placed without them first, so a task still leaves a worker on which it fails all the time if others have room.

TestLongRunningTaskRunsAgainOnOnlyWorkerWithRoom: not running 9 s after the failure before, running now. TestLongRunningTaskReturnsToWorkerOnWhichItFailed: case "for long" started nowhere before; the other cases hold before and after.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -174,16 +174,8 @@
 	}
 }
 
-// A unit doesn't use workers on which it failed while others have the capacity for it, however long they are in use.
+// A task that ends by itself doesn't use workers on which it failed while others have the capacity for it, however long they are in use.
 func TestUnitsAvoidWorkersOnWhichTheyFailed(t *testing.T) {
-	avoid := func(ids ...string) func(*assign.Unit) {
-		return func(unit *assign.Unit) {
-			unit.Avoid = map[string]bool{}
-			for _, id := range ids {
-				unit.Avoid[id] = true
-			}
-		}
-	}
 	build := newScene().workers(2, 2).running("old", 1, step(1, 8), 50, "w01").waiting("a", 1, step(1, 8), avoid("w00"))
 	if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 0 {
 		t.Errorf("starts are %v, want none before w01 is free, because the unit failed on w00", plan.Starts)
--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -13,7 +13,7 @@
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
 // uses a worker on trial only after maxTrialWait.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
-	if !worker.Usable || worker.Service != unit.Service || unit.Avoid[worker.ID] {
+	if !worker.Usable || worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
 		return false
 	}
 	if worker.urgentOnly && !unit.mayUseUrgentOnly() {
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -85,9 +85,22 @@
 	return p.freeAccelerators < other.freeAccelerators
 }
 
-// place returns the best placement of a unit within the resources of view, or nil. It places the unit on a preferred rack, or
-// on any workers if no preferred rack holds it and the unit shouldn't wait for one.
+// place returns the best placement of a unit within the resources of view, or nil. A unit that has waited for long enough gets
+// workers that it would avoid if no others hold it.
 func (s *planState) place(unit *Unit, view resourceView) *placement {
+	unit.anyWorker = false
+	found := s.placeNearData(unit, view)
+	if found == nil && s.mayUseAnyWorker(unit) {
+		unit.anyWorker = true
+		found = s.placeNearData(unit, view)
+		unit.anyWorker = found != nil
+	}
+	return found
+}
+
+// placeNearData places a unit on a preferred rack, or on any workers if no preferred rack holds it and the unit shouldn't wait
+// for one.
+func (s *planState) placeNearData(unit *Unit, view resourceView) *placement {
 	if racks := s.preferredRacks(unit); racks != nil {
 		var best *placement
 		minSpeed := requiredSpeed(unit, s.Now)
--- a/internal/assign/preference.go
+++ b/internal/assign/preference.go
@@ -1,16 +1,34 @@
 package assign
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// idlePreferenceWait limits how long a unit waits for workers that it prefers while its service is mostly idle and its job has
-// nothing running: the job must run within 3 s then, and planning and starting take a part of that.
-const idlePreferenceWait = 1500 * time.Millisecond
+const (
+	// idlePreferenceWait limits how long a unit waits for workers that it prefers while its service is mostly idle and its job has
+	// nothing running: the job must run within 3 s then, and planning and starting take a part of that.
+	idlePreferenceWait = 1500 * time.Millisecond
+	// lastingPreferenceWait is the same limit for a long-running task, however full its service is: it must run again within 9 s of
+	// its last run.
+	lastingPreferenceWait = 4 * time.Second
+	// unlimitedWait is the longest wait of a unit that would wait until a preferred worker has room.
+	unlimitedWait = time.Duration(math.MaxInt64)
+)
 
 // preferenceWait returns how long a unit waits for workers that it prefers while others have room for it, if it would wait for
 // longest without a limit.
 func (s *planState) preferenceWait(unit *Unit, longest time.Duration) time.Duration {
 	if s.poolOf(unit).idle && !s.runningJobs[unit.Task.Job] {
-		return min(longest, idlePreferenceWait)
+		longest = min(longest, idlePreferenceWait)
+	}
+	if unit.Step.GetLongRunning() {
+		longest = min(longest, lastingPreferenceWait)
 	}
 	return longest
 }
+
+// mayUseAnyWorker reports whether a unit has waited for long enough to get workers that it would avoid.
+func (s *planState) mayUseAnyWorker(unit *Unit) bool {
+	return s.Now.Sub(unit.WaitingSince) >= s.preferenceWait(unit, unlimitedWait)
+}
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 )
 
@@ -43,3 +44,51 @@
 		})
 	}
 }
+
+// avoid lets a unit avoid workers on which it failed.
+func avoid(ids ...string) func(*assign.Unit) {
+	return func(unit *assign.Unit) {
+		unit.Avoid = map[string]bool{}
+		for _, id := range ids {
+			unit.Avoid[id] = true
+		}
+	}
+}
+
+// lasting returns a step of one long-running task.
+func lasting(accelerators uint32) *storev1.Step {
+	spec := step(1, accelerators)
+	spec.LongRunning = true
+	return spec
+}
+
+// Guards against a long-running task that never runs again after one failure, as no other worker has room for it.
+func TestLongRunningTaskReturnsToWorkerOnWhichItFailed(t *testing.T) {
+	cases := []struct {
+		name   string
+		spec   *storev1.Step
+		waited time.Duration
+		busy   []string
+		want   string
+	}{
+		{"briefly", lasting(8), 3 * time.Second, []string{"w01", "w02"}, ""},
+		{"for long", lasting(8), 5 * time.Second, []string{"w01", "w02"}, "w00"},
+		{"for long, with room elsewhere", lasting(8), 5 * time.Second, []string{"w02"}, "w01"},
+		{"other task", step(1, 8), 5 * time.Second, []string{"w01", "w02"}, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			build := newScene().workers(3, 3).waiting("a", 1, test.spec, avoid("w00"), waited(test.waited))
+			for _, id := range test.busy {
+				build.running("b", 1, step(1, 8), 50, id)
+			}
+			got := ""
+			if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) > 0 {
+				got = plan.Starts[0].Workers[0]
+			}
+			if got != test.want {
+				t.Errorf("the task starts on %q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -110,7 +110,8 @@
 	Credit, Work float64
 	// Allowed has the ids of the workers that may run the unit; nil if all may.
 	Allowed map[string]bool
-	// Avoid has the ids of workers on which the unit failed. It uses them only if the others have no capacity for it.
+	// Avoid has the ids of workers on which the unit failed. It uses them only if the others have no capacity for it, or no room once
+	// it has waited for long enough.
 	Avoid map[string]bool
 	// Reserved has the ids of the workers that an earlier plan reserved for the unit, one for each member; nil if none did.
 	Reserved []string
@@ -127,6 +128,8 @@
 	ahead   int
 	// needsUrgentOnly is true if the unit fits only with workers that are kept for urgent units.
 	needsUrgentOnly bool
+	// anyWorker is true if the unit has waited for long enough, and only workers that it would avoid have room for it.
+	anyWorker bool
 }
 
 // mayUseUrgentOnly reports whether the unit may use workers that are kept for urgent units.
--- a/internal/node/workloads_test.go
+++ b/internal/node/workloads_test.go
@@ -144,6 +144,24 @@
 	})
 }
 
+// Guards against a long-running task that isn't started again on the only worker with room because it failed there once.
+func TestLongRunningTaskRunsAgainOnOnlyWorkerWithRoom(t *testing.T) {
+	run(t, 1, 3, func(c *cluster) {
+		step := tasks(1, 2, time.Second)
+		step.LongRunning = true
+		requireOK(c, c.submit(1, 2, "i0", step))
+		c.await(1, 2, replica.Running, 2*time.Second)
+		requireOK(c, c.submit(2, 2, "i0", tasks(2, 8, time.Minute)))
+		c.await(2, 2, replica.Running, 2*time.Second)
+		task := id(1) + ".0.0.0"
+		c.workers.FailOne(c.workers.WorkerOf(task))
+		time.Sleep(9 * time.Second)
+		if c.workers.WorkerOf(task) == "" {
+			t.Error("the task hasn't run again 9 s after it failed")
+		}
+	})
+}
+
 // At most MayMiss tasks of a long-running step are preempted for urgent jobs.
 func TestLongRunningTasksArePreemptedOnlyUpToMayMiss(t *testing.T) {
 	for _, mayMiss := range []uint32{0, 1} {
