Let long-running tasks use workers that are kept for urgent jobs if no other has room

Cause: once there has been an urgent job, at least one whole worker is kept while over half of the service is in use, as the demand that it is kept for only approaches 0. Only urgent units use it, and those that fit nowhere else even when all is empty.

A unit that has waited for as long as it may for other workers gets a kept one too, as it gets those on which it failed. Urgent jobs lose the room of one such task on the worker and keep the rest.

Keeping no workers once the demand has faded would let every other task in, not only those that must run.

TestLongRunningTaskUsesWorkerKeptForUrgentUnits: case "for long" started nowhere before; the other cases hold before and after.

--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -81,7 +81,7 @@
 	NearLatencyTarget bool
 	// reserved is the sum of the reservations on the worker in this plan.
 	reserved Resources
-	// urgentOnly is true if the worker is kept for urgent units.
+	// urgentOnly is true if the worker is kept for urgent units; see mayUseUrgentOnly.
 	urgentOnly bool
 	// starting is true if this plan starts a unit on the worker.
 	starting bool
@@ -133,7 +133,7 @@
 }
 
 // mayUseUrgentOnly reports whether the unit may use workers that are kept for urgent units.
-func (u *Unit) mayUseUrgentOnly() bool { return u.Priority == 0 || u.needsUrgentOnly }
+func (u *Unit) mayUseUrgentOnly() bool { return u.Priority == 0 || u.needsUrgentOnly || u.anyWorker }
 
 // Members returns the number of tasks in the unit.
 func (u *Unit) Members() int {
--- a/internal/assign/urgent_test.go
+++ b/internal/assign/urgent_test.go
@@ -1,8 +1,11 @@
 package assign_test
 
 import (
+	"maps"
 	"testing"
+	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 )
 
@@ -45,6 +48,34 @@
 	}
 }
 
+// Guards against a long-running task that doesn't run again while the only worker with room is kept for urgent units.
+func TestLongRunningTaskUsesWorkerKeptForUrgentUnits(t *testing.T) {
+	cases := []struct {
+		name   string
+		spec   *storev1.Step
+		waited time.Duration
+		busy   []string
+		want   map[string]int
+	}{
+		{"briefly", lasting(8), 3 * time.Second, []string{"w01", "w02"}, map[string]int{}},
+		{"for long", lasting(8), 5 * time.Second, []string{"w01", "w02"}, map[string]int{"w00": 1}},
+		{"for long, with room elsewhere", lasting(4), 5 * time.Second, []string{"w01"}, map[string]int{"w02": 1}},
+		{"other task", step(1, 8), 5 * time.Second, []string{"w01", "w02"}, map[string]int{}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			build := newScene().workers(3, 3).waiting("a", 1, test.spec, waited(test.waited)).running("b", 1, step(1, 4), 50, "w02")
+			build.snapshot.UrgentCores = map[string]float64{"s": 1}
+			for _, id := range test.busy {
+				build.running("b", 1, step(1, 8), 50, id)
+			}
+			if got := startsPerWorker(assign.MakePlan(&build.snapshot)); !maps.Equal(got, test.want) {
+				t.Errorf("starts per worker are %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestNoWorkersAreKeptInAnIdlePool(t *testing.T) {
 	build := newScene().workers(4, 4).waiting("patient", 2, step(32, 1))
 	build.snapshot.UrgentCores = map[string]float64{"s": 1000}
