A registry entry alone no longer ends a worker's incarnation

Cause: an entry with another address counted as the end of the incarnation (409, "the registry has another address"): all that the worker ran ended without a look at its lease. The other address was then polled in place of the worker's.

Ruled out: the decoder alone, as the worker's id may also carry an entry with a known service.

Now a worker that has answered keeps its address until another incarnation answers under its id at the new one, or until it is silent and its lease has expired; the new address gets no order, only a poll without a lease. An answer from a former address counts for nothing. Before a worker has first answered, an entry of a service that none of its recorded runs can be of is left out. That a silent worker's address is listed under another id proves its loss only once that worker has answered.

TestWorkerBackAtAnotherAddressGetsTasks passed before and after. The use of an entry as proof of a silent loss has no test of its own. What remains: in a takeover, an entry of a service that fits, at the address of another worker, still counts as that worker's refusal. Mock workers answer only at their address now, unless a call names none.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -259,10 +259,10 @@
 	}
 }
 
-// proveSilentLossesAt proves the losses of workers at whose address the registry lists another one.
-func (s *session) proveSilentLossesAt(entry worker.RegistryEntry) {
+// proveSilentLossesAt proves the losses of the workers that had the address at which a worker has answered.
+func (s *session) proveSilentLossesAt(ws *workerState) {
 	for id, loss := range s.silentLosses {
-		if loss.address == entry.Address && id != entry.ID {
+		if loss.address == ws.entry.Address && id != ws.id {
 			s.proveSilentLoss(id)
 		}
 	}
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -39,7 +39,6 @@
 const (
 	signRefusal   lossSign = "another incarnation refused a call"
 	signReport    lossSign = "another incarnation reported"
-	signRegistry  lossSign = "the registry has another address"
 	signUpkeep    lossSign = "its upkeep was ordered"
 	signOlderRuns lossSign = "its runs are older than its start"
 	signSilence   lossSign = "silent, and not in the registry"
@@ -47,7 +46,7 @@
 
 // certain reports whether the sign shows that the incarnation has ended without an order.
 func (sign lossSign) certain() bool {
-	return sign == signRefusal || sign == signReport || sign == signRegistry
+	return sign == signRefusal || sign == signReport
 }
 
 // workerLoss is the loss of a worker. It is explained if a task had just started there.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -99,6 +99,9 @@
 			s.post(func() {
 				lane.inFlight--
 				next.worker.ordersInFlight--
+				if refusalOf(answer.err) == worker.RefusedIncarnation && target.Address != next.worker.entry.Address {
+					answer.err = worker.ErrNoAnswer // from the former address
+				}
 				s.recordOrderReply(next.worker, answer.value, answer.took, answer.err)
 				next.onReply(answer.err, answer.copies)
 				s.dirty = true
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -61,6 +61,12 @@
 			if answer.err == nil && poll.Wait == 0 {
 				s.latency.Observe(answer.took)
 			}
+			if target.Address != ws.entry.Address && refusalOf(answer.err) != worker.RefusedFence {
+				// The worker has another address since.
+				ws.polling = false
+				s.pollSoon(ws)
+				return
+			}
 			s.handleReport(ws, poll, sentAt, answer.value, answer.err)
 		})
 	}()
@@ -97,6 +103,9 @@
 	}
 	s.resolveSilentLoss(ws, report.StartedAtMs)
 	s.withdrawLoss(ws)
+	if !ws.confirmed {
+		s.proveSilentLossesAt(ws)
+	}
 	ws.unresponsive, ws.confirmed, ws.lostPolls, ws.acceptedAt = false, true, 0, sentAt
 	s.releaseFinalLease(ws)
 	s.recordReply(ws, report.Reply)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -64,6 +64,8 @@
 	entry worker.RegistryEntry
 	// heardAt is when the entry was last read.
 	heardAt time.Time
+	// moved is the registry's entry if it has another address than the worker has answered at; nil if not.
+	moved *movedEntry
 	// listed is true if the registry lists the worker; confirmed is true once it has accepted this epoch and reported
 	// what it runs.
 	listed, confirmed bool
@@ -142,7 +144,7 @@
 	r.s.post(func() {
 		for id, ws := range r.s.workers {
 			if ws.listed && !keys[id] {
-				ws.listed, r.s.dirty = false, true
+				ws.listed, ws.moved, r.s.dirty = false, nil, true
 			}
 		}
 	})
@@ -161,25 +163,31 @@
 	entry, ok := s.DecodeWorker(record)
 	if !ok {
 		if known, listed := s.workers[record.Key]; listed && len(record.Value) == 0 {
-			known.listed = false
+			known.listed, known.moved = false, nil
 			s.dirty = true
 		}
 		return
 	}
 	ws := s.worker(entry.ID)
-	if !ws.listed {
-		s.proveSilentLossesAt(entry)
+	if ws.confirmed && ws.entry.Address != entry.Address {
+		s.recordMove(ws, entry)
+		return
 	}
-	if ws.listed && ws.entry.Address != entry.Address {
-		s.handleNewIncarnation(ws, signRegistry)
+	if !s.mayServe(ws, entry.Service) {
+		return
 	}
+	s.applyEntry(ws, entry)
+}
+
+// applyEntry makes an entry of the registry that of a worker.
+func (s *session) applyEntry(ws *workerState, entry worker.RegistryEntry) {
 	if !ws.listed || ws.entry.Draining != entry.Draining || !s.knowsCapacity(ws) {
 		s.dirty = true
 	}
 	if entry.Draining && (!ws.entry.Draining || !ws.listed) {
 		ws.leavesAt = s.now.Add(entry.Remaining)
 	}
-	ws.entry, ws.heardAt, ws.listed, ws.replaced = entry, s.now, true, false
+	ws.entry, ws.heardAt, ws.moved, ws.listed, ws.replaced = entry, s.now, nil, true, false
 	s.checkWorker(ws)
 }
 
@@ -351,7 +359,8 @@
 		s.countSilentLoss(ws, lost)
 	}
 	s.recordFinalLease(ws)
-	if !ws.listed && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
+	s.checkMove(ws)
+	if !ws.listed && ws.moved == nil && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
 		(ws.replaced || ws.lastAcked >= ws.lastStored) {
 		s.releaseFinalLease(ws)
 		delete(s.workers, ws.id)
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -9,11 +9,14 @@
 )
 
 // connect waits for the latency of a call and returns the worker. If the worker is unreachable, or ignores orders and the call is
-// one, it waits until ctx ends and returns nil.
-func (w *Workers) connect(ctx context.Context, id string, order bool) *fakeWorker {
+// one, it waits until ctx ends and returns nil. A call without an address goes to the worker with the id.
+func (w *Workers) connect(ctx context.Context, target worker.Target, order bool) *fakeWorker {
 	lost := w.losesCall()
 	w.mu.Lock()
-	fake := w.byID[id]
+	fake := w.byID[target.ID]
+	if fake != nil && target.Address != "" && fake.entry.Address != target.Address {
+		fake = w.otherAt(target.Address)
+	}
 	unreachable := lost || fake == nil || fake.unreachable || (order && fake.ignoringOrders)
 	wait := callLatency
 	if fake != nil {
@@ -38,6 +41,16 @@
 	return fake
 }
 
+// otherAt returns a worker that refuses all calls if one has the address; nil if none has.
+func (w *Workers) otherAt(address string) *fakeWorker {
+	for _, fake := range w.byID {
+		if fake.entry.Address == address && !fake.replaced {
+			return &fakeWorker{replaced: true}
+		}
+	}
+	return nil
+}
+
 func (f *fakeWorker) clockMs() int64 { return time.Since(f.startedAt).Milliseconds() }
 
 func (f *fakeWorker) reply() worker.Reply {
@@ -67,7 +80,7 @@
 func (w *Workers) Start(ctx context.Context, target worker.Target, order worker.Start) (worker.Reply, error) {
 	w.addActiveStarts(1)
 	defer w.addActiveStarts(-1)
-	fake := w.connect(ctx, target.ID, true)
+	fake := w.connect(ctx, target, true)
 	if fake == nil {
 		w.startWithoutReply(order, target.ID)
 		w.startLate(order, target.ID)
@@ -196,7 +209,7 @@
 
 // Stop implements worker.Client.
 func (w *Workers) Stop(ctx context.Context, target worker.Target, order worker.Stop) (worker.Reply, error) {
-	fake := w.connect(ctx, target.ID, true)
+	fake := w.connect(ctx, target, true)
 	if fake == nil {
 		return worker.Reply{}, worker.ErrNoAnswer
 	}
@@ -219,7 +232,7 @@
 
 // Poll implements worker.Client.
 func (w *Workers) Poll(ctx context.Context, target worker.Target, order worker.Poll) (worker.Report, error) {
-	fake := w.connect(ctx, target.ID, false)
+	fake := w.connect(ctx, target, false)
 	if fake == nil || w.pollsDropped() {
 		return worker.Report{}, worker.ErrNoAnswer
 	}
@@ -310,7 +323,7 @@
 
 // Pace implements worker.Client.
 func (w *Workers) Pace(ctx context.Context, target worker.Target, order worker.Pace) (worker.Reply, error) {
-	fake := w.connect(ctx, target.ID, true)
+	fake := w.connect(ctx, target, true)
 	if fake == nil {
 		return worker.Reply{}, worker.ErrNoAnswer
 	}
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -153,6 +153,13 @@
 	w.add(id, "r0")
 }
 
+// SetAddress gives a worker another address.
+func (w *Workers) SetAddress(id, address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].entry.Address = address
+}
+
 // Entries returns the registry entries of all workers.
 func (w *Workers) Entries() []worker.RegistryEntry {
 	w.mu.Lock()
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -180,8 +180,12 @@
 		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
 		Workers: reachableWorkers{c, name}, Advisor: c.advisor,
 		DecodeWorker: func(record storelog.Record) (worker.RegistryEntry, bool) {
-			id, remaining, draining := strings.Cut(string(record.Value), " leaves in ")
+			id, address, foreign := strings.Cut(string(record.Value), " at ")
+			id, remaining, draining := strings.Cut(id, " leaves in ")
 			entry, known := c.entry(id)
+			if foreign {
+				entry.Address, entry.Service = address, "other"
+			}
 			if draining {
 				entry.Draining = true
 				entry.Remaining, _ = time.ParseDuration(remaining)
