Forget final leases whose deletion was trimmed

Cause: an instance that can't read the store misses the deletion of a final lease. If the history is trimmed meanwhile it loads the latest record of each key, among which the deleted one simply isn't; the replica kept the old end, and as owner the instance took the worker's open run for ended.

The replica forgets the final leases whose keys a load hasn't found, with their offsets: a record written behind a page is read again. Runs, outcomes and upkeep were looked at: a run's tombstone comes with an outcome, which ends the job, and waves only grow.

--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -156,3 +156,57 @@
 		})
 	}
 }
+
+// finalLeases returns how often a worker's lease was recorded as final, and how often that record was deleted.
+func (c *cluster) finalLeases(id string) (recorded, deleted int) {
+	for _, record := range c.store.Records() {
+		switch {
+		case record.Key != "l/"+id:
+		case len(record.Value) > 0:
+			recorded++
+		default:
+			deleted++
+		}
+	}
+	return recorded, deleted
+}
+
+// awaitFinalLeases waits until a worker's lease was recorded as final and released as often as given.
+func (c *cluster) awaitFinalLeases(id string, recorded, deleted int) {
+	c.t.Helper()
+	for range 200 {
+		if r, d := c.finalLeases(id); r >= recorded && d >= deleted {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	r, d := c.finalLeases(id)
+	c.t.Fatalf("the lease of %s was recorded as final %d times and released %d times, want %d and %d", id, r, d, recorded, deleted)
+}
+
+// Guards against a task that runs twice at a time: an instance that missed the deletion of a final lease, because the history was trimmed
+// while it couldn't read, took the worker's later lease for expired once it was the owner.
+func TestDeletedFinalLeaseIsForgottenAfterTrim(t *testing.T) {
+	run(t, 2, 6, func(c *cluster) {
+		previous := c.owner()
+		next := map[string]string{"i0": "i1", "i1": "i0"}[previous]
+		requireOK(c, c.submit(1, 2, previous, tasks(5, 8, time.Minute)))
+		time.Sleep(15 * time.Second)
+		silent := c.workers.WorkerOf(id(1) + ".0.0.0")
+		c.cutOff(previous, silent)
+		c.awaitFinalLeases(silent, 1, 0)
+		time.Sleep(500 * time.Millisecond)
+		c.setDown(next, true)
+		c.reconnect(previous, silent)
+		c.awaitFinalLeases(silent, 1, 1)
+		time.Sleep(10 * time.Second)
+		c.store.Trim()
+		c.setDown(next, false)
+		time.Sleep(3 * time.Second)
+		c.cutOff(next, silent)
+		c.kill(previous)
+		time.Sleep(20 * time.Second)
+		c.heal()
+		c.await(1, 2, replica.Completed, 2*time.Minute)
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -180,6 +180,19 @@
 	r.changed = make(chan struct{})
 }
 
+// KeepOnly forgets the final leases whose records aren't among the keys: they have been deleted. It implements storelog.KeyReader.
+func (r *Replica) KeepOnly(keys map[string]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for worker := range r.leaseEnds {
+		if key := leasePrefix + worker; !keys[key] {
+			delete(r.leaseEnds, worker)
+			// Pages aren't a snapshot: a record that was written behind the page is read again.
+			delete(r.offsets, key)
+		}
+	}
+}
+
 // Ready marks the replica as complete. It implements storelog.Reader.
 func (r *Replica) Ready() {
 	r.mu.Lock()
