Stop a restored run of which a member has ended

What callers would have seen: a gang that runs on for good without one of its members after a change of the owner.

Cause: since the members that have ended are recorded, a new owner restores them as ended. It left the others running: before, it found the member missing at its worker and stopped the run for that.

The run is stopped when it is restored. On workers that end the other members by themselves the fault may not show; that was not tried.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -168,6 +168,9 @@
 	}
 	r := s.newRun(u, u.runNumber, workers, unconfirmed)
 	r.restored, r.recordedAtMs = true, recorded.GetOpenedUnixMs()
+	if slices.Contains(workers, "") {
+		s.stopRun(u, "a member ended under an earlier owner")
+	}
 }
 
 // startMember queues the order to start a member. The first order is dropped if the run is stopped, or the worker
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -210,3 +210,19 @@
 		c.await(1, 2, replica.Completed, 2*time.Minute)
 	})
 }
+
+// Guards against a gang that goes on without a member: the owner recorded that one has ended and was lost before it could stop the others, and
+// the next owner took them for a complete run.
+func TestNewOwnerStopsGangWithEndedMember(t *testing.T) {
+	run(t, 2, 6, func(c *cluster) {
+		previous := c.owner()
+		requireOK(c, c.submit(1, 2, previous, gang(2, 8, 20*time.Second)))
+		time.Sleep(5 * time.Second)
+		ended, other := c.workers.WorkerOf(id(1)+".0.0.0"), c.workers.WorkerOf(id(1)+".0.0.1")
+		c.cutOff(previous, other)
+		c.workers.FailOne(ended)
+		time.Sleep(time.Second)
+		c.kill(previous)
+		c.await(1, 2, replica.Completed, 2*time.Minute)
+	})
+}
