Record the final lease of each silent worker, with the tasks that may be the cause

A job whose worker was lost 4.5 s before the owner had nothing running for 17 s, because four tasks of another job had been placed on that worker a moment before it was noticed.

Cause: no final lease was recorded for a worker that fell silent right after a start, so that a task that crashes its workers isn't started more often through takeovers. Everything else that ran there waited as well.

The record names the tasks that had just started, and only these count as running until the lease would have ended without a record. An owner that finds them doesn't know more than that, so the name stays with the record.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -96,8 +96,9 @@
 	// leaseEnd is when, by this instance's clock, everything that was started on the worker has ended, if the worker isn't
 	// reached again.
 	leaseEnd time.Time
-	// lease is what the store may hold about the lease.
-	lease leaseState
+	// lease is what the store may hold about the lease. If that is a record, suspects are the tasks that it suspects.
+	lease    leaseState
+	suspects []string
 	// unresponsive is true if the last call was not answered. answeredAt is when the last answer arrived before that, and silentSince
 	// when the first call since then failed; zero if none did.
 	unresponsive            bool
@@ -120,8 +121,7 @@
 	if known, ok := s.workers[id]; ok {
 		return known
 	}
-	maxLease := time.Duration(float64(s.Options.MaxLease)*clockDriftFactor) + earlierOwnerWindow
-	ws := &workerState{id: id, members: map[memberKey]*member{}, leaseEnd: s.term.ClaimedAt.Add(maxLease)}
+	ws := &workerState{id: id, members: map[memberKey]*member{}, leaseEnd: s.unrecordedLeaseEnd()}
 	s.restoreSpeed(ws)
 	s.workers[id] = ws
 	return ws
@@ -351,11 +351,11 @@
 	if !ws.polling && s.needsPoll(ws) && !s.now.Before(ws.nextPoll) {
 		s.poll(ws)
 	}
-	if s.now.After(ws.leaseEnd) && ws.hasSentMembers() && (ws.unresponsive || !ws.confirmed) {
+	if (ws.unresponsive || !ws.confirmed) && s.hasExpiredMembers(ws) {
 		s.Events.Log(events.WorkerLost, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch, "members", len(ws.members),
 			"lease_ended_ms", s.now.Sub(ws.leaseEnd).Milliseconds())
-		lost := s.lostMembers(ws, mayHaveStarted)
-		s.expireMembers(ws)
+		lost := s.lostMembers(ws, func(m *member) bool { return mayHaveStarted(m) && s.hasExpired(m) })
+		s.expireMembers(ws, s.hasExpired)
 		s.countSilentLoss(ws, lost)
 	}
 	s.recordFinalLease(ws)
@@ -370,17 +370,20 @@
 // hasSentMembers reports whether a worker may know of any member: one whose run is recorded.
 func (ws *workerState) hasSentMembers() bool {
 	for _, member := range ws.members {
-		if member.phase != recording {
+		if member.wasSent() {
 			return true
 		}
 	}
 	return false
 }
 
-// expireMembers finishes the members on a worker, except those whose run is still being recorded: nothing was sent for them.
-func (s *session) expireMembers(ws *workerState) {
+// wasSent reports whether the worker may know of the member. Nothing is sent for one whose run is still being recorded.
+func (m *member) wasSent() bool { return m.phase != recording }
+
+// expireMembers finishes the members on a worker that have expired.
+func (s *session) expireMembers(ws *workerState, expired func(*member) bool) {
 	for _, member := range ws.members {
-		if member.phase != recording {
+		if expired(member) {
 			s.finishMember(member, worker.LeaseExpired)
 		}
 	}
@@ -395,7 +398,7 @@
 		s.recordLoss(ws)
 	}
 	ws.listed, ws.confirmed, ws.reserved, ws.replaced = false, false, false, true
-	s.expireMembers(ws)
+	s.expireMembers(ws, (*member).wasSent)
 	s.countCrash(ws, sign, lost)
 	if sign.certain() {
 		s.proveSilentLoss(ws.id)
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -163,9 +163,9 @@
 	return nil
 }
 
-// applyFinalLease keeps by when a worker's final lease has ended. It counts from now: the record was submitted before.
+// applyFinalLease keeps a worker's final lease. It lasts from now on: the record was submitted before.
 func (r *Replica) applyFinalLease(worker string, value []byte) error {
-	delete(r.leaseEnds, worker)
+	delete(r.finalLeases, worker)
 	if len(value) == 0 {
 		return nil
 	}
@@ -173,6 +173,7 @@
 	if err := proto.Unmarshal(value, lease); err != nil {
 		return errors.Wrap(err, "decode final lease")
 	}
-	r.leaseEnds[worker] = time.Now().Add(time.Duration(max(0, lease.GetLeftMs())) * time.Millisecond)
+	left := time.Duration(max(0, lease.GetLeftMs())) * time.Millisecond
+	r.finalLeases[worker] = FinalLease{End: time.Now().Add(left), Suspects: lease.GetSuspects()}
 	return nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -130,6 +130,14 @@
 	ReceivedAt time.Time
 }
 
+// FinalLease is the lease of a worker that no owner renews while its record is stored.
+type FinalLease struct {
+	// End is by when everything that was started on the worker has ended, on the monotonic clock.
+	End time.Time
+	// Suspects are the names of the tasks that may have caused the loss of the worker.
+	Suspects []string
+}
+
 // Replica is the state of all jobs, built from the records. It is safe for concurrent use.
 type Replica struct {
 	events *events.Logger
@@ -144,11 +152,11 @@
 	speeds    map[string]float64
 	// upkeep is the progress of each wave of upkeep.
 	upkeep map[int64]*storev1.Upkeep
-	// leaseEnds are the times by which the final leases of workers have ended, on the monotonic clock, by the worker's id.
-	leaseEnds map[string]time.Time
-	ready     bool
-	watcher   Watcher
-	changed   chan struct{}
+	// finalLeases are the final leases by the worker's id.
+	finalLeases map[string]FinalLease
+	ready       bool
+	watcher     Watcher
+	changed     chan struct{}
 }
 
 // New returns an empty replica.
@@ -156,7 +164,7 @@
 	return &Replica{
 		events: logger, jobs: map[string]*Job{}, offsets: map[string]int64{}, pending: map[string]int{},
 		acceptors: map[uint32]time.Time{}, upkeep: map[int64]*storev1.Upkeep{},
-		leaseEnds: map[string]time.Time{}, changed: make(chan struct{}),
+		finalLeases: map[string]FinalLease{}, changed: make(chan struct{}),
 	}
 }
 
@@ -184,9 +192,9 @@
 func (r *Replica) KeepOnly(keys map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for worker := range r.leaseEnds {
+	for worker := range r.finalLeases {
 		if key := leasePrefix + worker; !keys[key] {
-			delete(r.leaseEnds, worker)
+			delete(r.finalLeases, worker)
 			// Pages aren't a snapshot: a record that was written behind the page is read again.
 			delete(r.offsets, key)
 		}
@@ -249,11 +257,11 @@
 	return r.upkeep[wave]
 }
 
-// LeaseEnds returns by when the final leases of workers have ended, by the worker's id.
-func (r *Replica) LeaseEnds() map[string]time.Time {
+// FinalLeases returns the final leases by the worker's id.
+func (r *Replica) FinalLeases() map[string]FinalLease {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return maps.Clone(r.leaseEnds)
+	return maps.Clone(r.finalLeases)
 }
 
 // State returns a job's state and the accepted job; they are Unknown and nil if the job is not known.
