Serve a task although another one of its step may not use the free workers

What callers saw: nothing yet; found by reading. A long-running task could wait beside a free worker for as long as others of its step, which had failed there, were waiting for another one: 4 s for each of them, so that the bound for one task didn't hold for those behind it.

Cause: a unit that can't be placed blocks all units of its step in the plan, as if they were identical. They differ in the workers that they avoid, in the attempts left, and in how long they have waited.

Units that avoid workers block no others, those on their last attempt only each other, and the units of a job are served in the order in which they began to wait: what the first may not use yet, the others may not either.

--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -36,11 +36,16 @@
 
 // serve decides on the units in their order.
 func (s *planState) serve(units []*Unit) {
-	// The units of a step are identical: if one of them can't be placed, the others can't either.
-	blocked := map[replica.Task]bool{}
+	// The units of a step need the same: if one of them can't be placed, those that follow can't either, as they have waited for less
+	// time, unless it avoids workers or is on its last attempt.
+	type group struct {
+		step        replica.Task
+		lastAttempt bool
+	}
+	blocked := map[group]bool{}
 	for _, unit := range units {
-		stepKey := replica.Task{Job: unit.Task.Job, Occurrence: unit.Task.Occurrence, Step: unit.Task.Step}
-		if blocked[stepKey] {
+		key := group{replica.Task{Job: unit.Task.Job, Occurrence: unit.Task.Occurrence, Step: unit.Task.Step}, unit.LastAttempt}
+		if blocked[key] {
 			continue
 		}
 		found := s.place(unit, freeNow)
@@ -48,13 +53,13 @@
 		case unit.Exclusive && found != nil:
 			s.start(unit, found.workers)
 		case unit.Exclusive:
-			blocked[stepKey] = true
+			blocked[key] = true
 		case (found == nil || found.speed < requiredSpeed(unit, s.Now)) && s.waitOrPreempt(unit, found):
-			blocked[stepKey] = true
+			blocked[key] = true
 		case found != nil:
 			s.start(unit, found.workers)
 		default:
-			blocked[stepKey] = true
+			blocked[key] = len(unit.Avoid) == 0
 		}
 	}
 }
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -92,3 +92,36 @@
 		})
 	}
 }
+
+// Guards against a task that waits beside free workers because another one of its step may not use them yet.
+func TestTaskDoesNotWaitForOthersOfItsStep(t *testing.T) {
+	lastAttempt := func(unit *assign.Unit) { unit.LastAttempt = true }
+	cases := []struct {
+		name          string
+		first, second func(*assign.Unit)
+	}{
+		{"the other one failed there", avoid("w00"), avoid()},
+		{"the other one failed there, and has waited briefly", avoid("w00"), func(unit *assign.Unit) {
+			avoid("w00")(unit)
+			waited(5 * time.Second)(unit)
+		}},
+		{"the other one has one attempt left", lastAttempt, avoid()},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			spec := lasting(4)
+			spec.Count = 2
+			build := newScene().workers(2, 2).running("b", 1, step(1, 8), 50, "w01").waiting("a", 1, spec, func(unit *assign.Unit) {
+				if unit.Task.Index == 0 {
+					test.first(unit)
+				} else {
+					test.second(unit)
+				}
+			})
+			build.snapshot.Workers[0].OnTrial = true
+			if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 1 || plan.Starts[0].Task.Index != 1 {
+				t.Errorf("starts are %v, want the second task", plan.Starts)
+			}
+		})
+	}
+}
--- a/internal/assign/rank.go
+++ b/internal/assign/rank.go
@@ -16,7 +16,7 @@
 )
 
 // rank returns the waiting units in the order in which they are served: first those with a claim, the oldest first, then the
-// others by decreasing density. It sets their density and ahead.
+// others by decreasing density; those of a job that have waited for longest first. It sets their density and ahead.
 func rank(snapshot *Snapshot) []*Unit {
 	units := make([]*Unit, len(snapshot.Waiting))
 	for i := range snapshot.Waiting {
@@ -43,7 +43,8 @@
 			return order
 		}
 	}
-	return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.Task.Job, b.Task.Job), a.WaitingSince.Compare(b.WaitingSince),
+		cmp.Compare(a.Task.Index, b.Task.Index))
 }
 
 // Density returns the credit per core-second that the job of a unit earns if the unit starts now.
