Wait for the end of trials only briefly while the service is mostly idle

Cause: allowed keeps them off workers on trial for maxTrialWait, whatever is free. The bound of preferenceWait holds there too now: 1.5 s in a mostly idle service for a job that has nothing running.

TestUnitWaitsForEndOfTrialsOnlyBrieflyInIdlePool: 0 gangs started after 2 s before, 1 now; after 1 s 0 before and now.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -11,7 +11,7 @@
 const maxTrialWait = 4 * time.Second
 
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
-// uses a worker on trial only after maxTrialWait.
+// uses a worker on trial only after maxTrialWait, or earlier if preferenceWait is shorter.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
 	if !worker.Usable || worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
 		return false
@@ -22,7 +22,7 @@
 	if worker.NearLatencyTarget && unit.Step.GetFills() {
 		return false
 	}
-	if worker.OnTrial && (unit.LastAttempt || unit.Members() > 1) && s.Now.Sub(unit.WaitingSince) < maxTrialWait {
+	if worker.OnTrial && (unit.LastAttempt || unit.Members() > 1) && s.Now.Sub(unit.WaitingSince) < s.preferenceWait(unit, maxTrialWait) {
 		return false
 	}
 	if unit.Allowed != nil && !unit.Allowed[worker.ID] {
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// Guards against a gang that stands still in a mostly idle service because all workers with room are on trial.
+func TestUnitWaitsForEndOfTrialsOnlyBrieflyInIdlePool(t *testing.T) {
+	gang := step(2, 4)
+	gang.Gang = true
+	for wait, want := range map[time.Duration]int{time.Second: 0, 2 * time.Second: 1} {
+		build := newScene().workers(2, 2).waiting("a", 2, gang, waited(wait))
+		for i := range build.snapshot.Workers {
+			build.snapshot.Workers[i].OnTrial = true
+		}
+		if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != want {
+			t.Errorf("%d gangs start after %v, want %d", len(plan.Starts), wait, want)
+		}
+	}
+}
+
 // avoid lets a unit avoid workers on which it failed.
 func avoid(ids ...string) func(*assign.Unit) {
 	return func(unit *assign.Unit) {
