Wait for faster workers only briefly while the service is mostly idle

What callers saw: nothing yet; found by reading. A unit with a reservation on a faster worker keeps it beside idle slower ones until the runs there have ended, however long that takes, and a unit that fits on slow workers only may be made to wait for faster ones in each plan anew.

Cause: resumeReserved and serve compare speeds only. A unit that has waited for as long as it may (1.5 s for a job with nothing running in a mostly idle service, 4 s for a long-running task) takes slower workers, and nothing is preempted for it where it fits.

TestUnitWaitsForFasterWorkersOnlyBrieflyInIdlePool: 0 units started after 2 s in both cases before, 1 in each now; after 1 s they wait before and now.

--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -54,7 +54,7 @@
 			s.start(unit, found.workers)
 		case unit.Exclusive:
 			blocked[key] = true
-		case (found == nil || found.speed < requiredSpeed(unit, s.Now)) && s.waitOrPreempt(unit, found):
+		case (found == nil || s.shouldWaitForSpeed(unit, found)) && s.waitOrPreempt(unit, found):
 			blocked[key] = true
 		case found != nil:
 			s.start(unit, found.workers)
@@ -64,6 +64,11 @@
 	}
 }
 
+// shouldWaitForSpeed reports whether a placement is too slow for the objective of a unit that hasn't waited for long enough.
+func (s *planState) shouldWaitForSpeed(unit *Unit, found *placement) bool {
+	return found.speed < requiredSpeed(unit, s.Now) && !s.mayUseAnyWorker(unit)
+}
+
 // placement is a choice of workers for a unit.
 type placement struct {
 	// workers has one entry for each member.
--- a/internal/assign/preference.go
+++ b/internal/assign/preference.go
@@ -28,7 +28,8 @@
 	return longest
 }
 
-// mayUseAnyWorker reports whether a unit has waited for long enough to get workers that it would avoid.
+// mayUseAnyWorker reports whether a unit has waited for long enough to get workers that it would avoid, or that are slower than those
+// that it could wait for.
 func (s *planState) mayUseAnyWorker(unit *Unit) bool {
 	return s.Now.Sub(unit.WaitingSince) >= s.preferenceWait(unit, unlimitedWait)
 }
--- a/internal/assign/reserve.go
+++ b/internal/assign/reserve.go
@@ -5,7 +5,8 @@
 // resumeReserved serves the units with reservations of earlier plans and returns the other units. A unit keeps its
 // reservation until it starts: a new search in each plan would preempt more and more runs, as the speed that the unit needs
 // for its objective rises with time, and other units would take the resources in between. It starts on other workers if they
-// are free and as fast, and is returned to be placed again if its workers can no longer hold it.
+// are free and as fast, or if it has waited for long enough, and is returned to be placed again if its workers can no longer hold
+// it.
 func (s *planState) resumeReserved(ranked []*Unit) []*Unit {
 	rest := ranked[:0]
 	var reserved []*Unit
@@ -22,7 +23,7 @@
 		switch found := s.place(unit, freeNow); {
 		case s.reservationFits(unit, freeNow):
 			s.start(unit, unit.Reserved)
-		case found != nil && found.speed >= s.slowestSpeed(unit.Reserved):
+		case found != nil && (found.speed >= s.slowestSpeed(unit.Reserved) || s.mayUseAnyWorker(unit)):
 			s.start(unit, found.workers)
 		default:
 			s.reserve(unit, unit.Reserved)
--- a/internal/assign/reserve_test.go
+++ b/internal/assign/reserve_test.go
@@ -79,3 +79,19 @@
 		t.Errorf("starts are %v, want one on w00", plan.Starts)
 	}
 }
+
+// Guards against a unit that stands still beside idle workers while a faster one, for which it waits, doesn't become free.
+func TestUnitWaitsForFasterWorkersOnlyBrieflyInIdlePool(t *testing.T) {
+	for wait, want := range map[time.Duration]int{time.Second: 0, 2 * time.Second: 1} {
+		for _, change := range []func(*assign.Unit){reserved("w00"), claimed} {
+			build := newScene().workers(4, 4).freeing("w00", 1.4).running("cheap", 2, step(1, 8), 0, "w01")
+			for i := range build.snapshot.Workers[1:] {
+				build.snapshot.Workers[1+i].Speed = []float64{2, 0.7, 0.7}[i]
+			}
+			plan := assign.MakePlan(&build.waiting("urgent", 0, step(1, 8), needsFastWorkers, waited(wait), change).snapshot)
+			if len(plan.Starts) != want || len(plan.Preemptions) != 0 || len(plan.Reservations) != 1-want {
+				t.Errorf("the plan after %v is %+v, want %d starts", wait, plan, want)
+			}
+		}
+	}
+}
