Keep last attempts off workers on which they failed and on trial

What callers would see: jobs that could be done are given up.

It can wait for longer than 3 s beside workers on which it failed; it then has no attempt to spare.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -7,11 +7,11 @@
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 )
 
-// maxTrialWait is how long a gang, or a unit on its last attempt, waits for workers that aren't on trial.
-const maxTrialWait = 4 * time.Second
+// trialWait is how long a gang, or a unit on its last attempt, waits for workers that aren't on trial.
+const trialWait = 4 * time.Second
 
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
-// uses a worker on trial only after maxTrialWait, or earlier if preferenceWait is shorter.
+// uses a worker on trial only after maxTrialWait.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
 	if !worker.Usable || worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
 		return false
@@ -22,7 +22,7 @@
 	if worker.NearLatencyTarget && unit.Step.GetFills() {
 		return false
 	}
-	if worker.OnTrial && (unit.LastAttempt || unit.Members() > 1) && s.Now.Sub(unit.WaitingSince) < s.preferenceWait(unit, maxTrialWait) {
+	if worker.OnTrial && (unit.LastAttempt || unit.Members() > 1) && s.Now.Sub(unit.WaitingSince) < s.maxTrialWait(unit) {
 		return false
 	}
 	if unit.Allowed != nil && !unit.Allowed[worker.ID] {
@@ -34,6 +34,14 @@
 	return HasRequiredLabel(unit.Step, worker.Labels)
 }
 
+// maxTrialWait returns how long a gang, or a unit on its last attempt, waits for workers that aren't on trial.
+func (s *planState) maxTrialWait(unit *Unit) time.Duration {
+	if unit.LastAttempt && !unit.Step.GetLongRunning() {
+		return trialWait
+	}
+	return s.preferenceWait(unit, trialWait)
+}
+
 // HasRequiredLabel reports whether labels contain the one that a worker needs to run the step, if it needs any.
 func HasRequiredLabel(step *storev1.Step, labels []string) bool {
 	label := step.GetRequiredLabel()
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -66,7 +66,7 @@
 
 // shouldWaitForSpeed reports whether a placement is too slow for the objective of a unit that hasn't waited for long enough.
 func (s *planState) shouldWaitForSpeed(unit *Unit, found *placement) bool {
-	return found.speed < requiredSpeed(unit, s.Now) && !s.mayUseAnyWorker(unit)
+	return found.speed < requiredSpeed(unit, s.Now) && !s.hasWaitedLong(unit)
 }
 
 // placement is a choice of workers for a unit.
--- a/internal/assign/preference.go
+++ b/internal/assign/preference.go
@@ -28,8 +28,13 @@
 	return longest
 }
 
-// mayUseAnyWorker reports whether a unit has waited for long enough to get workers that it would avoid, or that are slower than those
-// that it could wait for.
-func (s *planState) mayUseAnyWorker(unit *Unit) bool {
+// hasWaitedLong reports whether a unit has waited for long enough to get workers other than those that it prefers.
+func (s *planState) hasWaitedLong(unit *Unit) bool {
 	return s.Now.Sub(unit.WaitingSince) >= s.preferenceWait(unit, unlimitedWait)
 }
+
+// mayUseAnyWorker reports whether a unit may use workers that it would avoid. One on its last attempt doesn't: if it fails again, its
+// job is lost.
+func (s *planState) mayUseAnyWorker(unit *Unit) bool {
+	return (unit.Step.GetLongRunning() || !unit.LastAttempt) && s.hasWaitedLong(unit)
+}
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// Guards against jobs that are given up because their last attempt goes to a worker on which they failed, or on trial.
+func TestLastAttemptDoesNotGiveUpItsPreferences(t *testing.T) {
+	gang := step(2, 4)
+	gang.Gang = true
+	lastAttempt := func(last bool) func(*assign.Unit) { return func(unit *assign.Unit) { unit.LastAttempt = last } }
+	for last, want := range map[bool]int{false: 1, true: 0} {
+		build := newScene().workers(4, 4).waiting("a", 1, step(1, 8), avoid("w00"), waited(2*time.Second), lastAttempt(last))
+		for _, id := range []string{"w01", "w02", "w03"} {
+			build.running("b", 1, step(1, 1), 50, id)
+		}
+		if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != want {
+			t.Errorf("last attempt %v: %d tasks start on the worker on which they failed, want %d", last, len(plan.Starts), want)
+		}
+		build = newScene().workers(1, 1).waiting("a", 1, gang, waited(2*time.Second), lastAttempt(last))
+		build.snapshot.Workers[0].OnTrial = true
+		if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != want {
+			t.Errorf("last attempt %v: %d gangs start on a worker on trial, want %d", last, len(plan.Starts), want)
+		}
+	}
+}
+
 // Guards against a task that waits beside free workers because another one of its step may not use them yet.
 func TestTaskDoesNotWaitForOthersOfItsStep(t *testing.T) {
 	lastAttempt := func(unit *assign.Unit) { unit.LastAttempt = true }
--- a/internal/assign/reserve.go
+++ b/internal/assign/reserve.go
@@ -23,7 +23,7 @@
 		switch found := s.place(unit, freeNow); {
 		case s.reservationFits(unit, freeNow):
 			s.start(unit, unit.Reserved)
-		case found != nil && (found.speed >= s.slowestSpeed(unit.Reserved) || s.mayUseAnyWorker(unit)):
+		case found != nil && (found.speed >= s.slowestSpeed(unit.Reserved) || s.hasWaitedLong(unit)):
 			s.start(unit, found.workers)
 		default:
 			s.reserve(unit, unit.Reserved)
