Let long-running tasks return to suspect workers if no other has room

Cause: a failure puts the worker into quarantine, 2 s at first and up to 16 s after four in a row, and on trial after that, when it gets no unit beside one that still runs there. The planner gets both as "not usable", so no bound on the unit's wait holds for them.

Such workers are marked as suspect, and a long-running task that has waited for 4 s gets one if no other has room. Other tasks wait as before.

TestLongRunningTaskRunsAgainOnOnlyWorkerWithRoom, extended: the cases "beside another task" and "repeatedly" (fourth failure) had no run after 9 s before; they pass now, and "alone" before and now.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -13,7 +13,10 @@
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
 // uses a worker on trial only after maxTrialWait.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
-	if !worker.Usable || worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
+	if !worker.Usable && (!worker.Suspect || !unit.anyWorker || !unit.Step.GetLongRunning()) {
+		return false
+	}
+	if worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
 		return false
 	}
 	if worker.urgentOnly && !unit.mayUseUrgentOnly() {
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -128,7 +128,7 @@
 		worker := s.workers[id]
 		worker.Empty = false
 		if worker.OnTrial || unit.OnProbation || unit.Exclusive {
-			worker.Usable = false
+			worker.Usable, worker.Suspect = false, false
 		}
 		worker.starting = worker.starting || !afterStops
 		if unit.TasksPerWorker != nil {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -69,7 +69,7 @@
 func (s *session) startMembers(r *run) {
 	startable := r.stopReason == "" && !r.unit.step.job.hasEnded() && !r.unit.step.job.cancelled
 	for _, member := range r.members {
-		startable = startable && s.healthy(member.worker)
+		startable = startable && (s.healthy(member.worker) || (r.unit.step.spec.GetLongRunning() && s.accepting(member.worker)))
 	}
 	for _, member := range r.members {
 		if startable {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -198,8 +198,13 @@
 
 // healthy reports whether tasks may start on a worker.
 func (s *session) healthy(ws *workerState) bool {
-	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.lease == renewable && !ws.reserved && !ws.entry.Draining && !ws.unresponsive && ws.lostPolls == 0 &&
-		!ws.ignoresOrders(s.now) && !ws.health.Quarantined(s.now) && s.mayStartIn(ws.entry.DataCentre)
+	return s.accepting(ws) && !ws.health.Quarantined(s.now)
+}
+
+// accepting reports whether tasks may start on a worker, whatever has failed there.
+func (s *session) accepting(ws *workerState) bool {
+	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.lease == renewable && !ws.reserved && !ws.entry.Draining &&
+		!ws.unresponsive && ws.lostPolls == 0 && !ws.ignoresOrders(s.now) && s.mayStartIn(ws.entry.DataCentre)
 }
 
 // mayStartIn reports whether tasks may start in a data centre: unless it is to be evacuated, or that may have been requested for as
@@ -216,6 +221,11 @@
 	return s.healthy(ws) && (!ws.health.OnTrial() || len(ws.members) == 0) && !ws.hasProbation()
 }
 
+// suspect reports whether a worker gets no new tasks only because of what has failed there.
+func (s *session) suspect(ws *workerState) bool {
+	return s.accepting(ws) && !ws.hasProbation() && !s.usable(ws)
+}
+
 // free returns the resources of a worker that are certainly unused, and those that stopping runs still use.
 func (ws *workerState) free() (free, freeing assign.Resources) {
 	free = assign.ResourcesFromProto(ws.entry.Capacity).Sub(ws.unknownRuns)
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -261,6 +261,18 @@
 	}
 }
 
+// FailTask makes a task fail if it runs.
+func (w *Workers) FailTask(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, fake := range w.byID {
+		if _, running := fake.running[task]; running {
+			fake.finish(task, worker.Failed)
+			return
+		}
+	}
+}
+
 // DropStarts makes all workers drop starts, or accept them again. A worker under DropReplies still
 // carries out starts.
 func (w *Workers) DropStarts(drop bool) {
--- a/internal/node/workloads_test.go
+++ b/internal/node/workloads_test.go
@@ -144,22 +144,42 @@
 	})
 }
 
-// Guards against a long-running task that isn't started again on the only worker with room because it failed there once.
+// Guards against a long-running task that isn't started again on the only worker with room because it failed there: the task avoids the
+// worker, which is in quarantine after each failure, and then on trial, when it gets nothing beside the task that it still runs.
 func TestLongRunningTaskRunsAgainOnOnlyWorkerWithRoom(t *testing.T) {
-	run(t, 1, 3, func(c *cluster) {
-		step := tasks(1, 2, time.Second)
-		step.LongRunning = true
-		requireOK(c, c.submit(1, 2, "i0", step))
-		c.await(1, 2, replica.Running, 2*time.Second)
-		requireOK(c, c.submit(2, 2, "i0", tasks(2, 8, time.Minute)))
-		c.await(2, 2, replica.Running, 2*time.Second)
-		task := id(1) + ".0.0.0"
-		c.workers.FailOne(c.workers.WorkerOf(task))
-		time.Sleep(9 * time.Second)
-		if c.workers.WorkerOf(task) == "" {
-			t.Error("the task hasn't run again 9 s after it failed")
-		}
-	})
+	cases := []struct {
+		name     string
+		beside   uint32
+		failures int
+	}{{"alone", 0, 1}, {"beside another task", 2, 1}, {"repeatedly", 0, 5}}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, 1, 2, func(c *cluster) {
+				step := tasks(1, 2, time.Second)
+				step.LongRunning = true
+				requireOK(c, c.submit(1, 2, "i0", step))
+				c.await(1, 2, replica.Running, 2*time.Second)
+				if test.beside > 0 {
+					requireOK(c, c.submit(2, 2, "i0", tasks(1, test.beside, time.Minute)))
+					c.await(2, 2, replica.Running, 2*time.Second)
+				}
+				requireOK(c, c.submit(3, 2, "i0", tasks(1, 8, time.Minute)))
+				c.await(3, 2, replica.Running, 2*time.Second)
+				task := id(1) + ".0.0.0"
+				for n := range test.failures {
+					c.workers.FailTask(task)
+					failedAt := time.Now()
+					for c.workers.WorkerOf(task) == "" && time.Since(failedAt) < 9*time.Second {
+						time.Sleep(100 * time.Millisecond)
+					}
+					if c.workers.WorkerOf(task) == "" {
+						t.Errorf("the task hasn't run again 9 s after failure %d", n+1)
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+			})
+		})
+	}
 }
 
 // At most MayMiss tasks of a long-running step are preempted for urgent jobs.
