Workers that are lost together again count as one cause

Four sound jobs of one task each, which need the label of that rack, are shown as failed after three losses; none of their runs ended so.

Cause: a loss is explained by a task that had just started, and explained losses of other workers don't count as surroundings or as an earlier loss at the address. The tasks change places within the rack each round, so each finds an address that was lost under another job only, and each round adds another 2 to 3 digits.

Ruled out: counting every simultaneous loss of another job's worker as an earlier one at that address.

Now an address counts as lost before, for a task, if it was lost under another job when the task lost a worker, and at least two such addresses are lost at one time again. Two jobs that crash workers in step do not make that many by themselves.

What remains: two workers that flap together, one job with several tasks on a flapping rack, and losses of idle workers, which aren't known.

--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -17,6 +17,8 @@
 	ageTolerance = 100 * time.Millisecond
 	// simultaneous is the time within which losses may have one cause.
 	simultaneous = 250 * time.Millisecond
+	// minLostTogether is the number of workers, lost twice at one time under other jobs, from which such losses have one cause.
+	minLostTogether = 2
 	// unseenLosses is added to the losses of a period: none in it doesn't mean that workers are never lost.
 	unseenLosses = 0.5
 	// calmRate is the share of the workers lost per second above which a loss shows little.
@@ -53,8 +55,10 @@
 type workerLoss struct {
 	silentSince time.Time
 	explained   bool
-	// previous is when a worker at the same address was lost before without such an explanation; zero if none was.
+	// previous is when a worker at the same address was lost before without such an explanation; zero if none was. earlier are the losses
+	// there with one.
 	previous time.Time
+	earlier  []workerLoss
 	// startedAtMs is the start of the incarnation that was lost.
 	startedAtMs int64
 	// ages are the times for which the tasks of each job had run on the worker; one of them if it had several.
@@ -73,7 +77,8 @@
 	}
 	loss := workerLoss{
 		silentSince: s.silentSince(ws), ages: map[*job]time.Duration{},
-		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), startedAtMs: ws.startedAtMs,
+		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), earlier: s.losses[ws.entry.Address].allExplained(),
+		startedAtMs: ws.startedAtMs,
 	}
 	for _, l := range lost {
 		loss.ages[l.run.unit.step.job] = l.age
@@ -102,6 +107,21 @@
 	return l.silentSince
 }
 
+// allExplained returns the explained losses at the address, those in lossMemory before the latest.
+func (l workerLoss) allExplained() []workerLoss {
+	var all []workerLoss
+	for _, earlier := range l.earlier {
+		if l.silentSince.Sub(earlier.silentSince) <= lossMemory {
+			all = append(all, earlier)
+		}
+	}
+	if l.explained {
+		l.earlier = nil
+		all = append(all, l)
+	}
+	return all
+}
+
 // withdrawLoss forgets the loss of a worker whose incarnation of before answers, but not one before that.
 func (s *session) withdrawLoss(ws *workerState) {
 	switch loss, known := s.losses[ws.entry.Address]; {
@@ -109,7 +129,7 @@
 	case loss.previous.IsZero():
 		delete(s.losses, ws.entry.Address)
 	default:
-		s.losses[ws.entry.Address] = workerLoss{silentSince: loss.previous}
+		s.losses[ws.entry.Address] = workerLoss{silentSince: loss.previous, earlier: loss.earlier}
 	}
 }
 
@@ -207,12 +227,37 @@
 	if u == nil {
 		return before
 	}
-	if lost := u.lostAt[ws.entry.Address]; lost.After(before) && !lost.After(at) {
-		before = lost
+	for address, lost := range u.lostAt {
+		if lost.After(before) && !lost.After(at) && (address == ws.entry.Address || s.lostTogether(ws, u, lost)) {
+			before = lost
+		}
 	}
 	return before
 }
 
+// lostTogether reports whether a worker is one of several that are lost together again: their losses have one cause. They were lost under
+// other jobs at an earlier time, when a worker was lost under the unit, and are lost now.
+func (s *session) lostTogether(ws *workerState, u *unit, earlier time.Time) bool {
+	if !s.losses[ws.entry.Address].lostBeside(u, earlier) {
+		return false
+	}
+	again, silentSince := 0, s.silentSince(ws)
+	for _, loss := range s.losses {
+		if loss.silentSince.Sub(silentSince).Abs() <= simultaneous && loss.lostBeside(u, earlier) {
+			again++
+		}
+	}
+	return again >= minLostTogether
+}
+
+// lostBeside reports whether a worker at the address was lost under another job at the time of a loss under the unit.
+func (l workerLoss) lostBeside(u *unit, lost time.Time) bool {
+	return slices.ContainsFunc(l.allExplained(), func(l workerLoss) bool {
+		_, same := l.ages[u.step.job]
+		return !same && l.silentSince.Sub(lost).Abs() <= simultaneous
+	})
+}
+
 // losingWorkers reports whether so many workers are being lost that a loss now would show little.
 func (s *session) losingWorkers() bool {
 	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", lossCause{})
--- a/internal/node/giveup_test.go
+++ b/internal/node/giveup_test.go
@@ -269,6 +269,36 @@
 	}
 }
 
+// Guards against jobs that are given up because the workers of their rack crash together again and again: each was lost under another job
+// each time, so no loss was held against its address.
+func TestCrashesOfOneRackDoNotFailJobs(t *testing.T) {
+	const rackSize, rounds, period = 4, 4, 1400 * time.Millisecond
+	for name, apart := range map[string]time.Duration{"at once": 0, "one after the other": 50 * time.Millisecond} {
+		for _, newIDs := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, new ids %v", name, newIDs), func(t *testing.T) {
+				run(t, 2, noisyFleet, func(c *cluster) {
+					c.workers.CrashDuration = period / 2
+					all := newFleet(c, noisyFleet, newIDs)
+					for n := range rackSize {
+						step := tasks(1, 8, 5*time.Second)
+						step.RequiredLabel = "r5"
+						requireOK(c, c.submit(n, 2, "i0", step))
+					}
+					requireOK(c, c.submit(rackSize, 2, "i0", longRunning(noisyFleet-rackSize, 8)))
+					time.Sleep(300 * time.Millisecond)
+					for range rounds {
+						for n := range rackSize {
+							time.AfterFunc(time.Duration(n)*apart, func() { all.crash(noisyFleet - 1 - n) })
+						}
+						time.Sleep(period)
+					}
+					c.awaitCompleted(rackSize, time.Minute)
+				})
+			})
+		}
+	}
+}
+
 // Guards against jobs that are given up on a fleet of which a quarter is down at any time, because crashes add up over their life.
 func TestJobsOnNoisyFleetComplete(t *testing.T) {
 	for seed := range uint64(4) {
