A long-running task that lost two workers waits 3 s at most for an empty one

Cause: a unit under which several workers were lost waits up to 10 s for workers that run nothing else (maxExclusiveWait). All workers ran other tasks, so the task waited in full.

Now a long-running unit waits 3 s. It is still on probation after that: no other unit starts on its worker, and its losses count as before.

--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -11,9 +11,10 @@
 const (
 	// maxExclusiveWait is how long a suspect unit waits for workers that run nothing else, and for a time in which few others are
 	// lost: one that is the cause may start only a few times more. maxFirstExclusiveWait is the same after its first crash, when
-	// most suspects only ran beside the cause.
-	maxExclusiveWait      = 10 * time.Second
-	maxFirstExclusiveWait = 500 * time.Millisecond
+	// most suspects only ran beside the cause. A long-running unit, which has to be back soon, waits for maxLastingExclusiveWait.
+	maxExclusiveWait        = 10 * time.Second
+	maxLastingExclusiveWait = 3 * time.Second
+	maxFirstExclusiveWait   = 500 * time.Millisecond
 	// minSteadyTerm is how long an owner waits at the start of its term with a unit that has lost several workers. A loss in a takeover
 	// shows nothing, and one takeover often follows another.
 	minSteadyTerm = 5 * time.Second
@@ -84,7 +85,10 @@
 // needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
 func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
 	limit := maxFirstExclusiveWait
-	if u.crashedRepeatedly() {
+	switch {
+	case u.crashedRepeatedly() && u.step.spec.GetLongRunning():
+		limit = maxLastingExclusiveWait
+	case u.crashedRepeatedly():
 		limit = maxExclusiveWait
 	}
 	return u.suspect && waited < limit
