Count no earlier owner's renewals after a worker has accepted the epoch

Cause: the lease of each worker counted from the claim for the longest lease and for what an owner that is cut off may add, also on workers that had accepted the new epoch: they refuse that owner.

From a worker's first answer on the longest lease counts alone. It can't be less: the lease of an order with the clock of a former life is the longest one.

What remains: right after a takeover a lost worker costs up to 10.6 s where leases last for 10 s, instead of 6.5 s.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -95,6 +95,13 @@
 	return false
 }
 
+// endEarlierLeases limits the lease of a worker that has accepted this epoch: no earlier owner can renew it from now on.
+func (s *session) endEarlierLeases(ws *workerState) {
+	if end := s.now.Add(time.Duration(float64(s.Options.MaxLease)*clockDriftFactor) + messageMargin); end.Before(ws.leaseEnd) {
+		ws.leaseEnd = end
+	}
+}
+
 // unrecordedLeaseEnd returns by when a lease has ended that an earlier owner renewed for as long as it could.
 func (s *session) unrecordedLeaseEnd() time.Time {
 	return s.term.ClaimedAt.Add(time.Duration(float64(s.Options.MaxLease)*clockDriftFactor) + earlierOwnerWindow)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -104,6 +104,7 @@
 	s.resolveSilentLoss(ws, report.StartedAtMs)
 	s.withdrawLoss(ws)
 	if !ws.confirmed {
+		s.endEarlierLeases(ws)
 		s.proveSilentLossesAt(ws)
 	}
 	ws.unresponsive, ws.confirmed, ws.lostPolls, ws.acceptedAt = false, true, 0, sentAt
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -107,6 +107,19 @@
 	})
 }
 
+// Guards against jobs that wait for a worker which was lost after it had answered the new owner as if an earlier owner could have renewed its
+// lease after that.
+func TestLossAfterTakeoverWaitsForLongestLeaseOnly(t *testing.T) {
+	const maxWait = longLease*103/100 + time.Second
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(15 * time.Second)
+		c.replaceOwner()
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		c.requireStarted(id(1)+".0.0.0", 2, maxWait)
+	})
+}
+
 // Guards against a task that runs twice at a time: an owner that lost the store renewed the lease of a worker that was back, although its
 // successor knew from the store when that lease would end.
 func TestRecordedLeaseIsNotRenewedWithoutStore(t *testing.T) {
