Count the idle workers of a service that take no new tasks as idle

Cause: workers are kept for urgent units while no more than half of the pool is free, and units wait for what they prefer for longer then. Both looked at the usable workers only. Where many workers are on trial or in quarantine these are nearly full, and the service is mostly idle all the same.

What is free on the other workers counts too. TestNoWorkersAreKeptInPoolWithIdleUnusableWorkers: no start before, one now.

--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -54,8 +54,7 @@
 	}
 	for _, pool := range s.pools {
 		slices.SortFunc(pool.racks, func(a, b rack) int { return cmp.Compare(a.name, b.name) })
-		capacity, free := pool.cores()
-		pool.idle = free > idlePoolShare*capacity
+		pool.idle = pool.isIdle()
 	}
 	for i := range snapshot.Running {
 		s.runningJobs[snapshot.Running[i].Task.Job] = true
--- a/internal/assign/urgent.go
+++ b/internal/assign/urgent.go
@@ -20,8 +20,7 @@
 		if pool.idle {
 			continue
 		}
-		cores, _ := pool.cores()
-		remaining := min(s.UrgentCores[service], maxUrgentShare*cores)
+		remaining := min(s.UrgentCores[service], maxUrgentShare*pool.usableCores())
 		for _, worker := range pool.fastestFirst() {
 			if remaining <= 0 {
 				break
@@ -37,16 +36,26 @@
 	}
 }
 
-// cores returns the capacity of the pool's usable workers, and the part of it that is free or being freed, in cores with
-// accelerators as in CoreEquivalent.
-func (p *pool) cores() (capacity, free float64) {
+// usableCores returns the capacity of the pool's usable workers in cores, with accelerators as in CoreEquivalent.
+func (p *pool) usableCores() float64 {
+	cores := 0.0
 	for _, worker := range p.workers {
 		if worker.Usable {
-			capacity += worker.Capacity.CoreEquivalent()
-			free += freeAfterStops(worker).CoreEquivalent()
+			cores += worker.Capacity.CoreEquivalent()
 		}
 	}
-	return capacity, free
+	return cores
+}
+
+// isIdle reports whether more than idlePoolShare of the pool is free or being freed. Workers that take no new tasks now count too: they may
+// be idle because of what has failed there.
+func (p *pool) isIdle() bool {
+	capacity, free := 0.0, 0.0
+	for _, worker := range p.workers {
+		capacity += worker.Capacity.CoreEquivalent()
+		free += freeAfterStops(worker).CoreEquivalent()
+	}
+	return free > idlePoolShare*capacity
 }
 
 // fastestFirst returns the usable workers that are not on trial, in groups of similar speed. The fastest group comes first,
--- a/internal/assign/urgent_test.go
+++ b/internal/assign/urgent_test.go
@@ -83,3 +83,16 @@
 		t.Errorf("%d tasks start in an idle pool, want all 32", len(plan.Starts))
 	}
 }
+
+// Guards against a job that stands still beside workers kept for urgent units in a service that is mostly idle, because many of its workers
+// have failed and are not usable now.
+func TestNoWorkersAreKeptInPoolWithIdleUnusableWorkers(t *testing.T) {
+	build := newScene().workers(4, 4).running("b", 1, step(1, 8), 50, "w03").waiting("patient", 2, step(1, 1))
+	build.snapshot.UrgentCores = map[string]float64{"s": 1000}
+	for i := range build.snapshot.Workers[:2] {
+		build.snapshot.Workers[i].Usable = false
+	}
+	if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 1 {
+		t.Errorf("starts are %v, want one on w02", plan.Starts)
+	}
+}
