--- a/internal/assign/urgent_test.go
+++ b/internal/assign/urgent_test.go
@@ -87,11 +87,10 @@
 // Guards against a job that stands still beside workers kept for urgent units in a service that is mostly idle, because many of its workers
 // have failed and are not usable now.
 func TestNoWorkersAreKeptInPoolWithIdleUnusableWorkers(t *testing.T) {
-	build := newScene().workers(4, 4).running("b", 1, step(1, 8), 50, "w03").waiting("patient", 2, step(1, 1))
+	build := newScene().workers(4, 4).waiting("patient", 2, step(1, 1))
 	build.snapshot.UrgentCores = map[string]float64{"s": 1000}
-	for i := range build.snapshot.Workers[:2] {
-		build.snapshot.Workers[i].Usable = false
-	}
+	build.snapshot.Workers[0].Usable, build.snapshot.Workers[1].Usable = false, false
+	build.snapshot.Workers[3].Free = assign.Resources{}
 	if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != 1 {
 		t.Errorf("starts are %v, want one on w02", plan.Starts)
 	}
