Let a job with nothing running use busy workers on trial in a mostly idle service

Each worker on trial takes one unit at a time until that one is done: a task of one accelerator that runs for 40 s closes the other seven for as long. At 50.0 s 27 members of a gang of 7 would have fitted there, 0 on the others.

Cause: nothing bounds that hold in time. A unit of a job that has nothing running, in a mostly idle service, gets such a worker after 1.5 s now if no other has room, as it gets one on which it failed; one more unit in each plan. Workers in quarantine and last attempts are left out: a failure there would cost the job.

TestUnitUsesBusyWorkersOnTrialInIdlePool: no gang after 2 s before, 1 now; 0 after 1 s, on the last attempt and in quarantine, before and now.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -13,7 +13,7 @@
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
 // uses a worker on trial only after maxTrialWait.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
-	if !worker.Usable && (!worker.Suspect || !unit.anyWorker || !unit.Step.GetLongRunning()) {
+	if !worker.Usable && !mayUseSuspect(unit, worker) {
 		return false
 	}
 	if worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
@@ -37,6 +37,11 @@
 	return HasRequiredLabel(unit.Step, worker.Labels)
 }
 
+// mayUseSuspect reports whether a unit may run on a worker that isn't usable only because of what has failed there.
+func mayUseSuspect(unit *Unit, worker *Worker) bool {
+	return worker.Suspect && unit.anyWorker && (unit.Step.GetLongRunning() || !worker.Quarantined)
+}
+
 // maxTrialWait returns how long a gang, or a unit on its last attempt, waits for workers that aren't on trial.
 func (s *planState) maxTrialWait(unit *Unit) time.Duration {
 	if unit.LastAttempt && !unit.Step.GetLongRunning() {
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -60,6 +60,37 @@
 	}
 }
 
+// Guards against a gang that stands still in a mostly idle service because each worker on trial runs a long task, however much room it has.
+func TestUnitUsesBusyWorkersOnTrialInIdlePool(t *testing.T) {
+	gang := step(4, 4)
+	gang.Gang = true
+	cases := []struct {
+		name        string
+		waited      time.Duration
+		lastAttempt bool
+		quarantined bool
+		want        int
+	}{
+		{"briefly", time.Second, false, false, 0},
+		{"for long", 2 * time.Second, false, false, 1},
+		{"on its last attempt", 2 * time.Second, true, false, 0},
+		{"in quarantine", 2 * time.Second, false, true, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			build := newScene().workers(4, 4).waiting("a", 2, gang, waited(test.waited), func(unit *assign.Unit) { unit.LastAttempt = test.lastAttempt })
+			for i := range build.snapshot.Workers {
+				worker := &build.snapshot.Workers[i]
+				worker.Usable, worker.OnTrial, worker.Suspect, worker.Quarantined = false, true, true, test.quarantined
+				build.running("b", 2, step(1, 1), 50, worker.ID)
+			}
+			if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != test.want {
+				t.Errorf("%d gangs start, want %d", len(plan.Starts), test.want)
+			}
+		})
+	}
+}
+
 // avoid lets a unit avoid workers on which it failed.
 func avoid(ids ...string) func(*assign.Unit) {
 	return func(unit *assign.Unit) {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -74,9 +74,9 @@
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
 	// it then gets one unit at a time.
 	Usable, OnTrial bool
-	// Suspect is true if the worker would be usable, but failed lately: it is in quarantine, or on trial with a unit. Only long-running
-	// tasks that have waited for long enough start there.
-	Suspect bool
+	// Suspect is true if the worker would be usable, but failed lately: it is in quarantine, as Quarantined tells, or on trial with a unit.
+	// Only units that have waited for long enough start there, in quarantine only long-running tasks.
+	Suspect, Quarantined bool
 	// Empty is true if nothing runs on the worker.
 	Empty bool
 	// NearLatencyTarget is true if the latency of a serving task on the worker is near its target. The worker then gets no
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -16,7 +16,7 @@
 		free, freeing := ws.free()
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Suspect: s.suspect(ws),
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Suspect: s.suspect(ws), Quarantined: ws.health.Quarantined(s.now),
 			OnTrial: ws.health.OnTrial(), Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
 	}
