--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -22,20 +22,21 @@
 const (
 	// renewable: no record. The lease may be renewed.
 	renewable leaseState = iota
-	// final: a record, stored or on its way, that says when the lease ends. The owner renews it no more, so that a later owner can rely on the record.
+	// final: a record, stored or on its way, that says when the lease ends. The owner renews it no more, so that a later owner can rely
+	// on the record.
 	final
 	// releasing: the deletion of that record isn't stored yet.
 	releasing
 )
 
-// mayRenewLease reports whether a poll may renew a worker's lease. A worker that didn't answer the last poll gets no new lease: it would delay
-// the time at which its tasks have certainly ended.
+// mayRenewLease reports whether a poll may renew a worker's lease. A worker that didn't answer the last poll gets no new lease: it would
+// delay the time at which its tasks have certainly ended.
 func (s *session) mayRenewLease(ws *workerState) bool {
 	return ws.clockMs > 0 && !ws.unresponsive && ws.lostPolls == 0 && ws.lease == renewable && !s.suspended()
 }
 
-// recordFinalLease records when the lease of a worker ends that doesn't answer, or that isn't listed and hasn't answered this owner, if tasks
-// may be there. A later owner that can't reach the worker either would have to count from its own claim otherwise.
+// recordFinalLease records when the lease of a worker ends that doesn't answer, or that isn't listed and hasn't answered this owner, if
+// tasks may be there. A later owner that can't reach the worker either would have to count from its own claim otherwise.
 func (s *session) recordFinalLease(ws *workerState) {
 	silent := ws.unresponsive && s.age(ws.silentSince) >= minSilence
 	unheard := !ws.confirmed && !ws.listed && s.registryRead && s.now.Sub(s.startedAt) > learnTimeout
@@ -71,9 +72,9 @@
 	return names
 }
 
-// expiresAt returns when a member counts as ended if its worker isn't reached again. A task that may have caused the loss of its worker under
-// an earlier owner counts as running until the lease would have ended without a record: after a takeover nobody knows of that loss, and a task
-// that crashes its workers would be started more often.
+// expiresAt returns when a member counts as ended if its worker isn't reached again. A task that may have caused the loss of its worker
+// under an earlier owner counts as running until the lease would have ended without a record: after a takeover nobody knows of that loss,
+// and a task that crashes its workers would be started more often.
 func (s *session) expiresAt(m *member) time.Time {
 	end := m.worker.leaseEnd
 	if unrecorded := s.unrecordedLeaseEnd(); m.run.restored && unrecorded.After(end) && slices.Contains(m.worker.suspects, m.name) {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -287,6 +287,7 @@
 		s.finishMember(member, task.Reason)
 	}
 	if task.Reason != worker.Done && task.Reason != worker.Failed {
+		// The record is that of the run's end if this was its last member.
 		u.record.then(onStored)
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -82,8 +82,8 @@
 			if m.phase != unconfirmed || u.step.readyAt.IsZero() || s.now.Before(u.step.nextWaitReport) {
 				continue
 			}
-			s.logWait(u, fmt.Sprintf("run %d of %s may still be on worker %s, which has not answered this owner: it counts as running for %d ms more",
-				m.run.number, m.name, ws.id, s.expiresAt(m).Sub(s.now).Milliseconds()))
+			s.logWait(u, fmt.Sprintf("run %d of %s may still be on worker %s, which has not answered this owner: "+
+				"it counts as running for %d ms more", m.run.number, m.name, ws.id, s.expiresAt(m).Sub(s.now).Milliseconds()))
 		}
 	}
 }
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -107,8 +107,8 @@
 	})
 }
 
-// Guards against jobs that wait for a worker which was lost after it had answered the new owner as if an earlier owner could have renewed its
-// lease after that.
+// Guards against jobs that wait for a worker which was lost after it had answered the new owner as if an earlier owner could have renewed
+// its lease after that.
 func TestLossAfterTakeoverWaitsForLongestLeaseOnly(t *testing.T) {
 	const maxWait = longLease*103/100 + time.Second
 	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
@@ -224,8 +224,8 @@
 	})
 }
 
-// Guards against a gang that goes on without a member: the owner recorded that one has ended and was lost before it could stop the others, and
-// the next owner took them for a complete run.
+// Guards against a gang that goes on without a member: the owner recorded that one has ended and was lost before it could stop the others,
+// and the next owner took them for a complete run.
 func TestNewOwnerStopsGangWithEndedMember(t *testing.T) {
 	run(t, 2, 6, func(c *cluster) {
 		previous := c.owner()
@@ -239,3 +239,55 @@
 		c.await(1, 2, replica.Completed, 2*time.Minute)
 	})
 }
+
+// Guards against running tasks that are lost because their worker was out of reach for a moment before the store was.
+func TestShortSilenceBeforeStoreOutageKeepsTasks(t *testing.T) {
+	run(t, 3, 6, func(c *cluster) {
+		owner := c.owner()
+		requireOK(c, c.submit(1, 2, owner, tasks(4, 8, time.Minute)))
+		time.Sleep(15 * time.Second)
+		silent := c.workers.WorkerOf(id(1) + ".0.0.0")
+		c.cutOff(owner, silent)
+		time.Sleep(3 * time.Second)
+		for name := range c.nodes {
+			c.setDown(name, true)
+		}
+		c.reconnect(owner, silent)
+		time.Sleep(9 * time.Second)
+		for name := range c.nodes {
+			c.setDown(name, false)
+		}
+		c.await(1, 2, replica.Completed, 2*time.Minute)
+		for _, task := range c.workers.StartedTasks() {
+			if starts := c.workers.StartCount(task); starts != 1 {
+				t.Errorf("%s started %d times, want once", task, starts)
+			}
+		}
+	})
+}
+
+// Guards against jobs that have nothing running beside free workers after each change of the owner, because two workers were lost under a
+// task.
+func TestTakeoversDoNotHoldUnitsWithSeveralLosses(t *testing.T) {
+	runCluster(t, make([]float64, 3), 6, &cluster{maxLease: longLease}, func(c *cluster) {
+		time.Sleep(15 * time.Second)
+		crashes := 0
+		c.workers.CrashTasks(func(string) bool { crashes++; return crashes <= 2 }, 500*time.Millisecond,
+			func(_, id string) { c.registry.Put(id, []byte(id)) })
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		name := id(1) + ".0.0.0"
+		for c.workers.StartCount(name) < 2 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(600 * time.Millisecond)
+		began := time.Now()
+		for range 6 {
+			c.replaceOwner()
+			time.Sleep(time.Second)
+		}
+		if starts := c.workers.StartCount(name); starts < 3 {
+			t.Errorf("the task has nothing running %v after the first of six takeovers", time.Since(began))
+		}
+		c.await(1, 2, replica.Completed, 3*time.Minute)
+	})
+}
