Record a member's end before the record of its worker's final lease is deleted

Cause: a worker that is lost and has nothing left is forgotten, and its final lease with it. The end of its member was recorded half a second later only, as the run was still open, so the next owner found an open member and no lease.

The end of a member whose worker's lease has expired is recorded at once.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -358,6 +358,10 @@
 		if r.unrecordedEnd.IsZero() {
 			r.unrecordedEnd = s.now
 		}
+		if reason == worker.LeaseExpired {
+			// The record of its worker's final lease may be deleted next.
+			s.recordEnds(r)
+		}
 		if reason != worker.Done && r.stopReason == "" {
 			s.stopRun(r.unit, "a member ended: "+string(reason))
 		}
--- a/internal/dispatch/runchecks.go
+++ b/internal/dispatch/runchecks.go
@@ -21,7 +21,9 @@
 	for _, ws := range s.workers {
 		for _, member := range ws.members {
 			r := member.run
-			s.recordEnds(r)
+			if !r.unrecordedEnd.IsZero() && s.now.Sub(r.unrecordedEnd) >= endRecordDelay {
+				s.recordEnds(r)
+			}
 			switch {
 			case r.stopReason != "" || r.unit.run != r:
 				s.stopMember(member)
@@ -42,13 +44,12 @@
 // together.
 const endRecordDelay = 500 * time.Millisecond
 
-// recordEnds records the members of an open run that have ended, so that a later owner doesn't wait for their workers.
+// recordEnds records which members of an open run have ended, so that a later owner doesn't wait for their workers.
 func (s *session) recordEnds(r *run) {
-	if r.unrecordedEnd.IsZero() || s.now.Sub(r.unrecordedEnd) < endRecordDelay || r.unit.run != r || r.unit.step.job.hasEnded() {
-		return
-	}
 	r.unrecordedEnd = time.Time{}
-	s.recordLatestRun(r.unit, nil)
+	if r.unit.run == r && !r.unit.step.job.hasEnded() {
+		s.recordLatestRun(r.unit, nil)
+	}
 }
 
 // stalled reports whether the reports show that a task has made no progress for too long. The silence of its worker shows nothing.
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -86,6 +86,23 @@
 	})
 }
 
+// Guards against gangs that have nothing running beside free workers after a change of the owner, because the owner forgot a lost worker, and
+// deleted the record of its lease, before it had recorded that the member there had ended.
+func TestExpiredMembersDoNotDelayNewOwner(t *testing.T) {
+	for offset := 8 * time.Second; offset < 9500*time.Millisecond; offset += 100 * time.Millisecond {
+		runCluster(t, make([]float64, 3), 4, &cluster{maxLease: longLease}, func(c *cluster) {
+			requireOK(c, c.submit(1, 2, "i0", gang(2, 8, time.Minute)))
+			time.Sleep(15 * time.Second)
+			c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+			time.Sleep(2 * time.Second)
+			c.lose(c.workers.WorkerOf(id(1) + ".0.0.1"))
+			time.Sleep(offset - 2*time.Second)
+			c.replaceOwner()
+			c.requireStarted(id(1)+".0.0.0", 2, maxIdleTime)
+		})
+	}
+}
+
 // Guards against jobs that wait anew for the lease of a lost worker after each change of the owner.
 func TestTakeoversDoNotExtendWaitForLostWorker(t *testing.T) {
 	const takeovers, interval = 6, 5 * time.Second
