Record a final lease again every second

Cause: the record holds the time that was left when it was written. An instance that was there counts from when it read it; one that starts, as the killed owner does half a second later, reads it only then. A time of day can't take its place, as clocks jump.

The record is written again every second until the lease has ended, so that the error is a second at most.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -16,6 +16,9 @@
 // leadership.
 const maxClaimTime = 3200 * time.Millisecond
 
+// finalLeaseInterval is the interval between two records of a final lease: an instance that starts counts the time that is left from then.
+const finalLeaseInterval = time.Second
+
 // leaseState is what the store may hold about a worker's lease.
 type leaseState int
 
@@ -40,19 +43,23 @@
 func (s *session) recordFinalLease(ws *workerState) {
 	silent := ws.unresponsive && s.age(ws.silentSince) >= minSilence
 	unheard := !ws.confirmed && !ws.listed && s.registryRead && s.now.Sub(s.startedAt) > learnTimeout
-	if ws.lease != renewable || (!silent && !unheard) || !ws.hasSentMembers() || s.storeRefuses || s.suspended() {
+	due := ws.lease == renewable && (silent || unheard)
+	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(ws.leaseEnd)
+	if (!due && !again) || !ws.hasSentMembers() || s.storeRefuses || s.suspended() {
 		return
 	}
 	left := ws.leaseEnd.Sub(s.now)
-	ws.suspects = s.lossSuspects(ws)
+	if due {
+		ws.suspects = s.lossSuspects(ws)
+		s.Events.Log(events.LeaseFinal, "worker", ws.id, "epoch", s.term.Epoch, "members", len(ws.members), "suspects", len(ws.suspects),
+			"lease_left_ms", left.Milliseconds())
+	}
 	record, err := replica.FinalLeaseRecord(ws.id, left, ws.suspects)
 	if err != nil {
 		s.term.StepDown(err.Error())
 		return
 	}
-	ws.lease = final
-	s.Events.Log(events.LeaseFinal, "worker", ws.id, "epoch", s.term.Epoch, "members", len(ws.members), "suspects", len(ws.suspects),
-		"lease_left_ms", left.Milliseconds())
+	ws.lease, ws.leaseRecordedAt = final, s.now
 	s.appendRecords(nil, record)
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -96,9 +96,11 @@
 	// leaseEnd is when, by this instance's clock, everything that was started on the worker has ended, if the worker isn't
 	// reached again.
 	leaseEnd time.Time
-	// lease is what the store may hold about the lease. If that is a record, suspects are the tasks that it suspects.
-	lease    leaseState
-	suspects []string
+	// lease is what the store may hold about the lease. If that is a record, suspects are the tasks that it suspects, and leaseRecordedAt is
+	// when this owner has last written it.
+	lease           leaseState
+	suspects        []string
+	leaseRecordedAt time.Time
 	// unresponsive is true if the last call was not answered. answeredAt is when the last answer arrived before that, and silentSince
 	// when the first call since then failed; zero if none did.
 	unresponsive            bool
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -103,6 +103,22 @@
 	}
 }
 
+// Guards against jobs that have nothing running beside free workers after a restart of the owner: it counted the time that was left of a final
+// lease from its own start.
+func TestRestartedOwnerKnowsLeasesOfLostWorkers(t *testing.T) {
+	runCluster(t, make([]float64, 1), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(15 * time.Second)
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		time.Sleep(7 * time.Second)
+		c.kill("i0")
+		time.Sleep(500 * time.Millisecond)
+		c.startNode("i0")
+		c.owner()
+		c.requireStarted(id(1)+".0.0.0", 2, maxIdleTime)
+	})
+}
+
 // Guards against jobs that wait anew for the lease of a lost worker after each change of the owner.
 func TestTakeoversDoNotExtendWaitForLostWorker(t *testing.T) {
 	const takeovers, interval = 6, 5 * time.Second
