Suspect no task that has lasted under the new owner

Cause: of a task that an earlier owner started nobody knows for how long it ran; one that was opened within 4.2 s of the claim counted as a possible cause of the loss. The new owner had seen it running for 1.4 s, though.

A task that this owner has known as running for a second isn't suspected.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -70,15 +70,22 @@
 	for _, lost := range s.lostMembers(ws, mayHaveStarted) {
 		cause := lost.run.unit.lossCause(lost.age)
 		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause)
-		// The clocks of two owners may differ, which only makes more or fewer suspects.
-		opened := time.UnixMilli(lost.run.recordedAtMs)
-		if (lost.prompt() && others == 0) || (lost.age < 0 && s.startedAt.Sub(opened) < promptCrashTime+maxClaimTime) {
+		if (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member)) {
 			names = append(names, lost.name)
 		}
 	}
 	return names
 }
 
+// mayHaveJustStarted reports whether a task that an earlier owner started may have run for less than promptCrashTime when its worker fell
+// silent. The clocks of two owners may differ, which only makes more or fewer suspects.
+func (s *session) mayHaveJustStarted(m *member) bool {
+	if !m.confirmedAt.IsZero() && s.silentSince(m.worker).Sub(m.confirmedAt) >= promptCrashTime {
+		return false
+	}
+	return s.startedAt.Sub(time.UnixMilli(m.run.recordedAtMs)) < promptCrashTime+maxClaimTime
+}
+
 // expiresAt returns when a member counts as ended if its worker isn't reached again. A task that may have caused the loss of its worker
 // under an earlier owner counts as running until the lease would have ended without a record: after a takeover nobody knows of that loss,
 // and a task that crashes its workers would be started more often.
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -153,6 +153,19 @@
 	})
 }
 
+// Guards against jobs that wait like a task which may have crashed its worker, although it ran for over a second under the new owner.
+func TestTaskThatLastedThroughTakeoverIsNoSuspect(t *testing.T) {
+	const maxWait = longLease*103/100 + time.Second
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		time.Sleep(15 * time.Second)
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(500 * time.Millisecond)
+		c.replaceOwner()
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		c.requireStarted(id(1)+".0.0.0", 2, maxWait)
+	})
+}
+
 // Guards against a task that runs twice at a time: an owner that lost the store renewed the lease of a worker that was back, although its
 // successor knew from the store when that lease would end.
 func TestRecordedLeaseIsNotRenewedWithoutStore(t *testing.T) {
