A unit waits for its verdict until the loss of its worker is confirmed

What callers saw: a task that crashes its workers could start once more right before its job was given up.

Cause: the hold of a unit that is probably given up ended 20 s after its last run, and the loss of its silent worker counted as certain at the first tick after that. A plan in between started the unit.

TestUnitAwaitsVerdictUntilLossIsConfirmed failed before, at 20.0 and 20.099 s.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -274,7 +274,7 @@
 		if ws, known := s.workers[id]; known && ws.listed {
 			loss.at = s.now
 			s.silentLosses[id] = loss
-		} else if s.now.Sub(loss.at) > lossConfirmTime {
+		} else if s.now.Sub(loss.at) >= lossConfirmTime {
 			s.proveSilentLoss(id)
 		}
 	}
--- a/internal/dispatch/evidence_test.go
+++ b/internal/dispatch/evidence_test.go
@@ -23,6 +23,30 @@
 	}
 }
 
+// Guards against a task that starts again right before its job is given up: the hold ended up to a tick before the loss of its worker counted
+// as certain.
+func TestUnitAwaitsVerdictUntilLossIsConfirmed(t *testing.T) {
+	now := time.Now()
+	u := &unit{step: &step{job: &job{}}, lastRunEndedAt: now}
+	u.crashes.add(0, 1, 0, requiredEvidence)
+	u.run = &run{unit: u, number: 1}
+	counted := []countedCrash{{member: &member{run: u.run}, evidence: requiredEvidence}}
+	s := &session{silentLosses: map[string]silentLoss{"w": {at: now, counted: counted}}}
+	u.step.job.cancelled = true // nothing is recorded
+	for at := now; at.Before(now.Add(lossConfirmTime + 2*tickInterval)); at = at.Add(tickInterval) {
+		for _, s.now = range []time.Time{at, at.Add(tickInterval - time.Millisecond)} {
+			if len(s.silentLosses) > 0 && !u.awaitsVerdict(s.now) {
+				t.Errorf("the unit may start %v after the loss, which isn't confirmed", s.now.Sub(now))
+			}
+		}
+		s.now = at.Add(tickInterval)
+		s.confirmLosses()
+	}
+	if len(s.silentLosses) > 0 {
+		t.Error("the loss is never confirmed")
+	}
+}
+
 // Guards against a job that is given up because the loss of a silent worker was proved after a run had lasted and another loss was counted.
 func TestClearedLossIsNotProved(t *testing.T) {
 	now := time.Now()
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -94,9 +94,10 @@
 	return u.suspect && waited < limit
 }
 
-// awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone.
+// awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone, which the tick after
+// lossConfirmTime finds.
 func (u *unit) awaitsVerdict(now time.Time) bool {
-	return u.crashes.mayCondemn() && now.Sub(u.lastRunEndedAt) < lossConfirmTime
+	return u.crashes.mayCondemn() && now.Sub(u.lastRunEndedAt) <= lossConfirmTime+tickInterval
 }
 
 // steadyWorkers returns those of the allowed workers whose loss would show that a unit is the cause, by their ids; nil allows all.
