Final leases carry the evidence against the tasks that they suspect

Cause: the evidence of a loss was known to the owner that started the run and died with it, although the owner had two seconds to record what it knew.

Now the record of a final lease has the evidence against each suspect, none if its run was being stopped, and the start of the worker's incarnation, so that a successor tells it from the next one under the same id. A successor counts the evidence once the incarnation has certainly ended and it knows which workers were lost in the takeover: all of these count as lost at the same time, as the earlier owner may not have noticed them. So the loss never adds more than it would have under one owner. The lease of a run on probation is recorded as final at the first silence. Losses that a successor finds by the age of an incarnation are remembered like others, and what is proven late is recorded at once.

Ruled out: evidence from the time at which the run was recorded. The start may never have taken effect, and losses around are unknown.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -70,11 +70,11 @@
 	return true
 }
 
-// prove turns pending evidence into evidence, if the loss is still counted.
-func (r *crashRecord) prove(m *member, evidence float32) {
+// prove turns pending evidence into evidence, as far as it is proven, if the loss is still counted.
+func (r *crashRecord) prove(m *member, pending, proven float32) {
 	if r.counts(m) {
-		r.pending[m.index] -= evidence
-		r.evidence[m.index] += evidence
+		r.pending[m.index] -= pending
+		r.evidence[m.index] += proven
 	}
 }
 
@@ -163,6 +163,9 @@
 type countedCrash struct {
 	*member
 	evidence float32
+	// address is that of the worker. inherited is true if the evidence is from the record of an earlier owner.
+	address   string
+	inherited bool
 }
 
 // countCrash counts the loss of a worker against the tasks that had just started on it, or if none had, against all that ran on it,
@@ -179,10 +182,11 @@
 		c.crashCounted = true
 		evidence, doubt := s.evidence(ws, c, lost)
 		u.lostAt[ws.entry.Address] = s.silentSince(ws)
-		counted = append(counted, countedCrash{member: c.member, evidence: evidence})
+		crash := countedCrash{member: c.member, evidence: evidence, address: ws.entry.Address, inherited: c.age < 0}
+		counted = append(counted, crash)
 		u.crashes.add(c.index, memberCount(u), c.age, evidence)
 		if sign.certain() {
-			u.crashes.prove(c.member, evidence)
+			s.proveCrash(crash)
 		}
 		u.suspect = u.suspect || c.prompt() || c.age < 0 || u.crashes.counted[c.index] > 1
 		s.dirty = true
@@ -196,6 +200,42 @@
 	return counted
 }
 
+// proveCrash turns the evidence of a crash of a worker that is certainly gone into evidence. What an earlier owner knew of the losses around
+// may be obsolete, so its evidence has to wait until this owner knows which workers were lost in the takeover.
+func (s *session) proveCrash(c countedCrash) {
+	proven := c.evidence
+	if c.inherited && c.evidence > 0 {
+		if !s.knowsRuns() {
+			s.unproven = append(s.unproven, c)
+			return
+		}
+		proven = min(proven, s.maxInheritedEvidence(c))
+	}
+	c.run.unit.crashes.prove(c.member, c.evidence, proven)
+}
+
+// proveInherited proves the crashes that waited until this owner knows which workers were lost in the takeover.
+func (s *session) proveInherited() {
+	if len(s.unproven) == 0 || !s.knowsRuns() {
+		return
+	}
+	for _, c := range s.unproven {
+		s.proveLater(c)
+	}
+	s.unproven = nil
+}
+
+// proveLater proves a crash that was counted before.
+func (s *session) proveLater(c countedCrash) {
+	u := c.run.unit
+	if u.done || u.step.job.hasEnded() || !u.crashes.counts(c.member) {
+		return
+	}
+	s.proveCrash(c)
+	s.giveUpIfCondemned(c.member)
+	s.recordCrashes(u)
+}
+
 // recordCrashes records the losses under a unit whose run was recorded as ended before they were known.
 func (s *session) recordCrashes(u *unit) {
 	if u.run == nil && !u.step.job.hasEnded() && !u.step.job.cancelled {
@@ -285,17 +325,18 @@
 	loss := s.silentLosses[id]
 	delete(s.silentLosses, id)
 	for _, m := range loss.counted {
-		if u := m.run.unit; !u.done && !u.step.job.hasEnded() {
-			u.crashes.prove(m.member, m.evidence)
-			s.giveUpIfCondemned(m.member)
-		}
+		s.proveLater(m)
 	}
 }
 
 // countMissedCrash counts the crash of a worker that was back before this owner first asked it: its incarnation is younger than runs
 // that an earlier owner started on it, by the clocks of both, and reports none of them.
 func (s *session) countMissedCrash(ws *workerState, report worker.Report) {
-	s.countCrash(ws, signOlderRuns, s.lostMembers(ws, func(m *member) bool {
+	lost := s.lostMembers(ws, func(m *member) bool {
 		return m.phase == unconfirmed && m.run.recordedAtMs > 0 && m.run.recordedAtMs < report.StartedAtMs && !isReported(m, report)
-	}))
+	})
+	if len(lost) > 0 && !ws.unresponsive {
+		s.recordLoss(ws)
+	}
+	s.countCrash(ws, signOlderRuns, lost)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -162,6 +162,8 @@
 	workers map[string]*workerState
 	// silentLosses are the lost workers that may still answer, by their id.
 	silentLosses map[string]silentLoss
+	// unproven are crashes under runs of earlier owners whose evidence counts once this owner knows which workers were lost in the takeover.
+	unproven []countedCrash
 	// losses are the latest losses of workers, by the worker's address.
 	losses map[string]workerLoss
 	// steady has the steady workers of the plan in the making, for each cause of losses.
@@ -302,6 +304,7 @@
 		s.checkWorker(ws)
 	}
 	s.confirmLosses()
+	s.proveInherited()
 	s.forgetLosses()
 	s.checkRuns()
 	s.logUnreachedRuns()
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -82,7 +82,7 @@
 	}
 	for _, l := range lost {
 		loss.ages[l.run.unit.step.job] = l.age
-		loss.explained = loss.explained || (l.prompt() && ws.mayHaveReceived(l))
+		loss.explained = loss.explained || (l.prompt() && ws.mayHaveReceived(l)) || (l.age < 0 && ws.suspects[l.name] > 0)
 	}
 	s.losses[ws.entry.Address] = loss
 }
@@ -183,6 +183,8 @@
 		period = min(period, 2*max(ageTolerance, (c.age-u.crashes.lastAge).Abs()))
 	}
 	switch {
+	case c.age < 0 && ws.suspects[c.name] > 0:
+		return ws.suspects[c.name], ""
 	case c.age < 0:
 		return 0, "an earlier owner started it"
 	case !ws.mayHaveReceived(c):
@@ -216,6 +218,18 @@
 	return highest
 }
 
+// maxInheritedEvidence returns the highest evidence that a loss may add which an earlier owner noticed. That owner may not have noticed
+// others, so all workers that are found to be lost after the takeover count as lost at the same time.
+func (s *session) maxInheritedEvidence(c countedCrash) float32 {
+	lost, used := s.countLosses(s.startedAt, s.startedAt.Add(lossWindow), c.address, c.run.unit.lossCause(0))
+	for _, ws := range s.workers {
+		if len(ws.members) > 0 && !ws.confirmed && !ws.unresponsive && ws.entry.Address != c.address {
+			lost++
+		}
+	}
+	return max(0, float32(-math.Log10((float64(lost)+unseenLosses)/(float64(used)+unseenLosses))))
+}
+
 // lostBefore returns when a worker at the same address was last lost before a time, under the unit, if one is given, or for no known cause;
 // zero if none was lately.
 func (s *session) lostBefore(ws *workerState, u *unit, at time.Time, cause lossCause) time.Time {
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"slices"
+	"maps"
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
@@ -9,7 +9,7 @@
 )
 
 // minSilence is how long a worker must have left all calls unanswered for its lease to be recorded as final: one that answers again
-// soon costs no record.
+// soon costs no record. The worker of a run on probation is probably gone.
 const minSilence = 500 * time.Millisecond
 
 // maxClaimTime is the time within which an instance claims the ownership after its holder was lost, while the store answers; see package
@@ -41,7 +41,7 @@
 // recordFinalLease records when the lease of a worker ends that doesn't answer, or that isn't listed and hasn't answered this owner, if
 // tasks may be there. A later owner that can't reach the worker either would have to count from its own claim otherwise.
 func (s *session) recordFinalLease(ws *workerState) {
-	silent := ws.unresponsive && s.age(ws.silentSince) >= minSilence
+	silent := ws.unresponsive && (s.age(ws.silentSince) >= minSilence || ws.hasProbation())
 	unheard := !ws.confirmed && !ws.listed && s.registryRead && s.now.Sub(s.startedAt) > learnTimeout
 	due := ws.lease == renewable && (silent || unheard)
 	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(ws.leaseEnd)
@@ -49,12 +49,12 @@
 		return
 	}
 	left := ws.leaseEnd.Sub(s.now)
+	s.updateSuspects(ws, due)
 	if due {
-		ws.suspects = s.lossSuspects(ws)
 		s.Events.Log(events.LeaseFinal, "worker", ws.id, "epoch", s.term.Epoch, "members", len(ws.members), "suspects", len(ws.suspects),
 			"lease_left_ms", left.Milliseconds())
 	}
-	record, err := replica.FinalLeaseRecord(ws.id, left, ws.suspects)
+	record, err := replica.FinalLeaseRecord(ws.id, ws.startedAtMs, left, ws.suspects)
 	if err != nil {
 		s.term.StepDown(err.Error())
 		return
@@ -63,18 +63,26 @@
 	s.appendRecords(nil, record)
 }
 
-// lossSuspects returns the names of the tasks that may have caused the loss of a worker, as far as that isn't known to this owner for
-// certain: they had just started, and no other worker was lost.
-func (s *session) lossSuspects(ws *workerState) []string {
-	var names []string
-	for _, lost := range s.lostMembers(ws, mayHaveStarted) {
+// updateSuspects finds the tasks that may have caused the loss of a worker, as far as that isn't known to this owner for certain: they had
+// just started, and no other worker was lost. Unless first is true, it only updates the evidence against those that are known.
+func (s *session) updateSuspects(ws *workerState, first bool) {
+	if first {
+		ws.suspects = map[string]float32{}
+	}
+	all := s.lostMembers(ws, mayHaveStarted)
+	for _, lost := range all {
 		cause := lost.run.unit.lossCause(lost.age)
 		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause)
-		if (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member)) {
-			names = append(names, lost.name)
+		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member))
+		if _, known := ws.suspects[lost.name]; !known && (!first || !mayBeCause) {
+			continue
+		}
+		evidence := float32(0)
+		if lost.stopReason == "" {
+			evidence, _ = s.evidence(ws, lost, all)
 		}
+		ws.suspects[lost.name] = evidence
 	}
-	return names
 }
 
 // mayHaveJustStarted reports whether a task that an earlier owner started may have run for less than promptCrashTime when its worker fell
@@ -91,8 +99,8 @@
 // and a task that crashes its workers would be started more often.
 func (s *session) expiresAt(m *member) time.Time {
 	end := m.worker.leaseEnd
-	if unrecorded := s.unrecordedLeaseEnd(); m.run.restored && unrecorded.After(end) && slices.Contains(m.worker.suspects, m.name) {
-		return unrecorded
+	if _, suspect := m.worker.suspects[m.name]; suspect && m.run.restored && s.unrecordedLeaseEnd().After(end) {
+		return s.unrecordedLeaseEnd()
 	}
 	return end
 }
@@ -138,7 +146,7 @@
 func (s *session) restoreFinalLeases() {
 	for id, lease := range s.Replica.FinalLeases() {
 		ws := s.worker(id)
-		ws.lease, ws.suspects = final, lease.Suspects
+		ws.lease, ws.suspects, ws.startedAtMs = final, maps.Clone(lease.Suspects), lease.WorkerStartMs
 		if lease.End.Before(ws.leaseEnd) {
 			ws.leaseEnd = lease.End
 		}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -96,10 +96,10 @@
 	// leaseEnd is when, by this instance's clock, everything that was started on the worker has ended, if the worker isn't
 	// reached again.
 	leaseEnd time.Time
-	// lease is what the store may hold about the lease. If that is a record, suspects are the tasks that it suspects, and leaseRecordedAt is
-	// when this owner has last written it.
+	// lease is what the store may hold about the lease. If that is a record, suspects has the evidence against the tasks that it suspects,
+	// by their names, and leaseRecordedAt is when this owner has last written it.
 	lease           leaseState
-	suspects        []string
+	suspects        map[string]float32
 	leaseRecordedAt time.Time
 	// unresponsive is true if the last call was not answered. answeredAt is when the last answer arrived before that, and silentSince
 	// when the first call since then failed; zero if none did.
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -111,6 +111,47 @@
 	})
 }
 
+// startsUntilGivenUp returns how often a task that crashes its workers starts until it is given up. Once it has started as often as given,
+// lose is called a time later.
+func startsUntilGivenUp(t *testing.T, newIDs bool, starts int, later time.Duration, lose func(c *cluster)) (total int) {
+	t.Helper()
+	runCluster(t, make([]float64, 3), 32, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(0, 2, "i0", tasks(28, 8, 5*time.Minute)))
+		time.Sleep(15 * time.Second)
+		c.crashJobs(atOnce, newIDs, 1)
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		for c.workers.StartCount(firstTask(1)) < starts {
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(later)
+		lose(c)
+		c.await(1, 2, replica.Failed, time.Minute)
+		total = c.workers.StartCount(firstTask(1))
+	})
+	return total
+}
+
+// condemningLosses is the number of losses in a calm time after which a task is given up.
+const condemningLosses = 3
+
+// Guards against a task that crashes its workers and starts once more after its owner has given it up: the store refused that owner, and the
+// next one didn't know of the last loss.
+func TestLossesNoticedByRefusedOwnerCount(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		for later := 500 * time.Millisecond; later <= 3*time.Second; later += 500 * time.Millisecond {
+			starts := startsUntilGivenUp(t, newIDs, condemningLosses, later, func(c *cluster) {
+				refused := c.owner()
+				c.setDown(refused, true)
+				time.Sleep(20 * time.Second)
+				c.setDown(refused, false)
+			})
+			if starts != condemningLosses {
+				t.Errorf("new ids %v, refused after %v: the task has started %d times, want %d", newIDs, later, starts, condemningLosses)
+			}
+		}
+	}
+}
+
 // Tasks that merely share a worker with one that crashes it must not be given up, and have to complete.
 func TestTasksBesideCrashingOnesComplete(t *testing.T) {
 	run(t, 2, 8, func(c *cluster) {
--- a/internal/node/giveup_test.go
+++ b/internal/node/giveup_test.go
@@ -269,6 +269,36 @@
 	}
 }
 
+// Guards against a job that is given up because its worker crashed together with others and the owner was lost before it had noticed them:
+// the next owner must not take that owner's evidence as it is.
+func TestCrashesOfManyWorkersBeforeTakeoversDoNotFailJobs(t *testing.T) {
+	for _, noticed := range []time.Duration{700 * time.Millisecond, 1700 * time.Millisecond} {
+		for _, newIDs := range []bool{false, true} {
+			run(t, 3, noisyFleet, func(c *cluster) {
+				all := newFleet(c, noisyFleet, newIDs)
+				requireOK(c, c.submit(0, 2, "i0", longRunning(2*noisyFleet/3, 8)))
+				time.Sleep(3 * time.Second)
+				requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, 8*time.Second)))
+				for round := range crashRounds {
+					worker := c.awaitTask(firstTask(1), 40*time.Second)
+					if worker == "" {
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+					for n := range noisyFleet {
+						if all.id(n) == worker || n%3 == round%3 {
+							all.crash(n)
+						}
+					}
+					time.Sleep(noticed)
+					c.replaceOwner()
+				}
+				c.await(1, 2, replica.Completed, 2*time.Minute)
+			})
+		}
+	}
+}
+
 // Guards against jobs that are given up because the workers of their rack crash together again and again: each was lost under another job
 // each time, so no loss was held against its address.
 func TestCrashesOfOneRackDoNotFailJobs(t *testing.T) {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -174,6 +174,6 @@
 		return errors.Wrap(err, "decode final lease")
 	}
 	left := time.Duration(max(0, lease.GetLeftMs())) * time.Millisecond
-	r.finalLeases[worker] = FinalLease{End: time.Now().Add(left), Suspects: lease.GetSuspects()}
+	r.finalLeases[worker] = FinalLease{End: time.Now().Add(left), Suspects: lease.GetSuspects(), WorkerStartMs: lease.GetWorkerStartMs()}
 	return nil
 }
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -46,9 +46,12 @@
 	return encode(upkeepPrefix+strconv.FormatInt(wave, 10), progress)
 }
 
-// FinalLeaseRecord returns the record of how long a worker's final lease lasts, with the names of the tasks that may have caused its loss.
-func FinalLeaseRecord(worker string, left time.Duration, suspects []string) (storelog.Record, error) {
-	return encode(leasePrefix+worker, &storev1.FinalLease{LeftMs: max(0, left).Milliseconds() + 1, Suspects: suspects})
+// FinalLeaseRecord returns the record of how long the final lease of a worker's incarnation lasts, with the evidence against the tasks
+// that may have caused its loss.
+func FinalLeaseRecord(worker string, startMs int64, left time.Duration, suspects map[string]float32) (storelog.Record, error) {
+	return encode(leasePrefix+worker, &storev1.FinalLease{
+		LeftMs: max(0, left).Milliseconds() + 1, Suspects: suspects, WorkerStartMs: startMs,
+	})
 }
 
 // FinalLeaseTombstone returns the record that deletes a worker's final lease.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -134,8 +134,10 @@
 type FinalLease struct {
 	// End is by when everything that was started on the worker has ended, on the monotonic clock.
 	End time.Time
-	// Suspects are the names of the tasks that may have caused the loss of the worker.
-	Suspects []string
+	// Suspects has the evidence that the loss of the worker adds against each task that may have caused it, by the task's name.
+	Suspects map[string]float32
+	// WorkerStartMs is the start of the worker's incarnation, by its clock; 0 if unknown.
+	WorkerStartMs int64
 }
 
 // Replica is the state of all jobs, built from the records. It is safe for concurrent use.
