A loss under an open run is recorded when it is counted

What callers saw: a task that crashes its workers started more often if its owner was lost soon after it had counted a loss.

Cause: losses were recorded with the end of the run. A worker that is back under its id has to miss the task in its reports for as long as a stop may take before the run ends, and a gang's other members have to end. An owner that was lost in that time took the loss with it, and the record of the worker's final lease was deleted by then.

Now the record of an open run is written again with the loss, and with the members of which the loss is included, so that the next owner doesn't count it twice.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -236,9 +236,9 @@
 	s.recordCrashes(u)
 }
 
-// recordCrashes records the losses under a unit whose run was recorded as ended before they were known.
+// recordCrashes records the losses under a unit. Its run may have been recorded as ended before they were known, or may not end soon.
 func (s *session) recordCrashes(u *unit) {
-	if u.run == nil && !u.step.job.hasEnded() && !u.step.job.cancelled {
+	if !u.step.job.hasEnded() && !u.step.job.cancelled {
 		s.recordLatestRun(u, nil)
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -168,6 +168,9 @@
 	}
 	r := s.newRun(u, u.runNumber, workers, unconfirmed)
 	r.restored, r.recordedAtMs = true, recorded.GetOpenedUnixMs()
+	for _, m := range r.members {
+		m.crashCounted = slices.Contains(recorded.GetCrashedMembers(), uint32(m.index))
+	}
 	if slices.Contains(workers, "") {
 		s.stopRun(u, "a member ended under an earlier owner")
 	}
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -152,6 +152,17 @@
 	}
 }
 
+// Guards against a task that crashes its workers and starts more often because its owner was lost after it had counted a loss: that was
+// recorded only with the end of the run.
+func TestLossesUnderOpenRunsCount(t *testing.T) {
+	for later := 3 * time.Second; later < 4*time.Second; later += 200 * time.Millisecond {
+		starts := startsUntilGivenUp(t, false, condemningLosses-1, later, (*cluster).replaceOwner)
+		if starts != condemningLosses {
+			t.Errorf("owner lost after %v: the task has started %d times, want %d", later, starts, condemningLosses)
+		}
+	}
+}
+
 // Tasks that merely share a worker with one that crashes it must not be given up, and have to complete.
 func TestTasksBesideCrashingOnesComplete(t *testing.T) {
 	run(t, 2, 8, func(c *cluster) {
