The hold of a unit with several losses counts from the end of its last run

What callers saw: a task that had lost two workers had nothing running for as long as the owner kept changing: 24.7 s through six changes.

Cause: each new owner held it for 5 s, counted from the start of its own term, and asked for workers that run nothing else for 10 s, counted from when it had restored the step. It didn't know when the last run had ended. The incident's class: a wait that is a constant, counted from when the one who waits has learned of it.

The record of a run now says when the latest run has ended. The wait for exclusive workers counts from then, whichever owner it was under; a young term adds 5 s to it, but all terms together no more. Only the first 500 ms of a term always ask for an exclusive worker. The time is by the owners' clocks: one that is ahead makes the wait longer by as much as it is, as before at most.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -80,7 +80,7 @@
 	suspect bool
 	// record is the latest record of the unit's runs in this term; nil if there is none.
 	record *storing
-	// lastRunEndedAt is when the last run ended.
+	// lastRunEndedAt is when the last run ended, under this owner or an earlier one; zero if that isn't known.
 	lastRunEndedAt time.Time
 	// run is the run that may be on workers; nil if there is none.
 	run *run
@@ -267,6 +267,10 @@
 	u.runNumber, u.failures, u.checkpoint = recorded.GetNumber(), recorded.GetFailures(), recorded.GetCheckpoint()
 	u.lastFailedRun, u.crashes = recorded.GetCounted(), restoreCrashes(recorded)
 	u.suspect = u.crashes.any()
+	if endedMs := recorded.GetEndedUnixMs(); endedMs > 0 {
+		age := time.Duration(s.now.UnixMilli()-endedMs) * time.Millisecond
+		u.lastRunEndedAt = s.now.Add(-max(0, age))
+	}
 	switch recorded.GetPhase() {
 	case storev1.RunPhase_RUN_PHASE_DONE:
 		u.done = !st.spec.GetLongRunning()
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -68,7 +68,7 @@
 
 // recordRun records the state of a unit's latest run.
 func (s *session) recordRun(u *unit, phase storev1.RunPhase, workers []string, onStored func()) {
-	var openedAtMs int64
+	var openedAtMs, endedAtMs int64
 	var crashedMembers []uint32
 	if u.run != nil {
 		openedAtMs = u.run.recordedAtMs
@@ -78,11 +78,14 @@
 			}
 		}
 	}
+	if !u.lastRunEndedAt.IsZero() {
+		endedAtMs = u.lastRunEndedAt.UnixMilli()
+	}
 	record, err := replica.RunRecord(u.task, &storev1.Run{
 		Phase: phase, Number: u.runNumber, Workers: workers, Failures: u.failures, Counted: u.lastFailedRun,
 		Checkpoint: u.checkpoint, Crashes: u.crashes.counted, OpenedUnixMs: openedAtMs, JobWaits: u.step.job.waitingUnit == u,
 		CrashEvidence: u.crashes.evidence, CrashAgeMs: uint32(max(0, u.crashes.age).Milliseconds()),
-		CrashedMembers: crashedMembers,
+		CrashedMembers: crashedMembers, EndedUnixMs: endedAtMs,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -16,7 +16,7 @@
 	maxLastingExclusiveWait = 3 * time.Second
 	maxFirstExclusiveWait   = 500 * time.Millisecond
 	// minSteadyTerm is how long an owner waits at the start of its term with a unit that has lost several workers. A loss in a takeover
-	// shows nothing, and one takeover often follows another.
+	// shows nothing, and one takeover often follows another. All owners together add only that much to maxExclusiveWait.
 	minSteadyTerm = 5 * time.Second
 	// clearingFactor is how much longer than a run that was lost with its worker a run must last to show that the unit isn't the
 	// cause.
@@ -82,16 +82,29 @@
 	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashedRepeatedly() })
 }
 
-// needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
-func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
+// hasSteadyTerm reports whether the term has lasted for long enough that a loss shows something.
+func (s *session) hasSteadyTerm() bool { return s.now.Sub(s.startedAt) >= minSteadyTerm }
+
+// needsExclusiveWorkers reports whether a unit that has waited in this term for the given time must get workers that run nothing else.
+func (s *session) needsExclusiveWorkers(u *unit, waited time.Duration) bool {
+	if !u.suspect || waited < maxFirstExclusiveWait {
+		return u.suspect
+	}
 	limit := maxFirstExclusiveWait
 	switch {
-	case u.crashedRepeatedly() && u.step.spec.GetLongRunning():
+	case !u.crashedRepeatedly():
+	case u.step.spec.GetLongRunning():
 		limit = maxLastingExclusiveWait
-	case u.crashedRepeatedly():
+	case s.hasSteadyTerm():
 		limit = maxExclusiveWait
+	default:
+		limit = maxExclusiveWait + minSteadyTerm
+	}
+	// Counted from the end of the last run, under whichever owner it was: otherwise each takeover would extend the wait.
+	if !u.lastRunEndedAt.IsZero() {
+		waited = s.now.Sub(u.lastRunEndedAt)
 	}
-	return u.suspect && waited < limit
+	return waited < limit
 }
 
 // awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone, which the tick after
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -67,7 +67,7 @@
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
-			unit.OnProbation, unit.Exclusive = u.suspect, u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
+			unit.OnProbation, unit.Exclusive = u.suspect, s.needsExclusiveWorkers(u, s.now.Sub(unit.WaitingSince))
 			if reason := s.holdReason(u, hold, unit.Exclusive); reason != "" {
 				if explain {
 					s.held[u.task], explain = assign.Reason{Text: reason}, false
@@ -100,7 +100,7 @@
 		return "workers crashed under one of its tasks: the others wait until that task runs without a crash"
 	case u.awaitsVerdict(s.now):
 		return "it is probably given up once it is certain that a worker that fell silent under it is gone"
-	case exclusive && u.crashedRepeatedly() && (s.losingWorkers() || s.now.Sub(s.startedAt) < minSteadyTerm):
+	case exclusive && u.crashedRepeatedly() && (s.losingWorkers() || !s.hasSteadyTerm()):
 		return "workers crashed under it: it waits for a time in which few others are lost"
 	}
 	return ""
