Red: takeovers extend the wait for the worker of a task that had just started

While a worker is only silent its evidence is pending, and pending evidence isn't recorded, so it dies with the owner.

--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -140,6 +140,34 @@
 	})
 }
 
+// Guards against jobs that wait anew for the lease of a lost worker after each change of the owner, because they had just started there and may
+// have caused the loss.
+func TestTakeoversDoNotExtendWaitForWorkerOfSuspect(t *testing.T) {
+	const takeovers, interval = 8, 4 * time.Second
+	// Some 18 s after the start, and until the next owner.
+	const maxWait = 26 * time.Second
+	for _, age := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond} {
+		for _, untilTakeover := range []time.Duration{700 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+			runCluster(t, make([]float64, 3), 4, &cluster{maxLease: longLease}, func(c *cluster) {
+				time.Sleep(15 * time.Second)
+				requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+				time.Sleep(age)
+				c.lose(c.workers.WorkerOf(firstTask(1)))
+				lost := time.Now()
+				time.Sleep(untilTakeover)
+				for n := 0; n < takeovers && c.workers.StartCount(firstTask(1)) < 2; n++ {
+					c.replaceOwner()
+					time.Sleep(interval)
+				}
+				c.requireStarted(firstTask(1), 2, time.Minute)
+				if waited := time.Since(lost); waited > maxWait {
+					t.Errorf("age %v, owner lost after %v: the task starts again after %v, want %v at most", age, untilTakeover, waited, maxWait)
+				}
+			})
+		}
+	}
+}
+
 // Guards against jobs that wait for a worker which was lost after it had answered the new owner as if an earlier owner could have renewed
 // its lease after that.
 func TestLossAfterTakeoverWaitsForLongestLeaseOnly(t *testing.T) {
