Count a job as pending until a task has started, also after a takeover

Cause: the start that follows a run's record isn't recorded, and a new owner took every job with a recorded run as begun. An earlier owner records that a job waits only a second after its first run.

Each record of a run now says whether a task of its job had started when it was written. If none of a job's records says so, the workers' reports tell the new owner; if a second after the claim none has, and no worker that could run the job is still to answer, the owner records that the job waits. Usual starts cost no append.

Ruled out: a limit by the time at which the run was recorded: it relies on two owners' clocks, and an owner that the store refuses can't record that a job waits.

TestJobPlannedBeforeTakeoverIsPending failed before (0 pending jobs, want 4).

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -19,8 +19,8 @@
 	state   storev1.JobState
 	// outcome is the record of the outcome; nil if there is none yet or an earlier owner stored it.
 	outcome *storing
-	// begun is true once a task of the job has started. firstRunAt is when its first run was planned in this term, and waitingUnit the unit
-	// whose record says that the job hasn't begun; nil if none does.
+	// begun is true once a task of the job is known to have started. firstRunAt is when its first run was planned in this term, or when its
+	// runs were restored, and waitingUnit the unit whose record says that the job hasn't begun; nil if none does.
 	begun       bool
 	firstRunAt  time.Time
 	waitingUnit *unit
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -75,7 +75,7 @@
 	record, err := replica.RunRecord(u.task, &storev1.Run{
 		Phase: phase, Number: u.runNumber, Workers: workers, Failures: u.failures, Counted: u.lastFailedRun,
 		Checkpoint: u.checkpoint, Crashes: u.crashes.counted, OpenedUnixMs: openedAtMs, JobWaits: u.step.job.waitingUnit == u,
-		CrashEvidence: u.crashes.evidence, CrashAgeMs: uint32(max(0, u.crashes.age).Milliseconds()),
+		CrashEvidence: u.crashes.evidence, CrashAgeMs: uint32(max(0, u.crashes.age).Milliseconds()), JobNotBegun: !u.step.job.begun,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -7,10 +7,11 @@
 const maxStartTime = time.Second
 
 // recordWaitingJobs records of each job that has a recorded run and hasn't begun in time that it waits: a run that is recorded counts as
-// begun otherwise.
+// begun otherwise. So does the job whose workers under an earlier owner don't answer, unless it is known to have begun.
 func (s *session) recordWaitingJobs() {
 	for _, j := range s.jobs {
-		if j.begun || j.waitingUnit != nil || j.hasEnded() || j.cancelled || j.firstRunAt.IsZero() || s.now.Sub(j.firstRunAt) < maxStartTime {
+		if j.begun || j.waitingUnit != nil || j.hasEnded() || j.cancelled || j.firstRunAt.IsZero() || s.now.Sub(j.firstRunAt) < maxStartTime ||
+			s.awaitsReport(j) {
 			continue
 		}
 		for _, u := range j.units() {
@@ -36,13 +37,35 @@
 	}
 }
 
-// restoreWaiting restores whether a job has begun. A job with recorded runs has, unless one of these records says that it waits.
+// awaitsReport reports whether a worker that has yet to answer this owner may run a task of the job that an earlier owner recorded.
+func (s *session) awaitsReport(j *job) bool {
+	for _, u := range j.units() {
+		if u.run == nil {
+			continue
+		}
+		for _, m := range u.run.members {
+			if ws := m.worker; m.phase == unconfirmed && !ws.confirmed && !ws.unresponsive && (ws.listed || !s.registryRead) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// restoreWaiting restores whether a job has begun. The start that follows the record of a run isn't recorded, so if no record says that
+// the job has begun, it has the time of a first start to show that.
 func (s *session) restoreWaiting(j *job) {
-	j.begun = len(j.recordedRuns) > 0
 	for _, u := range j.units() {
-		if j.recordedRuns[u.task].GetJobWaits() {
+		recorded, known := j.recordedRuns[u.task]
+		switch {
+		case !known:
+		case recorded.GetJobWaits():
 			j.begun, j.waitingUnit = false, u
 			return
+		case recorded.GetJobNotBegun():
+			j.firstRunAt = s.now
+		default:
+			j.begun = true
 		}
 	}
 }
