--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -85,7 +85,7 @@
 		Phase: phase, Number: u.runNumber, Workers: workers, Failures: u.failures, Counted: u.lastFailedRun,
 		Checkpoint: u.checkpoint, Crashes: u.crashes.counted, OpenedUnixMs: openedAtMs, JobWaits: u.step.job.waitingUnit == u,
 		CrashEvidence: u.crashes.evidence, CrashAgeMs: uint32(max(0, u.crashes.age).Milliseconds()),
-		CrashedMembers: crashedMembers, EndedUnixMs: endedAtMs,
+		CrashedMembers: crashedMembers, EndedUnixMs: endedAtMs, JobNotBegun: !u.step.job.begun,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
