A suspect waits for a worker on which nothing has just started

Callers see a task that crashes its workers started a sixth and a seventh time. Cause: if there is no empty worker, a suspect goes to any worker after half a second, or after 10 s. If another job's task has started there within the last second, the loss shows nothing about either of them (doubt "tasks of other jobs were lost too"), and the next start is like it. That no second one starts on its worker was seen to only from the suspect's start on, and within one plan.

A suspect now waits for up to a second more for a worker on which nothing has started within the last second.

It stays flaky: on a full fleet all that wait start on the next free worker at once, and the suspect with them once its second is over. A longer wait would keep sound suspects behind all others there.

--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -15,6 +15,9 @@
 	maxExclusiveWait        = 10 * time.Second
 	maxLastingExclusiveWait = 3 * time.Second
 	maxFirstExclusiveWait   = 500 * time.Millisecond
+	// maxSettledWait is how much longer a suspect unit waits for workers on which nothing has just started: if two tasks that had are lost
+	// together, neither shows that it is the cause.
+	maxSettledWait = promptCrashTime
 	// minSteadyTerm is how long an owner waits at the start of its term with a unit that has lost several workers. A loss in a takeover
 	// shows nothing, and one takeover often follows another.
 	minSteadyTerm = 5 * time.Second
@@ -82,16 +85,44 @@
 	return slices.ContainsFunc(st.units, func(u *unit) bool { return u.suspect && !u.done && u.crashedRepeatedly() })
 }
 
-// needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
-func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
-	limit := maxFirstExclusiveWait
+// exclusiveWait returns how long a suspect unit waits for workers that run nothing else.
+func (u *unit) exclusiveWait() time.Duration {
 	switch {
 	case u.crashedRepeatedly() && u.step.spec.GetLongRunning():
-		limit = maxLastingExclusiveWait
+		return maxLastingExclusiveWait
 	case u.crashedRepeatedly():
-		limit = maxExclusiveWait
+		return maxExclusiveWait
 	}
-	return u.suspect && waited < limit
+	return maxFirstExclusiveWait
+}
+
+// needsExclusiveWorkers reports whether a waiting unit must get workers that run nothing else.
+func (u *unit) needsExclusiveWorkers(waited time.Duration) bool {
+	return u.suspect && waited < u.exclusiveWait()
+}
+
+// needsSettledWorkers reports whether a waiting unit must get workers on which nothing has just started.
+func (u *unit) needsSettledWorkers(waited time.Duration) bool {
+	return u.suspect && waited < u.exclusiveWait()+maxSettledWait
+}
+
+// settledWorkers returns those of the allowed workers on which nothing has just started, by their ids; nil allows all.
+func (s *session) settledWorkers(allowed map[string]bool) map[string]bool {
+	settled := map[string]bool{}
+	for id, ws := range s.workers {
+		settled[id] = (allowed == nil || allowed[id]) && !s.hasJustStarted(ws)
+	}
+	return settled
+}
+
+// hasJustStarted reports whether a task on a worker has not run for promptCrashTime yet.
+func (s *session) hasJustStarted(ws *workerState) bool {
+	for _, m := range ws.members {
+		if m.phase == recording || m.phase == starting || s.now.Sub(m.startSentAt) < promptCrashTime {
+			return true
+		}
+	}
+	return false
 }
 
 // awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone.
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -67,15 +67,19 @@
 			if u.lastRunEndedAt.After(unit.WaitingSince) {
 				unit.WaitingSince = u.lastRunEndedAt
 			}
-			unit.OnProbation, unit.Exclusive = u.suspect, u.needsExclusiveWorkers(s.now.Sub(unit.WaitingSince))
+			waited := s.now.Sub(unit.WaitingSince)
+			unit.OnProbation, unit.Exclusive = u.suspect, u.needsExclusiveWorkers(waited)
 			if reason := s.holdReason(u, hold, unit.Exclusive); reason != "" {
 				if explain {
 					s.held[u.task], explain = assign.Reason{Text: reason}, false
 				}
 				continue
 			}
-			if unit.Exclusive {
+			switch {
+			case unit.Exclusive:
 				unit.Allowed = s.steadyWorkers(u, unit.Allowed)
+			case u.needsSettledWorkers(waited):
+				unit.Allowed = s.settledWorkers(unit.Allowed)
 			}
 			unit.Avoid, unit.LastAttempt = u.avoid, u.failures+1 >= maxAttempts
 			unit.Reserved = s.reservations[u.task]
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -237,3 +237,21 @@
 		})
 	}
 }
+
+// Guards against a task that crashes its workers and starts again and again because other tasks start beside it each time, on a fleet
+// without an empty worker: neither they nor it showed that it was the cause.
+func TestCrashingTaskBesideStartsIsGivenUp(t *testing.T) {
+	run(t, 2, 6, func(c *cluster) {
+		const crashing, others, interval = 1, 100, 300 * time.Millisecond
+		c.crashJobs(atOnce, true, crashing)
+		requireOK(c, c.submit(0, 2, "i0", longRunning(6, 6)))
+		time.Sleep(12 * time.Second)
+		requireOK(c, c.submit(crashing, 2, "i0", tasks(1, 1, 20*time.Second)))
+		for n := range others {
+			requireOK(c, c.submit(crashing+1+n, 2, "i0", tasks(1, 1, time.Second)))
+			time.Sleep(interval)
+		}
+		c.await(crashing, 2, replica.Failed, time.Minute)
+		c.checkCrashStarts(crashing)
+	})
+}
