--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -15,6 +15,9 @@
 	maxExclusiveWait        = 10 * time.Second
 	maxLastingExclusiveWait = 3 * time.Second
 	maxFirstExclusiveWait   = 500 * time.Millisecond
+	// maxSettledWait is how much longer a suspect unit waits for workers on which nothing has just started: if two tasks that had are lost
+	// together, neither shows that it is the cause.
+	maxSettledWait = promptCrashTime
 	// minSteadyTerm is how long an owner waits at the start of its term with a unit that has lost several workers. A loss in a takeover
 	// shows nothing, and one takeover often follows another. All owners together add only that much to maxExclusiveWait.
 	minSteadyTerm = 5 * time.Second
@@ -85,26 +88,59 @@
 // hasSteadyTerm reports whether the term has lasted for long enough that a loss shows something.
 func (s *session) hasSteadyTerm() bool { return s.now.Sub(s.startedAt) >= minSteadyTerm }
 
-// needsExclusiveWorkers reports whether a unit that has waited in this term for the given time must get workers that run nothing else.
-func (s *session) needsExclusiveWorkers(u *unit, waited time.Duration) bool {
-	if !u.suspect || waited < maxFirstExclusiveWait {
-		return u.suspect
-	}
-	limit := maxFirstExclusiveWait
+// exclusiveWait returns how long a suspect unit waits for workers that run nothing else.
+func (s *session) exclusiveWait(u *unit) time.Duration {
 	switch {
 	case !u.crashedRepeatedly():
+		return maxFirstExclusiveWait
 	case u.step.spec.GetLongRunning():
-		limit = maxLastingExclusiveWait
+		return maxLastingExclusiveWait
 	case s.hasSteadyTerm():
-		limit = maxExclusiveWait
-	default:
-		limit = maxExclusiveWait + minSteadyTerm
+		return maxExclusiveWait
+	}
+	return maxExclusiveWait + minSteadyTerm
+}
+
+// waitsForExclusive reports whether a suspect unit that has waited in this term for the given time waits for workers that run nothing
+// else, or extra longer than that. It does so for a moment in each term.
+func (s *session) waitsForExclusive(u *unit, waited, extra time.Duration) bool {
+	if !u.suspect || waited < maxFirstExclusiveWait+extra {
+		return u.suspect
 	}
 	// Counted from the end of the last run, under whichever owner it was: otherwise each takeover would extend the wait.
 	if !u.lastRunEndedAt.IsZero() {
 		waited = s.now.Sub(u.lastRunEndedAt)
 	}
-	return waited < limit
+	return waited < s.exclusiveWait(u)+extra
+}
+
+// needsExclusiveWorkers reports whether a unit that has waited in this term for the given time must get workers that run nothing else.
+func (s *session) needsExclusiveWorkers(u *unit, waited time.Duration) bool {
+	return s.waitsForExclusive(u, waited, 0)
+}
+
+// needsSettledWorkers reports whether such a unit must get workers on which nothing has just started.
+func (s *session) needsSettledWorkers(u *unit, waited time.Duration) bool {
+	return s.waitsForExclusive(u, waited, maxSettledWait)
+}
+
+// settledWorkers returns those of the allowed workers on which nothing has just started, by their ids; nil allows all.
+func (s *session) settledWorkers(allowed map[string]bool) map[string]bool {
+	settled := map[string]bool{}
+	for id, ws := range s.workers {
+		settled[id] = (allowed == nil || allowed[id]) && !s.hasJustStarted(ws)
+	}
+	return settled
+}
+
+// hasJustStarted reports whether a task on a worker has not run for promptCrashTime yet.
+func (s *session) hasJustStarted(ws *workerState) bool {
+	for _, m := range ws.members {
+		if m.phase == recording || m.phase == starting || s.now.Sub(m.startSentAt) < promptCrashTime {
+			return true
+		}
+	}
+	return false
 }
 
 // awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone, which the tick after
