Leave workers that are gone out of the room of a service

What callers saw: a job waited for the rack of its data for 6.6 s beside idle workers. Cause: whether a service is mostly idle, and so bounds that wait, was measured with lost workers too, whose tasks counted as in use until their leases had expired.

Workers that don't answer or aren't listed count neither as capacity nor as in use now.

--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -77,6 +77,8 @@
 	// Suspect is true if the worker would be usable, but failed lately: it is in quarantine, as Quarantined tells, or on trial with a unit.
 	// Only units that have waited for long enough start there, in quarantine only long-running tasks.
 	Suspect, Quarantined bool
+	// Gone is true if the worker doesn't answer, or isn't listed: what it may still run isn't in use for any caller.
+	Gone bool
 	// Empty is true if nothing runs on the worker.
 	Empty bool
 	// NearLatencyTarget is true if the latency of a serving task on the worker is near its target. The worker then gets no
--- a/internal/assign/urgent.go
+++ b/internal/assign/urgent.go
@@ -47,11 +47,14 @@
 	return cores
 }
 
-// isIdle reports whether more than idlePoolShare of the pool is free or being freed. Workers that take no new tasks now count too: they may
-// be idle because of what has failed there.
+// isIdle reports whether more than idlePoolShare of the pool is free or being freed, leaving out workers that are gone. Those that take no
+// new tasks now count too: they may be idle because of what has failed there.
 func (p *pool) isIdle() bool {
 	capacity, free := 0.0, 0.0
 	for _, worker := range p.workers {
+		if worker.Gone {
+			continue
+		}
 		capacity += worker.Capacity.CoreEquivalent()
 		free += freeAfterStops(worker).CoreEquivalent()
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -16,8 +16,9 @@
 		free, freeing := ws.free()
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Suspect: s.suspect(ws), Quarantined: ws.health.Quarantined(s.now),
-			OnTrial: ws.health.OnTrial(), Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Suspect: s.suspect(ws),
+			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
+			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
 	}
 	withinGuarantee := s.accountsWithinGuarantee()
