A unit waits since its worker was lost, not since the lease expired

What callers saw: a long-running task was away for 9.9 s after the loss of its worker, 9 s at most are allowed. Cause: its wait for other workers than those on which it had failed (4 s) was counted from the end of its lease, though it had had nothing running since the loss. The incident's class: a wait that counts from when the one who waits learned of it.

The time for which a unit waits counts from when the worker of its last run fell silent, if that run ended with the lease. What suspects wait for counts from the end of the run, as before.

--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -105,7 +105,7 @@
 	Due time.Time
 	// LastAttempt is true if another failure of the unit fails its job.
 	LastAttempt bool
-	// WaitingSince is when the unit became ready to run.
+	// WaitingSince is since when the unit could run and hasn't: it became ready, its last run ended, or the worker of that run was lost.
 	WaitingSince time.Time
 	// Objective is when the job should end. Between Objective and LateUntil it earns part of its credit.
 	Objective, LateUntil time.Time
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -82,6 +82,9 @@
 	record *storing
 	// lastRunEndedAt is when the last run ended, under this owner or an earlier one; zero if that isn't known.
 	lastRunEndedAt time.Time
+	// awaySince is since when the unit has been away: since its last run ended, or since the worker of that run fell silent if the run ended
+	// with the lease.
+	awaySince time.Time
 	// run is the run that may be on workers; nil if there is none.
 	run *run
 	// avoid are the workers on which the unit failed.
@@ -270,6 +273,7 @@
 	if endedMs := recorded.GetEndedUnixMs(); endedMs > 0 {
 		age := time.Duration(s.now.UnixMilli()-endedMs) * time.Millisecond
 		u.lastRunEndedAt = s.now.Add(-max(0, age))
+		u.awaySince = u.lastRunEndedAt
 	}
 	switch recorded.GetPhase() {
 	case storev1.RunPhase_RUN_PHASE_DONE:
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -48,6 +48,8 @@
 	maxPercent float64
 	// restored is true if an earlier owner started the run.
 	restored bool
+	// lostAt is when the first worker fell silent of those on which the run ended with the lease; zero if it ended otherwise.
+	lostAt time.Time
 	// unrecordedEnd is when the first member ended that the run's record doesn't have as ended; zero if it has all.
 	unrecordedEnd time.Time
 	// recordedAtMs is when the run was recorded, by the clock of the owner that did, in Unix milliseconds.
@@ -354,6 +356,9 @@
 	delete(m.worker.members, memberKey{m.name, m.run.number})
 	s.dirty = true
 	r := m.run
+	if reason == worker.LeaseExpired && r.lostAt.IsZero() {
+		r.lostAt = s.silentSince(m.worker)
+	}
 	if r.unit.run != r {
 		return
 	}
@@ -377,7 +382,10 @@
 // cancelled job gets its outcome after its last run.
 func (s *session) closeRun(r *run) {
 	u := r.unit
-	u.run, u.lastRunEndedAt = nil, s.now
+	u.run, u.lastRunEndedAt, u.awaySince = nil, s.now, s.now
+	if !r.lostAt.IsZero() {
+		u.awaySince = r.lostAt
+	}
 	switch job := u.step.job; {
 	case job.hasEnded():
 	case job.cancelled:
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -65,10 +65,13 @@
 		switch {
 		case u.done:
 		case u.run == nil:
-			if u.lastRunEndedAt.After(unit.WaitingSince) {
-				unit.WaitingSince = u.lastRunEndedAt
+			if u.awaySince.After(unit.WaitingSince) {
+				unit.WaitingSince = u.awaySince
+			}
+			waited := s.now.Sub(st.readyAt)
+			if u.lastRunEndedAt.After(st.readyAt) {
+				waited = s.now.Sub(u.lastRunEndedAt)
 			}
-			waited := s.now.Sub(unit.WaitingSince)
 			unit.OnProbation, unit.Exclusive = u.suspect, s.needsExclusiveWorkers(u, waited)
 			if reason := s.holdReason(u, hold, unit.Exclusive); reason != "" {
 				if explain {
