Bound the wait for the end of a quarantine, and of a last attempt for trials

What callers saw: in a mostly idle service a job had nothing running for 10.5 s beside idle workers that were all in quarantine (up to 16 s after a failure), and a job on its last attempt for 4.1 s beside idle workers on trial. Cause: both waits were bounded by what the worker had done, not by how long the job had nothing.

In a mostly idle service a job with nothing running now waits for 2.5 s at most: longer than for other preferences, as the start is more likely to fail, and short enough to run within the 3 s that are promised. In quarantine only units that aren't on their last attempt start, so none loses its job there. A run starts on a worker in quarantine only if the plan knew of that; before, a long-running task also did if its worker was quarantined meanwhile.

TestUnitUsesBusyWorkersOnTrialInIdlePool keeps its cases and gets two.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -13,7 +13,7 @@
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
 // uses a worker on trial only after maxTrialWait.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
-	if !worker.Usable && !mayUseSuspect(unit, worker) {
+	if !worker.Usable && !s.mayUseSuspect(unit, worker) {
 		return false
 	}
 	if worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
@@ -38,16 +38,22 @@
 }
 
 // mayUseSuspect reports whether a unit may run on a worker that isn't usable only because of what has failed there.
-func mayUseSuspect(unit *Unit, worker *Worker) bool {
-	return worker.Suspect && unit.anyWorker && (unit.Step.GetLongRunning() || !worker.Quarantined)
+func (s *planState) mayUseSuspect(unit *Unit, worker *Worker) bool {
+	if !worker.Suspect || !unit.anyWorker {
+		return false
+	}
+	return !worker.Quarantined || unit.Step.GetLongRunning() || s.Now.Sub(unit.WaitingSince) >= idleRiskWait
 }
 
 // maxTrialWait returns how long a gang, or a unit on its last attempt, waits for workers that aren't on trial.
 func (s *planState) maxTrialWait(unit *Unit) time.Duration {
-	if unit.LastAttempt && !unit.Step.GetLongRunning() {
-		return trialWait
+	switch {
+	case !unit.LastAttempt || unit.Step.GetLongRunning():
+		return s.preferenceWait(unit, trialWait)
+	case s.standsIdle(unit):
+		return idleRiskWait
 	}
-	return s.preferenceWait(unit, trialWait)
+	return trialWait
 }
 
 // HasRequiredLabel reports whether labels contain the one that a worker needs to run the step, if it needs any.
--- a/internal/assign/preference.go
+++ b/internal/assign/preference.go
@@ -9,6 +9,8 @@
 	// idlePreferenceWait limits how long a unit waits for workers that it prefers while its service is mostly idle and its job has
 	// nothing running: the job must run within 3 s then, and planning and starting take a part of that.
 	idlePreferenceWait = 1500 * time.Millisecond
+	// idleRiskWait is the same limit where a start is likely to fail: in quarantine, and on trial for a unit on its last attempt.
+	idleRiskWait = 2500 * time.Millisecond
 	// lastingPreferenceWait is the same limit for a long-running task, however full its service is: it must run again within 9 s of
 	// its last run.
 	lastingPreferenceWait = 4 * time.Second
@@ -19,7 +21,7 @@
 // preferenceWait returns how long a unit waits for workers that it prefers while others have room for it, if it would wait for
 // longest without a limit.
 func (s *planState) preferenceWait(unit *Unit, longest time.Duration) time.Duration {
-	if s.poolOf(unit).idle && !s.runningJobs[unit.Task.Job] {
+	if s.standsIdle(unit) {
 		longest = min(longest, idlePreferenceWait)
 	}
 	if unit.Step.GetLongRunning() {
@@ -28,6 +30,11 @@
 	return longest
 }
 
+// standsIdle reports whether a unit's job has nothing running in a mostly idle service.
+func (s *planState) standsIdle(unit *Unit) bool {
+	return s.poolOf(unit).idle && !s.runningJobs[unit.Task.Job]
+}
+
 // hasWaitedLong reports whether a unit has waited for long enough to get workers other than those that it prefers.
 func (s *planState) hasWaitedLong(unit *Unit) bool {
 	return s.Now.Sub(unit.WaitingSince) >= s.preferenceWait(unit, unlimitedWait)
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -75,6 +75,8 @@
 		{"for long", 2 * time.Second, false, false, 1},
 		{"on its last attempt", 2 * time.Second, true, false, 0},
 		{"in quarantine", 2 * time.Second, false, true, 0},
+		{"in quarantine, for longer", 3 * time.Second, false, true, 1},
+		{"in quarantine, for longer, on its last attempt", 3 * time.Second, true, true, 0},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -75,7 +75,7 @@
 	// it then gets one unit at a time.
 	Usable, OnTrial bool
 	// Suspect is true if the worker would be usable, but failed lately: it is in quarantine, as Quarantined tells, or on trial with a unit.
-	// Only units that have waited for long enough start there, in quarantine only long-running tasks.
+	// Only units that have waited for long enough start there.
 	Suspect, Quarantined bool
 	// Gone is true if the worker doesn't answer, or isn't listed: what it may still run isn't in use for any caller.
 	Gone bool
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -57,6 +57,9 @@
 		job.firstRunAt = s.now
 	}
 	r := s.newRun(u, u.runNumber, workers, recording)
+	for _, m := range r.members {
+		m.inQuarantine = m.worker.health.Quarantined(s.now)
+	}
 	s.Events.Log(events.JobPlaced, "task", u.task, "run", u.runNumber, "epoch", s.term.Epoch, "workers", len(workers), "first", workers[0],
 		"waited_ms", s.now.Sub(u.step.readyAt).Milliseconds(), "failures", u.failures, "checkpoint", u.checkpoint)
 	if r.onProbation() {
@@ -69,7 +72,7 @@
 func (s *session) startMembers(r *run) {
 	startable := r.stopReason == "" && !r.unit.step.job.hasEnded() && !r.unit.step.job.cancelled
 	for _, member := range r.members {
-		startable = startable && (s.healthy(member.worker) || (r.unit.step.spec.GetLongRunning() && s.accepting(member.worker)))
+		startable = startable && (s.healthy(member.worker) || (member.inQuarantine && s.accepting(member.worker)))
 	}
 	for _, member := range r.members {
 		if startable {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -64,6 +64,8 @@
 	worker    *workerState
 	resources assign.Resources
 	phase     phase
+	// inQuarantine is true if the worker was in quarantine when the run was planned.
+	inQuarantine bool
 	// confirmedAt is when the worker first confirmed that it has the task.
 	confirmedAt time.Time
 	// unansweredStarts counts the start orders without an answer. startSent is true once one was sent, and startOrder is
