The evidence of an earlier owner is limited when a loss is counted

Cause: the loss of a worker that is only silent was counted with all the evidence of the earlier owner as pending, and limited by the losses in the takeover only when it was proven, 20 s later. A unit was held for evidence that couldn't count, while another one of its job started once more that would have been given up with it.

Now it is limited as soon as it is counted, unless the losses in the takeover aren't known yet. A later owner doesn't record another one's evidence again with its own limit.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -209,7 +209,7 @@
 			s.unproven = append(s.unproven, c)
 			return
 		}
-		proven = min(proven, s.maxInheritedEvidence(c))
+		proven = s.inheritedEvidence(c.evidence, c.address, c.run.unit)
 	}
 	c.run.unit.crashes.prove(c.member, c.evidence, proven)
 }
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -184,7 +184,7 @@
 	}
 	switch {
 	case c.age < 0 && ws.suspects[c.name] > 0:
-		return ws.suspects[c.name], ""
+		return s.inheritedEvidence(ws.suspects[c.name], ws.entry.Address, u), ""
 	case c.age < 0:
 		return 0, "an earlier owner started it"
 	case !ws.mayHaveReceived(c):
@@ -218,16 +218,20 @@
 	return highest
 }
 
-// maxInheritedEvidence returns the highest evidence that a loss may add which an earlier owner noticed. That owner may not have noticed
-// others, so all workers that are found to be lost after the takeover count as lost at the same time.
-func (s *session) maxInheritedEvidence(c countedCrash) float32 {
-	lost, used := s.countLosses(s.startedAt, s.startedAt.Add(lossWindow), c.address, c.run.unit.lossCause(0))
+// inheritedEvidence returns the evidence that a loss under a unit adds which an earlier owner noticed at an address. That owner may not have
+// noticed others, so all workers that are found to be lost after the takeover count as lost at the same time, once they are known.
+func (s *session) inheritedEvidence(recorded float32, at string, u *unit) float32 {
+	if !s.knowsRuns() {
+		return recorded
+	}
+	lost, used := s.countLosses(s.startedAt, s.startedAt.Add(lossWindow), at, u.lossCause(0))
 	for _, ws := range s.workers {
-		if len(ws.members) > 0 && !ws.confirmed && !ws.unresponsive && ws.entry.Address != c.address {
+		if len(ws.members) > 0 && !ws.confirmed && !ws.unresponsive && ws.entry.Address != at {
 			lost++
 		}
 	}
-	return max(0, float32(-math.Log10((float64(lost)+unseenLosses)/(float64(used)+unseenLosses))))
+	most := float32(-math.Log10((float64(lost) + unseenLosses) / (float64(used) + unseenLosses)))
+	return min(recorded, max(0, most))
 }
 
 // lostBefore returns when a worker at the same address was last lost before a time, under the unit, if one is given, or for no known cause;
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -74,14 +74,15 @@
 		cause := lost.run.unit.lossCause(lost.age)
 		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause)
 		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member))
-		if _, known := ws.suspects[lost.name]; !known && (!first || !mayBeCause) {
-			continue
+		_, known := ws.suspects[lost.name]
+		switch {
+		case known && lost.age < 0: // the evidence of an earlier owner stays as it was
+		case !known && (!first || !mayBeCause):
+		case lost.stopReason != "":
+			ws.suspects[lost.name] = 0
+		default:
+			ws.suspects[lost.name], _ = s.evidence(ws, lost, all)
 		}
-		evidence := float32(0)
-		if lost.stopReason == "" {
-			evidence, _ = s.evidence(ws, lost, all)
-		}
-		ws.suspects[lost.name] = evidence
 	}
 }
 
