A worker that starts again right after its clock was read holds its longest lease

Callers could see a task run twice: a worker started again within seconds, under its id, while it was idle. The owner's next order to start a task there had its lease's end by the clock of the former life, which the owner had read less than 4.5 s before; the new life, whose clock is lower, granted its longest lease (10 s), and the owner, if it then lost the worker at once, counted 6 s and started the task elsewhere.

Cause: the age of a clock reading was taken as proof that the worker hadn't started again since. Nothing says how soon a worker may start again, and no order names an incarnation but by the id. Only a report that lists a task shows in which incarnation it is.

Now a task that this owner has started counts as running for the longest lease, from the last order with a lease, until a report lists it. And the clock is only read from reports, which name the incarnation that they are from: the answer to another order may be that of another life. A worker without a known clock is polled and gets no starts until then.

Its price: a task that is lost with its worker before a report has listed it, 2 s at most after its start while the worker answers, waits 10.6 s instead of 6.5 s. Ruled out: shorter readings (poll before each start) only make the window smaller.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -44,11 +44,12 @@
 	silent := ws.unresponsive && s.age(ws.silentSince) >= minSilence
 	unheard := !ws.confirmed && !ws.listed && s.registryRead && s.now.Sub(s.startedAt) > learnTimeout
 	due := ws.lease == renewable && (silent || unheard)
-	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(ws.leaseEnd)
+	end := ws.lastLeaseEnd()
+	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(end)
 	if (!due && !again) || !ws.hasSentMembers() || s.storeRefuses || s.suspended() {
 		return
 	}
-	left := ws.leaseEnd.Sub(s.now)
+	left := end.Sub(s.now)
 	if due {
 		ws.suspects = s.lossSuspects(ws)
 		s.Events.Log(events.LeaseFinal, "worker", ws.id, "epoch", s.term.Epoch, "members", len(ws.members), "suspects", len(ws.suspects),
@@ -63,6 +64,17 @@
 	s.appendRecords(nil, record)
 }
 
+// lastLeaseEnd returns when the last of a worker's members has ended by its lease.
+func (ws *workerState) lastLeaseEnd() time.Time {
+	last := ws.leaseEnd
+	for _, m := range ws.members {
+		if end := m.leaseEnd(); end.After(last) {
+			last = end
+		}
+	}
+	return last
+}
+
 // lossSuspects returns the names of the tasks that may have caused the loss of a worker, as far as that isn't known to this owner for
 // certain: they had just started, and no other worker was lost.
 func (s *session) lossSuspects(ws *workerState) []string {
@@ -90,13 +102,22 @@
 // under an earlier owner counts as running until the lease would have ended without a record: after a takeover nobody knows of that loss,
 // and a task that crashes its workers would be started more often.
 func (s *session) expiresAt(m *member) time.Time {
-	end := m.worker.leaseEnd
+	end := m.leaseEnd()
 	if unrecorded := s.unrecordedLeaseEnd(); m.run.restored && unrecorded.After(end) && slices.Contains(m.worker.suspects, m.name) {
 		return unrecorded
 	}
 	return end
 }
 
+// leaseEnd returns when a member has ended by its lease. No report has shown in which incarnation of its worker a member is that this owner
+// has just started.
+func (m *member) leaseEnd() time.Time {
+	if end := m.worker.restartedLeaseEnd; m.startSent && m.reportedAt.IsZero() && end.After(m.worker.leaseEnd) {
+		return end
+	}
+	return m.worker.leaseEnd
+}
+
 // hasExpired reports whether a member whose worker isn't reached has ended.
 func (s *session) hasExpired(m *member) bool { return m.wasSent() && s.now.After(s.expiresAt(m)) }
 
@@ -112,7 +133,7 @@
 
 // endEarlierLeases limits the lease of a worker that has accepted this epoch: no earlier owner can renew it from now on.
 func (s *session) endEarlierLeases(ws *workerState) {
-	if end := s.now.Add(time.Duration(float64(s.Options.MaxLease)*clockDriftFactor) + messageMargin); end.Before(ws.leaseEnd) {
+	if end := s.leaseEndsBy(s.Options.MaxLease); end.Before(ws.leaseEnd) {
 		ws.leaseEnd = end
 	}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -102,7 +102,7 @@
 				if refusalOf(answer.err) == worker.RefusedIncarnation && target.Address != next.worker.entry.Address {
 					answer.err = worker.ErrNoAnswer // from the former address
 				}
-				s.recordOrderReply(next.worker, answer.value, answer.took, answer.err)
+				s.recordOrderReply(next.worker, answer.took, answer.err)
 				next.onReply(answer.err, answer.copies)
 				s.dirty = true
 				s.sendOrders()
@@ -113,12 +113,12 @@
 
 // recordOrderReply records whether a worker answered an order, and after what time. One that ignores several in a row gets no new
 // tasks for some time, even if it still answers polls.
-func (s *session) recordOrderReply(ws *workerState, reply worker.Reply, took time.Duration, err error) {
+func (s *session) recordOrderReply(ws *workerState, took time.Duration, err error) {
 	switch reason := refusalOf(err); {
 	case err == nil, reason != 0 && reason != worker.RefusedIncarnation:
 		s.latency.Observe(took)
 		ws.ignored, ws.ignoredPause = 0, 0
-		s.recordReply(ws, reply)
+		s.recordReply(ws)
 	case reason == 0:
 		s.recordLostCall(ws)
 		if s.overloaded() {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -109,7 +109,10 @@
 	}
 	ws.unresponsive, ws.confirmed, ws.lostPolls, ws.acceptedAt = false, true, 0, sentAt
 	s.releaseFinalLease(ws)
-	s.recordReply(ws, report.Reply)
+	s.recordReply(ws)
+	if report.ClockMs > 0 {
+		ws.clockMs, ws.clockReadAt = report.ClockMs, s.now
+	}
 	if poll.Acknowledged > ws.lastAcked {
 		ws.lastAcked = poll.Acknowledged
 		s.Events.Log(events.ReportsAcknowledged, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch,
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -40,9 +40,6 @@
 	lossyDuration = 10 * time.Second
 	// capacityMargin is the time between reading a worker's entry and carrying out a start that relies on it.
 	capacityMargin = registryInterval + orderTimeout
-	// maxClockAge is the age of a worker's clock above which the worker may have started again since, with a lower clock. A worker that
-	// runs tasks and answers is polled more often.
-	maxClockAge = reachWindow
 	// clockDriftFactor allows for a worker's clock that runs slow, and messageMargin for the time that messages take.
 	clockDriftFactor = 1.03
 	messageMargin    = 300 * time.Millisecond
@@ -76,7 +73,7 @@
 	reserved bool
 	// leavesAt is the earliest time at which a draining worker may leave.
 	leavesAt time.Time
-	// clockMs is the worker's clock at clockReadAt, and startedAtMs the start of its incarnation on it; 0 if unknown.
+	// clockMs is the clock at clockReadAt of the worker's incarnation that started at startedAtMs; 0 if unknown.
 	clockMs     int64
 	clockReadAt time.Time
 	startedAtMs int64
@@ -94,8 +91,9 @@
 	acceptedAt time.Time
 	nextPoll   time.Time
 	// leaseEnd is when, by this instance's clock, everything that was started on the worker has ended, if the worker isn't
-	// reached again.
-	leaseEnd time.Time
+	// reached again. It holds for what the incarnation with the clock clockMs was started with. Another one with a lower clock may have
+	// got the orders since: it grants its longest lease for them, which ends at restartedLeaseEnd.
+	leaseEnd, restartedLeaseEnd time.Time
 	// lease is what the store may hold about the lease. If that is a record, suspects are the tasks that it suspects, and leaseRecordedAt is
 	// when this owner has last written it.
 	lease           leaseState
@@ -205,8 +203,8 @@
 
 // accepting reports whether tasks may start on a worker, whatever has failed there.
 func (s *session) accepting(ws *workerState) bool {
-	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.lease == renewable && !ws.reserved && !ws.entry.Draining &&
-		!ws.unresponsive && ws.lostPolls == 0 && !ws.ignoresOrders(s.now) && s.mayStartIn(ws.entry.DataCentre)
+	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.clockMs > 0 && ws.lease == renewable && !ws.reserved &&
+		!ws.entry.Draining && !ws.unresponsive && ws.lostPolls == 0 && !ws.ignoresOrders(s.now) && s.mayStartIn(ws.entry.DataCentre)
 }
 
 // mayStartIn reports whether tasks may start in a data centre: unless it is to be evacuated, or that may have been requested for as
@@ -272,15 +270,12 @@
 	return 0
 }
 
-// recordReply records the worker's clock from any answer. Only a poll ends the silence of an unresponsive worker: the answer to an
-// order doesn't tell whether its incarnation is still the same.
-func (s *session) recordReply(ws *workerState, reply worker.Reply) {
+// recordReply records an answer. Only a poll ends the silence of an unresponsive worker, and tells the worker's clock: the answer to an
+// order may be that of another incarnation.
+func (s *session) recordReply(ws *workerState) {
 	if !ws.unresponsive {
 		ws.silentSince, ws.answeredAt = time.Time{}, s.now
 	}
-	if reply.ClockMs > 0 {
-		ws.clockMs, ws.clockReadAt = reply.ClockMs, s.now
-	}
 }
 
 // markUnresponsive keeps new tasks from a worker that didn't answer, until it does. An answer that this instance was too
@@ -308,18 +303,19 @@
 func (s *session) extendLease(ws *workerState) int64 {
 	lease := min(s.Options.MaxLease, leaseDuration)
 	age := s.now.Sub(ws.clockReadAt)
-	longest := min(s.Options.MaxLease, time.Duration(float64(lease)+float64(age)*(clockDriftFactor-1)))
-	if age > maxClockAge {
-		longest = s.Options.MaxLease
-	}
-	s.expectLease(ws, longest)
+	s.expectLease(ws, min(s.Options.MaxLease, time.Duration(float64(lease)+float64(age)*(clockDriftFactor-1))))
+	ws.restartedLeaseEnd = s.leaseEndsBy(s.Options.MaxLease)
 	return ws.clockMs + (age + lease).Milliseconds()
 }
 
+// leaseEndsBy returns by when a lease has ended that a worker grants for the given time by its clock for an order sent now.
+func (s *session) leaseEndsBy(lease time.Duration) time.Time {
+	return s.now.Add(time.Duration(float64(lease)*clockDriftFactor) + messageMargin)
+}
+
 // expectLease records that a worker may hold a lease for the given time by its clock.
 func (s *session) expectLease(ws *workerState, lease time.Duration) {
-	end := s.now.Add(time.Duration(float64(lease)*clockDriftFactor) + messageMargin)
-	if end.After(ws.leaseEnd) {
+	if end := s.leaseEndsBy(lease); end.After(ws.leaseEnd) {
 		ws.leaseEnd = end
 	}
 }
@@ -331,7 +327,7 @@
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
-		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0 || s.storeRefuses))
+		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0 || ws.clockMs == 0 || s.storeRefuses))
 }
 
 // earliestMissing returns since when a member has been missing from the worker's reports; zero if none is.
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -39,3 +39,30 @@
 		c.requireStarted(id(1)+".0.0.0", 2, maxWait)
 	})
 }
+
+// Guards against a task that starts again while it runs: a worker that had started again within seconds, while it was idle, granted its
+// longest lease, and the owner, which had read the clock of its former life just before, took it for expired too early.
+func TestQuicklyRestartedIdleWorkerHoldsLongestLease(t *testing.T) {
+	runCluster(t, make([]float64, 1), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		c.workers.CrashDuration = time.Second
+		time.Sleep(20 * time.Second)
+		requireOK(c, c.submit(1, 2, "i0", tasks(2, 8, time.Second)))
+		c.await(1, 2, replica.Completed, 5*time.Second)
+		time.Sleep(3 * time.Second)
+		c.workers.Crash("w00")
+		c.workers.Crash("w01")
+		time.Sleep(1500 * time.Millisecond)
+		requireOK(c, c.submit(2, 2, "i0", tasks(1, 8, 30*time.Second)))
+		name := id(2) + ".0.0.0"
+		for c.workers.WorkerOf(name) == "" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.cutOff("i0", c.workers.WorkerOf(name))
+		time.Sleep(15 * time.Second)
+		if starts := c.workers.StartCount(name); starts != 2 {
+			t.Errorf("the task started %d times, want again on the other worker", starts)
+		}
+		c.heal()
+		c.await(2, 2, replica.Completed, time.Minute)
+	})
+}
