A new owner counts usual leases where the store has that they are

Callers saw jobs with nothing running beside free workers (LOST) where workers were lost with the owner: its successor counted the longest lease that a worker grants (10 s) and what an owner that is cut off may add, 13.9 s after its claim, although owners ask for 6 s. A worker that was lost right after it had answered the new owner cost 10.6 s.

Cause: an order's lease ends later than asked for if the worker has started again, under its id, since its clock was read; a later owner couldn't know that none had. A lease is 3% of the clock reading's age shorter, so that it is never longer than 6 s by the worker's clock. Runs without the record, and those that had just started, wait as before.

Ruled out: counting 6 s without a record (nothing says how soon a worker may start again under its id, and no order names its life), shorter clock readings (only less likely), a time after which a start must have arrived (orders may be carried out late).

Against running twice: TestNewOwnerWaitsForLongestLeaseOfRestartedWorker (fails if all runs count as recorded).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,6 +160,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*workerState
+	// forgottenWorkers are the ids of workers that have answered in this term and were forgotten since.
+	forgottenWorkers map[string]bool
 	// silentLosses are the lost workers that may still answer, by their id.
 	silentLosses map[string]silentLoss
 	// losses are the latest losses of workers, by the worker's address.
@@ -185,6 +187,9 @@
 	upkeep       upkeep
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
+	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
+	unrecordedLeases      []*run
+	usualLeasesRecordedAt time.Time
 	// waveStatus writes the states of waves for the operator.
 	waveStatus *storelog.Appender
 	// adviceInFlight is true while a call to the advisor is in flight, and adviceCalls the number of calls so far.
@@ -205,7 +210,7 @@
 	return &session{
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
-		jobs:  map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{},
+		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
 		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
@@ -305,6 +310,7 @@
 	s.forgetLosses()
 	s.checkRuns()
 	s.logUnreachedRuns()
+	s.recordUsualLeases()
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
+	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
 // minSilence is how long a worker must have left all calls unanswered for its lease to be recorded as final: one that answers again
@@ -19,6 +20,9 @@
 // finalLeaseInterval is the interval between two records of a final lease: an instance that starts counts the time that is left from then.
 const finalLeaseInterval = time.Second
 
+// usualLeasesInterval is the interval between two records of the runs whose workers hold usual leases.
+const usualLeasesInterval = 500 * time.Millisecond
+
 // leaseState is what the store may hold about a worker's lease.
 type leaseState int
 
@@ -35,7 +39,57 @@
 // mayRenewLease reports whether a poll may renew a worker's lease. A worker that didn't answer the last poll gets no new lease: it would
 // delay the time at which its tasks have certainly ended.
 func (s *session) mayRenewLease(ws *workerState) bool {
-	return ws.clockMs > 0 && !ws.unresponsive && ws.lostPolls == 0 && ws.lease == renewable && !s.suspended()
+	return ws.clockMs > 0 && !ws.unresponsive && ws.lostPolls == 0 && ws.lease == renewable && !s.suspended() && !s.breaksUsualLease(ws)
+}
+
+// usualLease is the length of the leases that owners ask for.
+func (s *session) usualLease() time.Duration { return min(s.Options.MaxLease, leaseDuration) }
+
+// breaksUsualLease reports whether a worker may hold a lease that is longer than usual if an order with a lease was sent now, although later
+// owners rely on a record of usual leases.
+func (s *session) breaksUsualLease(ws *workerState) bool {
+	if float64(s.now.Sub(ws.clockReadAt))*(clockDriftFactor-1) <= float64(maxDriftAllowance) {
+		return false
+	}
+	for _, m := range ws.members {
+		if m.run.usualLeases {
+			return true
+		}
+	}
+	return false
+}
+
+// checkUsualLeases records that the workers of a run hold no longer leases than usual, once that is certain and a later owner would have to
+// count with longer ones: reports have listed all members, so that none is in another incarnation than those whose clocks were read;
+// these incarnations are the first that have answered this owner, so that none got the clock of a former one; no longer lease is left
+// of before; and no start is on its way.
+func (s *session) checkUsualLeases(r *run) {
+	if r.usualLeases || r.stopReason != "" || r.unit.run != r || s.usualLease() == s.Options.MaxLease {
+		return
+	}
+	for _, m := range r.members {
+		ws := m.worker
+		if m.phase != finished && (m.reportedAt.IsZero() || !ws.confirmed || ws.startedAtMs == 0 || ws.restarted || ws.ordersInFlight > 0 ||
+			ws.leaseEnd.After(s.leaseEndsBy(s.usualLease()))) {
+			return
+		}
+	}
+	r.usualLeases = true
+	s.unrecordedLeases = append(s.unrecordedLeases, r)
+}
+
+// recordUsualLeases records the runs that checkUsualLeases has found.
+func (s *session) recordUsualLeases() {
+	if s.now.Sub(s.usualLeasesRecordedAt) < usualLeasesInterval {
+		return
+	}
+	s.usualLeasesRecordedAt = s.now
+	for _, r := range s.unrecordedLeases {
+		if r.unit.run == r && !r.unit.step.job.hasEnded() {
+			s.recordLatestRun(r.unit, nil)
+		}
+	}
+	s.unrecordedLeases = nil
 }
 
 // recordFinalLease records when the lease of a worker ends that doesn't answer, or that isn't listed and hasn't answered this owner, if
@@ -44,14 +98,15 @@
 	silent := ws.unresponsive && s.age(ws.silentSince) >= minSilence
 	unheard := !ws.confirmed && !ws.listed && s.registryRead && s.now.Sub(s.startedAt) > learnTimeout
 	due := ws.lease == renewable && (silent || unheard)
-	end := ws.lastLeaseEnd()
-	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(end)
+	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(s.lastLeaseEnd(ws))
 	if (!due && !again) || !ws.hasSentMembers() || s.storeRefuses || s.suspended() {
 		return
 	}
-	left := end.Sub(s.now)
 	if due {
 		ws.suspects = s.lossSuspects(ws)
+	}
+	left := s.lastLeaseEnd(ws).Sub(s.now)
+	if due {
 		s.Events.Log(events.LeaseFinal, "worker", ws.id, "epoch", s.term.Epoch, "members", len(ws.members), "suspects", len(ws.suspects),
 			"lease_left_ms", left.Milliseconds())
 	}
@@ -64,14 +119,17 @@
 	s.appendRecords(nil, record)
 }
 
-// lastLeaseEnd returns when the last of a worker's members has ended by its lease.
-func (ws *workerState) lastLeaseEnd() time.Time {
-	last := ws.leaseEnd
+// lastLeaseEnd returns when the last of a worker's members has ended by its lease, except suspects: a later owner counts these by itself.
+func (s *session) lastLeaseEnd(ws *workerState) time.Time {
+	var last time.Time
 	for _, m := range ws.members {
-		if end := m.leaseEnd(); end.After(last) {
+		if end := s.leaseEnd(m); m.wasSent() && end.After(last) && !slices.Contains(ws.suspects, m.name) {
 			last = end
 		}
 	}
+	if last.IsZero() {
+		return ws.leaseEnd
+	}
 	return last
 }
 
@@ -102,7 +160,7 @@
 // under an earlier owner counts as running until the lease would have ended without a record: after a takeover nobody knows of that loss,
 // and a task that crashes its workers would be started more often.
 func (s *session) expiresAt(m *member) time.Time {
-	end := m.leaseEnd()
+	end := s.leaseEnd(m)
 	if unrecorded := s.unrecordedLeaseEnd(); m.run.restored && unrecorded.After(end) && slices.Contains(m.worker.suspects, m.name) {
 		return unrecorded
 	}
@@ -111,11 +169,15 @@
 
 // leaseEnd returns when a member has ended by its lease. No report has shown in which incarnation of its worker a member is that this owner
 // has just started.
-func (m *member) leaseEnd() time.Time {
-	if end := m.worker.restartedLeaseEnd; m.startSent && m.reportedAt.IsZero() && end.After(m.worker.leaseEnd) {
-		return end
+func (s *session) leaseEnd(m *member) time.Time {
+	ws, end := m.worker, m.worker.leaseEnd
+	if m.startSent && m.reportedAt.IsZero() && ws.restartedLeaseEnd.After(end) {
+		return ws.restartedLeaseEnd
 	}
-	return m.worker.leaseEnd
+	if usual := s.earlierLeaseEnd(s.usualLease()); !ws.confirmed && m.run.usualLeases && usual.Before(end) && !s.mayHaveJustStarted(m) {
+		return usual
+	}
+	return end
 }
 
 // hasExpired reports whether a member whose worker isn't reached has ended.
@@ -131,16 +193,26 @@
 	return false
 }
 
-// endEarlierLeases limits the lease of a worker that has accepted this epoch: no earlier owner can renew it from now on.
-func (s *session) endEarlierLeases(ws *workerState) {
-	if end := s.leaseEndsBy(s.Options.MaxLease); end.Before(ws.leaseEnd) {
+// endEarlierLeases limits the lease of a worker that has accepted this epoch: no earlier owner can renew it from now on. All its leases are
+// as long as usual if a run is there for which that is recorded.
+func (s *session) endEarlierLeases(ws *workerState, report worker.Report) {
+	lease := s.Options.MaxLease
+	for _, m := range ws.members {
+		if m.run.usualLeases && isReported(m, report) {
+			lease = s.usualLease()
+		}
+	}
+	if end := s.leaseEndsBy(lease); end.Before(ws.leaseEnd) {
 		ws.leaseEnd = end
 	}
 }
 
-// unrecordedLeaseEnd returns by when a lease has ended that an earlier owner renewed for as long as it could.
-func (s *session) unrecordedLeaseEnd() time.Time {
-	return s.term.ClaimedAt.Add(time.Duration(float64(s.Options.MaxLease)*clockDriftFactor) + earlierOwnerWindow)
+// unrecordedLeaseEnd returns by when the longest lease has ended that an earlier owner may have renewed.
+func (s *session) unrecordedLeaseEnd() time.Time { return s.earlierLeaseEnd(s.Options.MaxLease) }
+
+// earlierLeaseEnd returns by when a lease of the given length has ended that an earlier owner renewed for as long as it could.
+func (s *session) earlierLeaseEnd(lease time.Duration) time.Time {
+	return s.term.ClaimedAt.Add(time.Duration(float64(lease)*clockDriftFactor) + earlierOwnerWindow)
 }
 
 // releaseFinalLease deletes the record of a worker's final lease. The lease may be renewed once that is stored.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -69,13 +69,15 @@
 // recordRun records the state of a unit's latest run.
 func (s *session) recordRun(u *unit, phase storev1.RunPhase, workers []string, onStored func()) {
 	var openedAtMs int64
+	usualLeases := false
 	if u.run != nil {
-		openedAtMs = u.run.recordedAtMs
+		openedAtMs, usualLeases = u.run.recordedAtMs, u.run.usualLeases
 	}
 	record, err := replica.RunRecord(u.task, &storev1.Run{
 		Phase: phase, Number: u.runNumber, Workers: workers, Failures: u.failures, Counted: u.lastFailedRun,
 		Checkpoint: u.checkpoint, Crashes: u.crashes.counted, OpenedUnixMs: openedAtMs, JobWaits: u.step.job.waitingUnit == u,
 		CrashEvidence: u.crashes.evidence, CrashAgeMs: uint32(max(0, u.crashes.age).Milliseconds()),
+		UsualLeases: usualLeases,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -90,7 +90,7 @@
 	}
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
-			ws.lastProcessed, ws.lastStored, ws.lastAcked = 0, 0, 0
+			ws.lastProcessed, ws.lastStored, ws.lastAcked, ws.restarted = 0, 0, 0, true
 			s.expectLease(ws, s.Options.MaxLease) // by an order with the clock of its former life
 			if !ws.unresponsive {
 				s.recordLoss(ws)
@@ -104,7 +104,7 @@
 	s.resolveSilentLoss(ws, report.StartedAtMs)
 	s.withdrawLoss(ws)
 	if !ws.confirmed {
-		s.endEarlierLeases(ws)
+		s.endEarlierLeases(ws, report)
 		s.proveSilentLossesAt(ws)
 	}
 	ws.unresponsive, ws.confirmed, ws.lostPolls, ws.acceptedAt = false, true, 0, sentAt
@@ -186,6 +186,7 @@
 			continue
 		}
 		s.recordProgress(m, reported)
+		s.checkUsualLeases(m.run)
 	}
 	s.adjustPaces(ws)
 	if len(report.Finished) >= fullReportLength {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -50,6 +50,8 @@
 	restored bool
 	// unrecordedEnd is when the first member ended that the run's record doesn't have as ended; zero if it has all.
 	unrecordedEnd time.Time
+	// usualLeases is true if the workers of all members hold no longer leases than usual, for certain; see checkUsualLeases.
+	usualLeases bool
 	// recordedAtMs is when the run was recorded, by the clock of the owner that did, in Unix milliseconds.
 	recordedAtMs int64
 }
@@ -167,7 +169,7 @@
 		return
 	}
 	r := s.newRun(u, u.runNumber, workers, unconfirmed)
-	r.restored, r.recordedAtMs = true, recorded.GetOpenedUnixMs()
+	r.restored, r.recordedAtMs, r.usualLeases = true, recorded.GetOpenedUnixMs(), recorded.GetUsualLeases()
 	if slices.Contains(workers, "") {
 		s.stopRun(u, "a member ended under an earlier owner")
 	}
@@ -223,6 +225,8 @@
 		return "its data centre is evacuated"
 	case ws.lease != renewable:
 		return "the lease of its worker is final"
+	case s.breaksUsualLease(ws):
+		return "the clock of its worker was read long ago"
 	}
 	return ""
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -40,6 +40,8 @@
 	lossyDuration = 10 * time.Second
 	// capacityMargin is the time between reading a worker's entry and carrying out a start that relies on it.
 	capacityMargin = registryInterval + orderTimeout
+	// maxDriftAllowance limits by how much a lease is shorter because the worker's clock may have run slow since it was read.
+	maxDriftAllowance = time.Second
 	// clockDriftFactor allows for a worker's clock that runs slow, and messageMargin for the time that messages take.
 	clockDriftFactor = 1.03
 	messageMargin    = 300 * time.Millisecond
@@ -77,7 +79,10 @@
 	clockMs     int64
 	clockReadAt time.Time
 	startedAtMs int64
-	members     map[memberKey]*member
+	// restarted is true once another incarnation has answered under the same id in this term, or may do so: orders that carry the clock
+	// of the former one may still be carried out there.
+	restarted bool
+	members   map[memberKey]*member
 	// unknownRuns are the resources of runs that no job has open; these runs are stopped.
 	unknownRuns assign.Resources
 	// lastProcessed is the number of the latest finished task that was handled, lastStored that of the latest that the
@@ -121,7 +126,7 @@
 	if known, ok := s.workers[id]; ok {
 		return known
 	}
-	ws := &workerState{id: id, members: map[memberKey]*member{}, leaseEnd: s.unrecordedLeaseEnd()}
+	ws := &workerState{id: id, members: map[memberKey]*member{}, leaseEnd: s.unrecordedLeaseEnd(), restarted: s.forgottenWorkers[id]}
 	s.restoreSpeed(ws)
 	s.workers[id] = ws
 	return ws
@@ -301,11 +306,13 @@
 
 // extendLease extends the lease of a worker, and returns its end on the worker's clock in milliseconds.
 func (s *session) extendLease(ws *workerState) int64 {
-	lease := min(s.Options.MaxLease, leaseDuration)
+	lease := s.usualLease()
 	age := s.now.Sub(ws.clockReadAt)
-	s.expectLease(ws, min(s.Options.MaxLease, time.Duration(float64(lease)+float64(age)*(clockDriftFactor-1))))
+	drift := time.Duration(float64(age) * (clockDriftFactor - 1))
+	allowance := min(drift, maxDriftAllowance)
+	s.expectLease(ws, min(s.Options.MaxLease, lease+drift-allowance))
 	ws.restartedLeaseEnd = s.leaseEndsBy(s.Options.MaxLease)
-	return ws.clockMs + (age + lease).Milliseconds()
+	return ws.clockMs + (age - allowance + lease).Milliseconds()
 }
 
 // leaseEndsBy returns by when a lease has ended that a worker grants for the given time by its clock for an order sent now.
@@ -371,6 +378,9 @@
 	if !ws.listed && ws.moved == nil && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
 		(ws.replaced || ws.lastAcked >= ws.lastStored) {
 		s.releaseFinalLease(ws)
+		if ws.startedAtMs != 0 {
+			s.forgottenWorkers[ws.id] = true
+		}
 		delete(s.workers, ws.id)
 	}
 }
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -337,3 +337,67 @@
 		c.await(1, 2, replica.Completed, 3*time.Minute)
 	})
 }
+
+// usualLease is the length of the leases that an owner asks for, by the clock of a worker that runs slow.
+const usualLease = 6 * time.Second * 103 / 100
+
+// Guards against jobs that have nothing running beside free workers after a change of the owner: the new owner counted with the longest lease
+// that a worker grants for one that was lost with the owner before.
+func TestLossWithOwnerWaitsForUsualLeaseOnly(t *testing.T) {
+	// An owner is replaced within 3.2 s, and one that is cut off renews leases for 4 s after that.
+	const maxWait = 3200*time.Millisecond + 4*time.Second + usualLease
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(15 * time.Second)
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		c.kill(c.owner())
+		c.requireStarted(id(1)+".0.0.0", 2, maxWait)
+	})
+}
+
+// Guards against jobs that have nothing running beside free workers after a change of the owner: the new owner counted with the longest lease
+// for a worker that had answered it.
+func TestLossAfterTakeoverWaitsForUsualLeaseOnly(t *testing.T) {
+	// The last poll may be answered just after the loss.
+	const maxWait = 2*time.Second + usualLease + 500*time.Millisecond
+	runCluster(t, make([]float64, 3), 2, &cluster{maxLease: longLease}, func(c *cluster) {
+		requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+		time.Sleep(15 * time.Second)
+		c.replaceOwner()
+		c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+		c.requireStarted(id(1)+".0.0.0", 2, maxWait)
+	})
+}
+
+// Guards against a task that runs twice at a time: a worker that had started again just before granted its longest lease for the start, and the
+// next owner, which lost it after it had answered, counted with a usual one.
+func TestNewOwnerWaitsForLongestLeaseOfRestartedWorker(t *testing.T) {
+	for delay := time.Duration(0); delay <= time.Second; delay += 100 * time.Millisecond {
+		runCluster(t, make([]float64, 3), 3, &cluster{maxLease: longLease}, func(c *cluster) {
+			c.workers.CrashDuration = time.Second
+			time.Sleep(20 * time.Second)
+			requireOK(c, c.submit(1, 2, "i0", tasks(3, 8, time.Second)))
+			c.await(1, 2, replica.Completed, 5*time.Second)
+			time.Sleep(3 * time.Second)
+			for _, id := range []string{"w00", "w01", "w02"} {
+				c.workers.Crash(id)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			requireOK(c, c.submit(2, 2, "i0", tasks(1, 8, 40*time.Second)))
+			name := id(2) + ".0.0.0"
+			for c.workers.WorkerOf(name) == "" {
+				time.Sleep(10 * time.Millisecond)
+			}
+			restarted := c.workers.WorkerOf(name)
+			c.kill(c.owner())
+			c.owner()
+			time.Sleep(delay)
+			for instance := range c.nodes {
+				c.cutOff(instance, restarted)
+			}
+			c.requireStarted(name, 2, 20*time.Second)
+			c.heal()
+			c.await(2, 2, replica.Completed, 2*time.Minute)
+		})
+	}
+}
