--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,6 +160,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*workerState
+	// forgottenWorkers are the ids of workers that have answered in this term and were forgotten since.
+	forgottenWorkers map[string]bool
 	// silentLosses are the lost workers that may still answer, by their id.
 	silentLosses map[string]silentLoss
 	// unproven are crashes under runs of earlier owners whose evidence counts once this owner knows which workers were lost in the takeover.
@@ -187,6 +189,9 @@
 	upkeep       upkeep
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
+	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
+	unrecordedLeases      []*run
+	usualLeasesRecordedAt time.Time
 	// waveStatus writes the states of waves for the operator.
 	waveStatus *storelog.Appender
 	// adviceInFlight is true while a call to the advisor is in flight, and adviceCalls the number of calls so far.
@@ -207,7 +212,7 @@
 	return &session{
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
-		jobs:  map[string]*job{}, workers: map[string]*workerState{}, silentLosses: map[string]silentLoss{},
+		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
 		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
@@ -308,6 +313,7 @@
 	s.forgetLosses()
 	s.checkRuns()
 	s.logUnreachedRuns()
+	s.recordUsualLeases()
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -69,9 +69,10 @@
 // recordRun records the state of a unit's latest run.
 func (s *session) recordRun(u *unit, phase storev1.RunPhase, workers []string, onStored func()) {
 	var openedAtMs, endedAtMs int64
+	usualLeases := false
 	var crashedMembers []uint32
 	if u.run != nil {
-		openedAtMs = u.run.recordedAtMs
+		openedAtMs, usualLeases = u.run.recordedAtMs, u.run.usualLeases
 		for _, m := range u.run.members {
 			if m.crashCounted {
 				crashedMembers = append(crashedMembers, uint32(m.index))
@@ -86,6 +87,7 @@
 		Checkpoint: u.checkpoint, Crashes: u.crashes.counted, OpenedUnixMs: openedAtMs, JobWaits: u.step.job.waitingUnit == u,
 		CrashEvidence: u.crashes.evidence, CrashAgeMs: uint32(max(0, u.crashes.age).Milliseconds()),
 		CrashedMembers: crashedMembers, EndedUnixMs: endedAtMs, JobNotBegun: !u.step.job.begun,
+		UsualLeases: usualLeases,
 	})
 	if err != nil {
 		s.term.StepDown(err.Error())
