No record of usual leases for a run whose start was sent twice

A second copy of a start order may be carried out after the first was answered, also by the next incarnation under the worker's id. The record of usual leases must not cover such a run. Found by reading while joining the parts; no run showed it, and it has no test of its own. It only makes a later owner wait for longer, for these runs.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -60,17 +60,13 @@
 }
 
 // checkUsualLeases records that the workers of a run hold no longer leases than usual, once that is certain and a later owner would have to
-// count with longer ones: reports have listed all members, so that none is in another incarnation than those whose clocks were read;
-// these incarnations are the first that have answered this owner, so that none got the clock of a former one; no longer lease is left
-// of before; and no start is on its way.
+// count with longer ones.
 func (s *session) checkUsualLeases(r *run) {
 	if r.usualLeases || r.stopReason != "" || r.unit.run != r || s.usualLease() == s.Options.MaxLease {
 		return
 	}
 	for _, m := range r.members {
-		ws := m.worker
-		if m.phase != finished && (m.reportedAt.IsZero() || !ws.confirmed || ws.startedAtMs == 0 || ws.restarted || ws.ordersInFlight > 0 ||
-			ws.leaseEnd.After(s.leaseEndsBy(s.usualLease()))) {
+		if m.phase != finished && !s.holdsUsualLease(m) {
 			return
 		}
 	}
@@ -78,6 +74,16 @@
 	s.unrecordedLeases = append(s.unrecordedLeases, r)
 }
 
+// holdsUsualLease reports whether the worker of a member certainly holds no longer lease than usual for it. A report has listed it, and no start
+// of it can be on its way, so it is in the incarnation whose clock was read; this is the first one that has answered this owner,
+// so it got no order with the clock of a former one; and no longer lease is left of before.
+func (s *session) holdsUsualLease(m *member) bool {
+	ws := m.worker
+	startedOnce := !m.reportedAt.IsZero() && !m.startCopied && m.unansweredStarts == 0 && ws.ordersInFlight == 0
+	firstIncarnation := ws.confirmed && ws.startedAtMs != 0 && !ws.restarted
+	return startedOnce && firstIncarnation && !ws.leaseEnd.After(s.leaseEndsBy(s.usualLease()))
+}
+
 // recordUsualLeases records the runs that checkUsualLeases has found.
 func (s *session) recordUsualLeases() {
 	if s.now.Sub(s.usualLeasesRecordedAt) < usualLeasesInterval {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -75,8 +75,10 @@
 	unansweredStarts int
 	// mayBeDelayed is true if a start order was sent several times and not each copy was answered.
 	mayBeDelayed bool
-	startSent    bool
-	startOrder   worker.Start
+	// startCopied is true if a start order was sent several times: one copy may be carried out after another was answered.
+	startCopied bool
+	startSent   bool
+	startOrder  worker.Start
 	// crashCounted is true once the crash of its worker was counted.
 	crashCounted bool
 	// startSentAt is when the first start order was sent; zero if an earlier owner sent it.
@@ -240,6 +242,7 @@
 
 // handleStartReply handles the answer to a start order that was sent copies times.
 func (s *session) handleStartReply(m *member, err error, copies int) {
+	m.startCopied = m.startCopied || copies > 1
 	if m.phase != starting {
 		return
 	}
