The losses of idle workers are known after a loss, and show that a task isn't the cause

Callers see a sound job as failed: it runs alone on a fleet of which a third crashes again and again right after its starts. Cause: only workers in use are polled, so the job's worker was the only one seen to be lost, and each loss counted as if the others were there (0.78 for the first one, 1.48 for each one at the same age: six losses give the job up).

For 30 s after a loss that is counted under a task, the owner polls idle workers like those in use, if it can spare the calls. Of idle workers, losses and survivors count only for a time in which they were watched throughout; else one of both would be missing.

Failed try: counting the losses of idle workers at once, but survivors only from 3 s of the watch on.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -177,6 +177,7 @@
 			continue
 		}
 		c.crashCounted = true
+		s.watchIdleWorkers()
 		evidence, doubt := s.evidence(ws, c, lost)
 		u.lostAt[ws.entry.Address] = s.silentSince(ws)
 		counted = append(counted, countedCrash{member: c.member, evidence: evidence})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,6 +164,8 @@
 	silentLosses map[string]silentLoss
 	// losses are the latest losses of workers, by the worker's address.
 	losses map[string]workerLoss
+	// idleWatch is the latest time in which idle workers are watched.
+	idleWatch watch
 	// steady has the steady workers of the plan in the making, for each cause of losses.
 	steady map[lossCause]map[string]bool
 	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -63,6 +63,32 @@
 	startedAtMs int64
 	// ages are the times for which the tasks of each job had run on the worker; one of them if it had several.
 	ages map[*job]time.Duration
+	// watched is true if the worker was idle, but watched.
+	watched bool
+}
+
+// watch is a time in which idle workers are polled like those in use.
+type watch struct{ from, until time.Time }
+
+// watchIdleWorkers lets idle workers be polled for some time after a loss: whether they are lost too tells whether a task was its cause.
+func (s *session) watchIdleWorkers() {
+	if !s.now.Before(s.idleWatch.until) {
+		s.idleWatch.from = s.now
+		for _, ws := range s.workers {
+			ws.probe = ws.probe || len(ws.members) == 0
+		}
+	}
+	s.idleWatch.until = s.now.Add(lossMemory)
+}
+
+// watchesIdleWorkers reports whether idle workers are polled.
+func (s *session) watchesIdleWorkers() bool {
+	return s.now.Before(s.idleWatch.until) && s.canSpareCalls()
+}
+
+// answeredWatch reports whether a worker has answered since a time, and while idle workers were watched.
+func (s *session) answeredWatch(ws *workerState, since time.Time) bool {
+	return !ws.answeredAt.Before(since) && !ws.answeredAt.Before(s.idleWatch.from)
 }
 
 // recordLoss remembers that a worker has fallen silent, or was replaced.
@@ -75,8 +101,9 @@
 		// Nobody called the idle worker, so when it was lost isn't known.
 		return
 	}
+	silentSince := s.silentSince(ws)
 	loss := workerLoss{
-		silentSince: s.silentSince(ws), ages: map[*job]time.Duration{},
+		silentSince: silentSince, watched: s.answeredWatch(ws, silentSince.Add(-lossWindow)), ages: map[*job]time.Duration{},
 		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), earlier: s.losses[ws.entry.Address].allExplained(),
 		startedAtMs: ws.startedAtMs,
 	}
@@ -155,22 +182,24 @@
 	return other.lostWith(c.job, c.age) || (c.age < promptCrashTime && other.explained)
 }
 
-// countLosses returns how many workers in use were lost between two times for other causes, and how many were in use. It leaves out the
-// worker at the address.
-func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause) (lost, used int) {
+// countLosses returns how many observed workers were lost between two times for other causes, and how many were observed: those in use, and
+// idle ones if they were watched throughout. It leaves out the worker at the address.
+func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause) (lost, observed int) {
+	watched := s.now.Before(s.idleWatch.until) && !from.Before(s.idleWatch.from)
 	seen := map[string]bool{}
 	for address, loss := range s.losses {
-		if len(loss.ages) > 0 && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
+		if (len(loss.ages) > 0 || (watched && loss.watched)) && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
 			seen[address] = true
 		}
 	}
-	used = len(seen)
+	observed = len(seen)
 	for _, ws := range s.workers {
-		if address := ws.entry.Address; !seen[address] && address != exceptAt && len(ws.members) > 0 {
-			used++
+		known := len(ws.members) > 0 || (watched && s.answeredWatch(ws, from))
+		if address := ws.entry.Address; !seen[address] && address != exceptAt && known {
+			observed++
 		}
 	}
-	return len(seen), used
+	return len(seen), observed
 }
 
 // evidence returns what the loss of a worker shows about a member on it, provided that the worker's incarnation has ended: the
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -324,14 +324,14 @@
 	}
 }
 
-// needsPoll reports whether a worker has to be polled: to learn what it runs, to acknowledge finished tasks, or while the store refuses
-// this owner, to learn of a successor.
+// needsPoll reports whether a worker has to be polled: to learn what it runs, to acknowledge finished tasks, while the store refuses
+// this owner to learn of a successor, or after a loss to learn of others.
 func (s *session) needsPoll(ws *workerState) bool {
 	if ws.entry.Address == "" || ws.replaced {
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
-		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0 || s.storeRefuses))
+		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0 || s.storeRefuses || s.watchesIdleWorkers()))
 }
 
 // earliestMissing returns since when a member has been missing from the worker's reports; zero if none is.
