Tasks that had started together aren't taken for the cause when their workers are lost together

Callers see a job that fills a fleet as failed after some twenty bursts, in each of which a third of the workers crash. Cause: a loss under another task of the job at the same age is put down to the job, and left out of the losses around. Tasks that lost their workers in one burst start together, so they have the same age in each later one: of seven others lost at once, three were left out, and each burst added 0.76 (4 of 23). And a loss at the age of the one before counted however likely it was.

If at least two workers are lost at that moment for another cause, all that are lost then count, for losses later than a second after the start. Such a loss shows nothing if its probability is above maxCoincidence, also at the age of the one before.

--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -10,7 +10,7 @@
 	// requiredEvidence is the evidence at which a task counts as the cause of losses, in decimal digits of the probability that a
 	// task without a fault meets them by coincidence.
 	requiredEvidence = 6
-	// maxCoincidence is the probability above which a loss at a new age shows nothing. Else the losses of a task without a fault, which
+	// maxCoincidence is the probability above which a loss that isn't prompt shows nothing. Else the losses of a task without a fault, which
 	// have any age, would add up.
 	maxCoincidence = 0.2
 	// ageTolerance is by how much the ages may differ at which a task that is the cause loses its workers.
@@ -220,7 +220,7 @@
 		return 0, "tasks of other jobs were lost too"
 	}
 	coincidence := s.coincidence(ws, c, period)
-	if coincidence >= 1 || (period > promptCrashTime && coincidence > maxCoincidence) {
+	if coincidence >= 1 || (!c.prompt() && coincidence > maxCoincidence) {
 		return 0, "a worker is often lost in that time"
 	}
 	return float32(-math.Log10(coincidence)), ""
@@ -236,7 +236,13 @@
 	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address.
 	lost, used := s.countLosses(from, to, at, cause)
 	highest := (float64(lost) + unseenLosses) / (float64(used) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
-	if lost, used := s.countLosses(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), at, cause); lost > 0 {
+	from, to = silentSince.Add(-simultaneous), silentSince.Add(simultaneous)
+	lost, used = s.countLosses(from, to, at, cause)
+	if lost >= minLostTogether && !c.prompt() {
+		// Tasks that had started together have the same age, whatever the cause is.
+		lost, used = s.countLosses(from, to, at, lossCause{age: c.age})
+	}
+	if lost > 0 {
 		highest = max(highest, float64(lost)/float64(used))
 	}
 	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
