Units of different jobs that have lost several workers don't start at one time

Callers see sound jobs as failed: eight jobs had all just started when their eight workers, of 24, crashed together, three times. Cause: a loss of another worker is left out of the surroundings if another job's task had just started there, since that may have been the cause there. After a burst all wait for the same worker reports and start in one plan; so in the next burst all have just started again, and each loss adds 1.3 to 2.7 as if the others weren't there.

Whether each task is a cause or none is can't be told while they start together: tasks that do crash workers at once are lost at one time then too. So a unit under which several workers were lost now starts half a second or more after such a unit of another job, for as long as it waits for a worker of its own (10 s, 3 s for long-running ones, and a second more). Tasks that crash their workers are lost one by one then; a burst finds tasks of different ages, and adds 0.6 to those that had just started.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,6 +164,8 @@
 	silentLosses map[string]silentLoss
 	// losses are the latest losses of workers, by the worker's address.
 	losses map[string]workerLoss
+	// lastRetry is the latest start of a unit under which several workers were lost.
+	lastRetry retry
 	// idleWatch is the latest time in which idle workers are watched.
 	idleWatch watch
 	// steady has the steady workers of the plan in the making, for each cause of losses.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -37,7 +37,9 @@
 		s.stopRun(u, "preempted by "+preemption.For.String())
 	}
 	for _, start := range plan.Starts {
-		s.launch(s.unitByTask(start.Task), start.Workers)
+		if u := s.unitByTask(start.Task); !s.mustStartApart(u) {
+			s.launch(u, start.Workers)
+		}
 	}
 	s.nextPlan = time.Now().Add(min(planPauseFactor*time.Since(startedAt), maxPlanPause))
 }
@@ -62,6 +64,9 @@
 	if r.onProbation() {
 		s.probeWorkers(r)
 	}
+	if u.crashedRepeatedly() {
+		s.lastRetry = retry{job: u.step.job, at: s.now}
+	}
 	s.recordRun(u, storev1.RunPhase_RUN_PHASE_OPEN, workers, func() { s.startMembers(r) })
 }
 
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -125,6 +125,19 @@
 	return false
 }
 
+// retry is the start of a unit under which several workers were lost.
+type retry struct {
+	job *job
+	at  time.Time
+}
+
+// mustStartApart reports whether a unit under which several workers were lost has to start later than now, because one of another job has
+// just started. If they are lost at one time again, at different ages, no task is the cause.
+func (s *session) mustStartApart(u *unit) bool {
+	return u.crashedRepeatedly() && s.lastRetry.job != nil && s.lastRetry.job != u.step.job && s.now.Sub(s.lastRetry.at) < 2*simultaneous &&
+		u.needsSettledWorkers(s.now.Sub(u.lastRunEndedAt))
+}
+
 // awaitsVerdict reports whether a waiting unit is probably given up as soon as a silent worker is certainly gone.
 func (u *unit) awaitsVerdict(now time.Time) bool {
 	return u.crashes.mayCondemn() && now.Sub(u.lastRunEndedAt) < lossConfirmTime
