--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -10,7 +10,7 @@
 	// requiredEvidence is the evidence at which a task counts as the cause of losses, in decimal digits of the probability that a
 	// task without a fault meets them by coincidence.
 	requiredEvidence = 6
-	// maxCoincidence is the probability above which a loss at a new age shows nothing. Else the losses of a task without a fault, which
+	// maxCoincidence is the probability above which a loss that isn't prompt shows nothing. Else the losses of a task without a fault, which
 	// have any age, would add up.
 	maxCoincidence = 0.2
 	// ageTolerance is by how much the ages may differ at which a task that is the cause loses its workers.
@@ -63,6 +63,32 @@
 	startedAtMs int64
 	// ages are the times for which the tasks of each job had run on the worker; one of them if it had several.
 	ages map[*job]time.Duration
+	// watched is true if the worker was idle, but watched.
+	watched bool
+}
+
+// watch is a time in which idle workers are polled like those in use.
+type watch struct{ from, until time.Time }
+
+// watchIdleWorkers lets idle workers be polled for some time after a loss: whether they are lost too tells whether a task was its cause.
+func (s *session) watchIdleWorkers() {
+	if !s.now.Before(s.idleWatch.until) {
+		s.idleWatch.from = s.now
+		for _, ws := range s.workers {
+			ws.probe = ws.probe || len(ws.members) == 0
+		}
+	}
+	s.idleWatch.until = s.now.Add(lossMemory)
+}
+
+// watchesIdleWorkers reports whether idle workers are polled.
+func (s *session) watchesIdleWorkers() bool {
+	return s.now.Before(s.idleWatch.until) && s.canSpareCalls()
+}
+
+// answeredWatch reports whether a worker has answered since a time, and while idle workers were watched.
+func (s *session) answeredWatch(ws *workerState, since time.Time) bool {
+	return !ws.answeredAt.Before(since) && !ws.answeredAt.Before(s.idleWatch.from)
 }
 
 // recordLoss remembers that a worker has fallen silent, or was replaced.
@@ -75,8 +101,9 @@
 		// Nobody called the idle worker, so when it was lost isn't known.
 		return
 	}
+	silentSince := s.silentSince(ws)
 	loss := workerLoss{
-		silentSince: s.silentSince(ws), ages: map[*job]time.Duration{},
+		silentSince: silentSince, watched: s.answeredWatch(ws, silentSince.Add(-lossWindow)), ages: map[*job]time.Duration{},
 		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), earlier: s.losses[ws.entry.Address].allExplained(),
 		startedAtMs: ws.startedAtMs,
 	}
@@ -155,22 +182,24 @@
 	return other.lostWith(c.job, c.age) || (c.age < promptCrashTime && other.explained)
 }
 
-// countLosses returns how many workers in use were lost between two times for other causes, and how many were in use. It leaves out the
-// worker at the address.
-func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause) (lost, used int) {
+// countLosses returns how many observed workers were lost between two times for other causes, and how many were observed: those in use, and
+// with idle also idle ones if they were watched throughout. It leaves out the worker at the address.
+func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause, idle bool) (lost, observed int) {
+	watched := idle && s.now.Before(s.idleWatch.until) && !from.Before(s.idleWatch.from)
 	seen := map[string]bool{}
 	for address, loss := range s.losses {
-		if len(loss.ages) > 0 && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
+		if (len(loss.ages) > 0 || (watched && loss.watched)) && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
 			seen[address] = true
 		}
 	}
-	used = len(seen)
+	observed = len(seen)
 	for _, ws := range s.workers {
-		if address := ws.entry.Address; !seen[address] && address != exceptAt && len(ws.members) > 0 {
-			used++
+		known := len(ws.members) > 0 || (watched && s.answeredWatch(ws, from))
+		if address := ws.entry.Address; !seen[address] && address != exceptAt && known {
+			observed++
 		}
 	}
-	return len(seen), used
+	return len(seen), observed
 }
 
 // evidence returns what the loss of a worker shows about a member on it, provided that the worker's incarnation has ended: the
@@ -193,7 +222,7 @@
 		return 0, "tasks of other jobs were lost too"
 	}
 	coincidence := s.coincidence(ws, c, period)
-	if coincidence >= 1 || (period > promptCrashTime && coincidence > maxCoincidence) {
+	if coincidence >= 1 || (!c.prompt() && coincidence > maxCoincidence) {
 		return 0, "a worker is often lost in that time"
 	}
 	return float32(-math.Log10(coincidence)), ""
@@ -202,20 +231,35 @@
 // coincidence returns the probability that a worker is lost in the given period of a member's run if the member isn't the cause.
 func (s *session) coincidence(ws *workerState, c lostMember, period time.Duration) float64 {
 	cause, at, silentSince := c.run.unit.lossCause(c.age), ws.entry.Address, s.silentSince(ws)
+	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address. That idle
+	// workers are still there makes no loss stranger: those in use may be lost more often.
+	highest := max(s.estimateLosses(at, silentSince, c, period, false), s.estimateLosses(at, silentSince, c, period, true))
+	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
+		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
+	}
+	return highest
+}
+
+// estimateLosses returns the probability that a worker at an address is lost in a period of a member's run, from other losses around a
+// time; see countLosses.
+func (s *session) estimateLosses(at string, silentSince time.Time, c lostMember, period time.Duration, idle bool) float64 {
+	cause := c.run.unit.lossCause(c.age)
 	from, to := silentSince.Add(-lossWindow), silentSince.Add(lossWindow)
 	if to.After(s.now) {
 		to = s.now
 	}
-	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address.
-	lost, used := s.countLosses(from, to, at, cause)
-	highest := (float64(lost) + unseenLosses) / (float64(used) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
-	if lost, used := s.countLosses(silentSince.Add(-simultaneous), silentSince.Add(simultaneous), at, cause); lost > 0 {
-		highest = max(highest, float64(lost)/float64(used))
+	lost, observed := s.countLosses(from, to, at, cause, idle)
+	around := (float64(lost) + unseenLosses) / (float64(observed) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
+	from, to = silentSince.Add(-simultaneous), silentSince.Add(simultaneous)
+	lost, observed = s.countLosses(from, to, at, cause, idle)
+	if lost >= minLostTogether && !c.prompt() {
+		// Tasks that had started together have the same age, whatever the cause is.
+		lost, observed = s.countLosses(from, to, at, lossCause{age: c.age}, idle)
 	}
-	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
-		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
+	if lost == 0 {
+		return around
 	}
-	return highest
+	return max(around, float64(lost)/float64(observed))
 }
 
 // inheritedEvidence returns the evidence that a loss under a unit adds which an earlier owner noticed at an address. That owner may not have
@@ -224,7 +268,7 @@
 	if !s.knowsRuns() {
 		return recorded
 	}
-	lost, used := s.countLosses(s.startedAt, s.startedAt.Add(lossWindow), at, u.lossCause(0))
+	lost, used := s.countLosses(s.startedAt, s.startedAt.Add(lossWindow), at, u.lossCause(0), false)
 	for _, ws := range s.workers {
 		if len(ws.members) > 0 && !ws.confirmed && !ws.unresponsive && ws.entry.Address != at {
 			lost++
@@ -278,6 +322,6 @@
 
 // losingWorkers reports whether so many workers are being lost that a loss now would show little.
 func (s *session) losingWorkers() bool {
-	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", lossCause{})
+	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", lossCause{}, false)
 	return float64(lost) > calmRate*lossWindow.Seconds()*float64(used)
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -152,7 +152,7 @@
 	all := s.lostMembers(ws, mayHaveStarted)
 	for _, lost := range all {
 		cause := lost.run.unit.lossCause(lost.age)
-		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause)
+		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause, false)
 		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member))
 		_, known := ws.suspects[lost.name]
 		switch {
