A later owner counts the longest lease for starts that were not answered

A worker crashes, is back under its id but out of reach, and carries out a start order that was sent to its former incarnation; the lease counts from then by a clock that began anew. The successor relied on the record of the final lease, which was counted by the former clock.

The record names such tasks like those that may have caused the loss: the successor counts the longest lease for them from its own claim, as it did before there were records. Found by a review of one new to the work, who also proposed this.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -144,7 +144,7 @@
 }
 
 // updateSuspects finds the tasks that may have caused the loss of a worker, as far as that isn't known to this owner for certain: they had
-// just started, and no other worker was lost. Unless first is true, it only updates the evidence against those that are known.
+// just started, and no other worker was lost; and those that may start yet. Unless first is true, it only updates the evidence against those that are known.
 func (s *session) updateSuspects(ws *workerState, first bool) {
 	if first {
 		ws.suspects = map[string]float32{}
@@ -153,7 +153,7 @@
 	for _, lost := range all {
 		cause := lost.run.unit.lossCause(lost.age)
 		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause, false)
-		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member))
+		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member)) || lost.startMayBeUnderway()
 		_, known := ws.suspects[lost.name]
 		switch {
 		case known && lost.age < 0: // the evidence of an earlier owner stays as it was
@@ -166,6 +166,12 @@
 	}
 }
 
+// startMayBeUnderway reports whether a start order for a lost member may still be carried out: it wasn't answered. If the next incarnation
+// does so, which has a clock of its own, the lease counts from then.
+func (l lostMember) startMayBeUnderway() bool {
+	return l.startSent && (l.lastPhase == starting || l.mayBeDelayed)
+}
+
 // mayHaveJustStarted reports whether a task that an earlier owner started may have run for less than promptCrashTime when its worker fell
 // silent. The clocks of two owners may differ, which only makes more or fewer suspects.
 func (s *session) mayHaveJustStarted(m *member) bool {
