Idle workers that are still there make the silence of a worker no stranger

Cause: the idle workers that were still there made each loss stranger than those in use alone (1.8 to 2.6 instead of 1.5), and the job was given up after four; silence and no entry for 20 s count as certain.

While no other incarnation has answered, the higher of two estimates counts: that from the workers in use, and that from all that were watched. The hold for a time with few losses, and the suspects in a lease's record, count workers in use only, as on.

Failed try: the higher estimate for every loss.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -178,7 +178,7 @@
 		}
 		c.crashCounted = true
 		s.watchIdleWorkers()
-		evidence, doubt := s.evidence(ws, c, lost)
+		evidence, doubt := s.evidence(ws, sign, c, lost)
 		u.lostAt[ws.entry.Address] = s.silentSince(ws)
 		counted = append(counted, countedCrash{member: c.member, evidence: evidence})
 		u.crashes.add(c.index, memberCount(u), c.age, evidence)
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -183,9 +183,9 @@
 }
 
 // countLosses returns how many observed workers were lost between two times for other causes, and how many were observed: those in use, and
-// idle ones if they were watched throughout. It leaves out the worker at the address.
-func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause) (lost, observed int) {
-	watched := s.now.Before(s.idleWatch.until) && !from.Before(s.idleWatch.from)
+// with idle also idle ones if they were watched throughout. It leaves out the worker at the address.
+func (s *session) countLosses(from, to time.Time, exceptAt string, cause lossCause, idle bool) (lost, observed int) {
+	watched := idle && s.now.Before(s.idleWatch.until) && !from.Before(s.idleWatch.from)
 	seen := map[string]bool{}
 	for address, loss := range s.losses {
 		if (len(loss.ages) > 0 || (watched && loss.watched)) && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
@@ -204,7 +204,7 @@
 
 // evidence returns what the loss of a worker shows about a member on it, provided that the worker's incarnation has ended: the
 // decimal digits of the probability that it is a coincidence. If it shows nothing, doubt says why.
-func (s *session) evidence(ws *workerState, c lostMember, lost []lostMember) (evidence float32, doubt string) {
+func (s *session) evidence(ws *workerState, sign lossSign, c lostMember, lost []lostMember) (evidence float32, doubt string) {
 	u := c.run.unit
 	// A task that is the cause loses its workers right after the start, or at the same age each time.
 	period := max(promptCrashTime, c.age)
@@ -219,7 +219,7 @@
 	case slices.ContainsFunc(lost, func(o lostMember) bool { return o.run.unit.step.job != u.step.job && o.prompt() == c.prompt() }):
 		return 0, "tasks of other jobs were lost too"
 	}
-	coincidence := s.coincidence(ws, c, period)
+	coincidence := s.coincidence(ws, sign, c, period)
 	if coincidence >= 1 || (!c.prompt() && coincidence > maxCoincidence) {
 		return 0, "a worker is often lost in that time"
 	}
@@ -227,28 +227,40 @@
 }
 
 // coincidence returns the probability that a worker is lost in the given period of a member's run if the member isn't the cause.
-func (s *session) coincidence(ws *workerState, c lostMember, period time.Duration) float64 {
+func (s *session) coincidence(ws *workerState, sign lossSign, c lostMember, period time.Duration) float64 {
 	cause, at, silentSince := c.run.unit.lossCause(c.age), ws.entry.Address, s.silentSince(ws)
+	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address. That idle
+	// workers are still there makes silence no stranger: a worker that is out of reach isn't lost.
+	highest := s.estimateLosses(at, silentSince, c, period, true)
+	if !sign.certain() {
+		highest = max(highest, s.estimateLosses(at, silentSince, c, period, false))
+	}
+	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
+		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
+	}
+	return highest
+}
+
+// estimateLosses returns the probability that a worker at an address is lost in a period of a member's run, from other losses around a
+// time; see countLosses.
+func (s *session) estimateLosses(at string, silentSince time.Time, c lostMember, period time.Duration, idle bool) float64 {
+	cause := c.run.unit.lossCause(c.age)
 	from, to := silentSince.Add(-lossWindow), silentSince.Add(lossWindow)
 	if to.After(s.now) {
 		to = s.now
 	}
-	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address.
-	lost, used := s.countLosses(from, to, at, cause)
-	highest := (float64(lost) + unseenLosses) / (float64(used) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
+	lost, observed := s.countLosses(from, to, at, cause, idle)
+	around := (float64(lost) + unseenLosses) / (float64(observed) + unseenLosses) / to.Sub(from).Seconds() * period.Seconds()
 	from, to = silentSince.Add(-simultaneous), silentSince.Add(simultaneous)
-	lost, used = s.countLosses(from, to, at, cause)
+	lost, observed = s.countLosses(from, to, at, cause, idle)
 	if lost >= minLostTogether && !c.prompt() {
 		// Tasks that had started together have the same age, whatever the cause is.
-		lost, used = s.countLosses(from, to, at, lossCause{age: c.age})
+		lost, observed = s.countLosses(from, to, at, lossCause{age: c.age}, idle)
 	}
-	if lost > 0 {
-		highest = max(highest, float64(lost)/float64(used))
+	if lost == 0 {
+		return around
 	}
-	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
-		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
-	}
-	return highest
+	return max(around, float64(lost)/float64(observed))
 }
 
 // lostBefore returns when a worker at the same address was last lost before a time, under the unit, if one is given, or for no known cause;
@@ -295,6 +307,6 @@
 
 // losingWorkers reports whether so many workers are being lost that a loss now would show little.
 func (s *session) losingWorkers() bool {
-	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", lossCause{})
+	lost, used := s.countLosses(s.now.Add(-lossWindow), s.now, "", lossCause{}, false)
 	return float64(lost) > calmRate*lossWindow.Seconds()*float64(used)
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -69,7 +69,7 @@
 	var names []string
 	for _, lost := range s.lostMembers(ws, mayHaveStarted) {
 		cause := lost.run.unit.lossCause(lost.age)
-		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause)
+		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause, false)
 		if (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member)) {
 			names = append(names, lost.name)
 		}
