--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -181,7 +181,7 @@
 		}
 		c.crashCounted = true
 		s.watchIdleWorkers()
-		evidence, doubt := s.evidence(ws, c, lost)
+		evidence, doubt := s.evidence(ws, sign, c, lost)
 		u.lostAt[ws.entry.Address] = s.silentSince(ws)
 		crash := countedCrash{member: c.member, evidence: evidence, address: ws.entry.Address, inherited: c.age < 0}
 		counted = append(counted, crash)
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -204,7 +204,7 @@
 
 // evidence returns what the loss of a worker shows about a member on it, provided that the worker's incarnation has ended: the
 // decimal digits of the probability that it is a coincidence. If it shows nothing, doubt says why.
-func (s *session) evidence(ws *workerState, c lostMember, lost []lostMember) (evidence float32, doubt string) {
+func (s *session) evidence(ws *workerState, sign lossSign, c lostMember, lost []lostMember) (evidence float32, doubt string) {
 	u := c.run.unit
 	// A task that is the cause loses its workers right after the start, or at the same age each time.
 	period := max(promptCrashTime, c.age)
@@ -221,7 +221,7 @@
 	case slices.ContainsFunc(lost, func(o lostMember) bool { return o.run.unit.step.job != u.step.job && o.prompt() == c.prompt() }):
 		return 0, "tasks of other jobs were lost too"
 	}
-	coincidence := s.coincidence(ws, c, period)
+	coincidence := s.coincidence(ws, sign, c, period)
 	if coincidence >= 1 || (!c.prompt() && coincidence > maxCoincidence) {
 		return 0, "a worker is often lost in that time"
 	}
@@ -229,11 +229,14 @@
 }
 
 // coincidence returns the probability that a worker is lost in the given period of a member's run if the member isn't the cause.
-func (s *session) coincidence(ws *workerState, c lostMember, period time.Duration) float64 {
+func (s *session) coincidence(ws *workerState, sign lossSign, c lostMember, period time.Duration) float64 {
 	cause, at, silentSince := c.run.unit.lossCause(c.age), ws.entry.Address, s.silentSince(ws)
 	// The highest estimate counts: of the losses around, of those that may have the same cause, and of those at the same address. That idle
-	// workers are still there makes no loss stranger: those in use may be lost more often.
-	highest := max(s.estimateLosses(at, silentSince, c, period, false), s.estimateLosses(at, silentSince, c, period, true))
+	// workers are still there makes silence no stranger: a worker that is out of reach isn't lost.
+	highest := s.estimateLosses(at, silentSince, c, period, true)
+	if !sign.certain() {
+		highest = max(highest, s.estimateLosses(at, silentSince, c, period, false))
+	}
 	if before := s.lostBefore(ws, c.run.unit, c.startSentAt, cause); !before.IsZero() {
 		highest = max(highest, min(1, period.Seconds()/c.startSentAt.Sub(before).Seconds()))
 	}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -161,7 +161,7 @@
 		case lost.stopReason != "":
 			ws.suspects[lost.name] = 0
 		default:
-			ws.suspects[lost.name], _ = s.evidence(ws, lost, all)
+			ws.suspects[lost.name], _ = s.evidence(ws, signSilence, lost, all)
 		}
 	}
 }
