--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -13,7 +13,7 @@
 // allowed reports whether a unit may run on a worker, regardless of free resources. A gang, and a unit on its last attempt,
 // uses a worker on trial only after maxTrialWait.
 func (s *planState) allowed(unit *Unit, worker *Worker) bool {
-	if !worker.Usable && !s.mayUseSuspect(unit, worker) {
+	if !worker.Usable && !s.mayUseUnhealthy(unit, worker) {
 		return false
 	}
 	if worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
@@ -37,9 +37,9 @@
 	return HasRequiredLabel(unit.Step, worker.Labels)
 }
 
-// mayUseSuspect reports whether a unit may run on a worker that isn't usable only because of what has failed there.
-func (s *planState) mayUseSuspect(unit *Unit, worker *Worker) bool {
-	if !worker.Suspect || !unit.anyWorker {
+// mayUseUnhealthy reports whether a unit may run on a worker that isn't usable only because of what has failed there.
+func (s *planState) mayUseUnhealthy(unit *Unit, worker *Worker) bool {
+	if !worker.Unhealthy || !unit.anyWorker {
 		return false
 	}
 	return !worker.Quarantined || unit.Step.GetLongRunning() || s.Now.Sub(unit.WaitingSince) >= idleRiskWait
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -36,8 +36,8 @@
 
 // serve decides on the units in their order.
 func (s *planState) serve(units []*Unit) {
-	// The units of a step need the same: if one of them can't be placed, those that follow can't either, as they have waited for less
-	// time, unless it avoids workers or is on its last attempt.
+	// Units of a step need the same and are ranked by waiting time, so if one can't be placed, the next can't either, unless they differ
+	// in the workers that they avoid or in LastAttempt.
 	type group struct {
 		step        replica.Task
 		lastAttempt bool
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -28,7 +28,7 @@
 type pool struct {
 	workers []*Worker
 	racks   []rack
-	// idle is true if the snapshot has more free cores than idlePoolShare.
+	// idle is true if more than idlePoolShare of the pool's cores are free.
 	idle bool
 }
 
@@ -127,7 +127,7 @@
 		worker := s.workers[id]
 		worker.Empty = false
 		if worker.OnTrial || unit.OnProbation || unit.Exclusive {
-			worker.Usable, worker.Suspect = false, false
+			worker.Usable, worker.Unhealthy = false, false
 		}
 		worker.starting = worker.starting || !afterStops
 		if unit.TasksPerWorker != nil {
--- a/internal/assign/preference.go
+++ b/internal/assign/preference.go
@@ -6,26 +6,24 @@
 )
 
 const (
-	// idlePreferenceWait limits how long a unit waits for workers that it prefers while its service is mostly idle and its job has
-	// nothing running: the job must run within 3 s then, and planning and starting take a part of that.
+	// idlePreferenceWait limits how long a unit waits for preferred workers while its service is mostly idle and its job has no run.
 	idlePreferenceWait = 1500 * time.Millisecond
 	// idleRiskWait is the same limit where a start is likely to fail: in quarantine, and on trial for a unit on its last attempt.
 	idleRiskWait = 2500 * time.Millisecond
-	// lastingPreferenceWait is the same limit for a long-running task, however full its service is: it must run again within 9 s of
-	// its last run.
-	lastingPreferenceWait = 4 * time.Second
+	// longRunningPreferenceWait is the same limit for a long-running task, however full its service is.
+	longRunningPreferenceWait = 4 * time.Second
 	// unlimitedWait is the longest wait of a unit that would wait until a preferred worker has room.
 	unlimitedWait = time.Duration(math.MaxInt64)
 )
 
-// preferenceWait returns how long a unit waits for workers that it prefers while others have room for it, if it would wait for
-// longest without a limit.
+// preferenceWait returns how long a unit waits for preferred workers while others have room for it: longest, unless a shorter limit
+// applies.
 func (s *planState) preferenceWait(unit *Unit, longest time.Duration) time.Duration {
 	if s.standsIdle(unit) {
 		longest = min(longest, idlePreferenceWait)
 	}
 	if unit.Step.GetLongRunning() {
-		longest = min(longest, lastingPreferenceWait)
+		longest = min(longest, longRunningPreferenceWait)
 	}
 	return longest
 }
--- a/internal/assign/preference_test.go
+++ b/internal/assign/preference_test.go
@@ -84,7 +84,7 @@
 			build := newScene().workers(4, 4).waiting("a", 2, gang, waited(test.waited), attempt)
 			for i := range build.snapshot.Workers {
 				worker := &build.snapshot.Workers[i]
-				worker.Usable, worker.OnTrial, worker.Suspect, worker.Quarantined = false, true, true, test.quarantined
+				worker.Usable, worker.OnTrial, worker.Unhealthy, worker.Quarantined = false, true, true, test.quarantined
 				build.running("b", 2, step(1, 1), 50, worker.ID)
 			}
 			if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != test.want {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -74,9 +74,9 @@
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
 	// it then gets one unit at a time.
 	Usable, OnTrial bool
-	// Suspect is true if the worker would be usable, but failed lately: it is in quarantine, as Quarantined tells, or on trial with a unit.
+	// Unhealthy is true if only recent failures make the worker unusable: it is in quarantine, as Quarantined tells, or on trial and busy.
 	// Only units that have waited for long enough start there.
-	Suspect, Quarantined bool
+	Unhealthy, Quarantined bool
 	// Gone is true if the worker doesn't answer, or isn't listed: what it may still run isn't in use for any caller.
 	Gone bool
 	// Empty is true if nothing runs on the worker.
@@ -133,7 +133,7 @@
 	ahead   int
 	// needsUrgentOnly is true if the unit fits only with workers that are kept for urgent units.
 	needsUrgentOnly bool
-	// anyWorker is true if the unit has waited for long enough, and only workers that it would avoid have room for it.
+	// anyWorker is true if the unit has exceeded its preferenceWait and fits only with workers that it would avoid.
 	anyWorker bool
 }
 
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -17,7 +17,7 @@
 	ageTolerance = 100 * time.Millisecond
 	// simultaneous is the time within which losses may have one cause.
 	simultaneous = 250 * time.Millisecond
-	// minLostTogether is the number of workers, lost twice at one time under other jobs, from which such losses have one cause.
+	// minLostTogether is how many workers must be lost together twice, under other jobs, for their losses to count as one event.
 	minLostTogether = 2
 	// unseenLosses is added to the losses of a period: none in it doesn't mean that workers are never lost.
 	unseenLosses = 0.5
@@ -55,10 +55,10 @@
 type workerLoss struct {
 	silentSince time.Time
 	explained   bool
-	// previous is when a worker at the same address was lost before without such an explanation; zero if none was. earlier are the losses
-	// there with one.
-	previous time.Time
-	earlier  []workerLoss
+	// previous is when a worker at the same address was lost before without such an explanation; zero if none was. explainedBefore has
+	// the earlier losses there with one.
+	previous        time.Time
+	explainedBefore []workerLoss
 	// startedAtMs is the start of the incarnation that was lost.
 	startedAtMs int64
 	// ages are the times for which the tasks of each job had run on the worker; one of them if it had several.
@@ -104,7 +104,7 @@
 	silentSince := s.silentSince(ws)
 	loss := workerLoss{
 		silentSince: silentSince, watched: s.answeredWatch(ws, silentSince.Add(-lossWindow)), ages: map[*job]time.Duration{},
-		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), earlier: s.losses[ws.entry.Address].allExplained(),
+		previous: s.losses[ws.entry.Address].unexplainedBefore(s.now), explainedBefore: s.losses[ws.entry.Address].allExplained(),
 		startedAtMs: ws.startedAtMs,
 	}
 	for _, l := range lost {
@@ -137,13 +137,13 @@
 // allExplained returns the explained losses at the address, those in lossMemory before the latest.
 func (l workerLoss) allExplained() []workerLoss {
 	var all []workerLoss
-	for _, earlier := range l.earlier {
+	for _, earlier := range l.explainedBefore {
 		if l.silentSince.Sub(earlier.silentSince) <= lossMemory {
 			all = append(all, earlier)
 		}
 	}
 	if l.explained {
-		l.earlier = nil
+		l.explainedBefore = nil
 		all = append(all, l)
 	}
 	return all
@@ -156,7 +156,7 @@
 	case loss.previous.IsZero():
 		delete(s.losses, ws.entry.Address)
 	default:
-		s.losses[ws.entry.Address] = workerLoss{silentSince: loss.previous, earlier: loss.earlier}
+		s.losses[ws.entry.Address] = workerLoss{silentSince: loss.previous, explainedBefore: loss.explainedBefore}
 	}
 }
 
@@ -188,7 +188,9 @@
 	watched := idle && s.now.Before(s.idleWatch.until) && !from.Before(s.idleWatch.from)
 	seen := map[string]bool{}
 	for address, loss := range s.losses {
-		if (len(loss.ages) > 0 || (watched && loss.watched)) && address != exceptAt && !loss.silentSince.Before(from) && !loss.silentSince.After(to) && !cause.explains(loss) {
+		counts := len(loss.ages) > 0 || (watched && loss.watched)
+		within := !loss.silentSince.Before(from) && !loss.silentSince.After(to)
+		if counts && within && address != exceptAt && !cause.explains(loss) {
 			seen[address] = true
 		}
 	}
@@ -300,8 +302,8 @@
 	return before
 }
 
-// lostTogether reports whether a worker is one of several that are lost together again: their losses have one cause. They were lost under
-// other jobs at an earlier time, when a worker was lost under the unit, and are lost now.
+// lostTogether reports whether a worker is one of at least minLostTogether that were lost under other jobs at the time of an earlier loss
+// under the unit, and are lost together again. Such losses have a cause outside the unit.
 func (s *session) lostTogether(ws *workerState, u *unit, earlier time.Time) bool {
 	if !s.losses[ws.entry.Address].lostBeside(u, earlier) {
 		return false
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -9,20 +9,18 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
-// minSilence is how long a worker must have left all calls unanswered for its lease to be recorded as final: one that answers again
-// soon costs no record. The worker of a run on probation is probably gone.
+// minSilence is the silence after which a worker's lease is recorded as final; a shorter one isn't worth a record. The worker of a run on
+// probation is probably gone.
 const minSilence = 500 * time.Millisecond
 
 // maxClaimTime is the time within which an instance claims the ownership after its holder was lost, while the store answers; see package
 // leadership.
 const maxClaimTime = 3200 * time.Millisecond
 
-// finalLeaseInterval is the interval between two records of a final lease: an instance that starts counts the time that is left from then.
+// finalLeaseInterval is how often a final lease is recorded again: a restarted instance counts the remaining time from when it reads the
+// record.
 const finalLeaseInterval = time.Second
 
-// usualLeasesInterval is the interval between two records of the runs whose workers hold usual leases.
-const usualLeasesInterval = 500 * time.Millisecond
-
 // leaseState is what the store may hold about a worker's lease.
 type leaseState int
 
@@ -42,62 +40,6 @@
 	return ws.clockMs > 0 && !ws.unresponsive && ws.lostPolls == 0 && ws.lease == renewable && !s.suspended() && !s.breaksUsualLease(ws)
 }
 
-// usualLease is the length of the leases that owners ask for.
-func (s *session) usualLease() time.Duration { return min(s.Options.MaxLease, leaseDuration) }
-
-// breaksUsualLease reports whether a worker may hold a lease that is longer than usual if an order with a lease was sent now, although later
-// owners rely on a record of usual leases.
-func (s *session) breaksUsualLease(ws *workerState) bool {
-	if float64(s.now.Sub(ws.clockReadAt))*(clockDriftFactor-1) <= float64(maxDriftAllowance) {
-		return false
-	}
-	for _, m := range ws.members {
-		if m.run.usualLeases {
-			return true
-		}
-	}
-	return false
-}
-
-// checkUsualLeases records that the workers of a run hold no longer leases than usual, once that is certain and a later owner would have to
-// count with longer ones.
-func (s *session) checkUsualLeases(r *run) {
-	if r.usualLeases || r.stopReason != "" || r.unit.run != r || s.usualLease() == s.Options.MaxLease {
-		return
-	}
-	for _, m := range r.members {
-		if m.phase != finished && !s.holdsUsualLease(m) {
-			return
-		}
-	}
-	r.usualLeases = true
-	s.unrecordedLeases = append(s.unrecordedLeases, r)
-}
-
-// holdsUsualLease reports whether the worker of a member certainly holds no longer lease than usual for it. A report has listed it, and no start
-// of it can be on its way, so it is in the incarnation whose clock was read; this is the first one that has answered this owner,
-// so it got no order with the clock of a former one; and no longer lease is left of before.
-func (s *session) holdsUsualLease(m *member) bool {
-	ws := m.worker
-	startedOnce := !m.reportedAt.IsZero() && !m.startCopied && m.unansweredStarts == 0 && ws.ordersInFlight == 0
-	firstIncarnation := ws.confirmed && ws.startedAtMs != 0 && !ws.restarted
-	return startedOnce && firstIncarnation && !ws.leaseEnd.After(s.leaseEndsBy(s.usualLease()))
-}
-
-// recordUsualLeases records the runs that checkUsualLeases has found.
-func (s *session) recordUsualLeases() {
-	if s.now.Sub(s.usualLeasesRecordedAt) < usualLeasesInterval {
-		return
-	}
-	s.usualLeasesRecordedAt = s.now
-	for _, r := range s.unrecordedLeases {
-		if r.unit.run == r && !r.unit.step.job.hasEnded() {
-			s.recordLatestRun(r.unit, nil)
-		}
-	}
-	s.unrecordedLeases = nil
-}
-
 // recordFinalLease records when the lease of a worker ends that doesn't answer, or that isn't listed and hasn't answered this owner, if
 // tasks may be there. A later owner that can't reach the worker either would have to count from its own claim otherwise.
 func (s *session) recordFinalLease(ws *workerState) {
@@ -143,8 +85,9 @@
 	return suspected
 }
 
-// updateSuspects finds the tasks that may have caused the loss of a worker, as far as that isn't known to this owner for certain: they had
-// just started, and no other worker was lost; and those that may start yet. Unless first is true, it only updates the evidence against those that are known.
+// updateSuspects finds the tasks that may have caused the loss of a worker: those that had just started there, by this owner while no other
+// worker was lost, or possibly by an earlier one; and those that may start yet. Unless first is true, it only updates the evidence
+// against those that are known.
 func (s *session) updateSuspects(ws *workerState, first bool) {
 	if first {
 		ws.suspects = map[string]float32{}
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -11,10 +11,10 @@
 const (
 	// maxExclusiveWait is how long a suspect unit waits for workers that run nothing else, and for a time in which few others are
 	// lost: one that is the cause may start only a few times more. maxFirstExclusiveWait is the same after its first crash, when
-	// most suspects only ran beside the cause. A long-running unit, which has to be back soon, waits for maxLastingExclusiveWait.
-	maxExclusiveWait        = 10 * time.Second
-	maxLastingExclusiveWait = 3 * time.Second
-	maxFirstExclusiveWait   = 500 * time.Millisecond
+	// most suspects only ran beside the cause. A long-running unit, which has to be back soon, waits for maxLongRunningExclusiveWait.
+	maxExclusiveWait            = 10 * time.Second
+	maxLongRunningExclusiveWait = 3 * time.Second
+	maxFirstExclusiveWait       = 500 * time.Millisecond
 	// maxSettledWait is how much longer a suspect unit waits for workers on which nothing has just started: if two tasks that had are lost
 	// together, neither shows that it is the cause.
 	maxSettledWait = promptCrashTime
@@ -94,7 +94,7 @@
 	case !u.crashedRepeatedly():
 		return maxFirstExclusiveWait
 	case u.step.spec.GetLongRunning():
-		return maxLastingExclusiveWait
+		return maxLongRunningExclusiveWait
 	case s.hasSteadyTerm():
 		return maxExclusiveWait
 	}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -22,7 +22,7 @@
 	r.s.post(func() {
 		for id, ws := range r.s.workers {
 			if ws.listed && !keys[id] {
-				ws.listed, ws.moved, r.s.dirty = false, nil, true
+				ws.listed, ws.newAddress, r.s.dirty = false, nil, true
 			}
 		}
 	})
@@ -41,14 +41,14 @@
 	entry, ok := s.DecodeWorker(record)
 	if !ok {
 		if known, listed := s.workers[record.Key]; listed && len(record.Value) == 0 {
-			known.listed, known.moved = false, nil
+			known.listed, known.newAddress = false, nil
 			s.dirty = true
 		}
 		return
 	}
 	ws := s.worker(entry.ID)
 	if ws.confirmed && ws.entry.Address != entry.Address {
-		s.recordMove(ws, entry)
+		s.recordNewAddress(ws, entry)
 		return
 	}
 	if !s.mayServe(ws, entry.Service) {
@@ -65,6 +65,6 @@
 	if entry.Draining && (!ws.entry.Draining || !ws.listed) {
 		ws.leavesAt = s.now.Add(entry.Remaining)
 	}
-	ws.entry, ws.heardAt, ws.moved, ws.listed, ws.replaced = entry, s.now, nil, true, false
+	ws.entry, ws.heardAt, ws.newAddress, ws.listed, ws.replaced = entry, s.now, nil, true, false
 	s.checkWorker(ws)
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -376,7 +376,7 @@
 			r.unrecordedEnd = s.now
 		}
 		if reason == worker.LeaseExpired {
-			// The record of its worker's final lease may be deleted next.
+			// The next record may delete the worker's final lease: without this one a later owner would wait for that worker again.
 			s.recordEnds(r)
 		}
 		if reason != worker.Done && r.stopReason == "" {
--- a/internal/dispatch/runchecks.go
+++ b/internal/dispatch/runchecks.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// endRecordDelay is how long after the end of a member its run is recorded again if others are still on their workers: all usually end
+// endRecordDelay is how long after the end of a member its run is recorded again if others are still on their workers. Members usually end
 // together.
 const endRecordDelay = 500 * time.Millisecond
 
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -16,7 +16,7 @@
 		free, freeing := ws.free()
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Suspect: s.suspect(ws),
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
@@ -107,9 +107,9 @@
 	case others && !u.crashedRepeatedly():
 		return "workers crashed under one of its tasks: the others wait until that task runs without a crash"
 	case u.awaitsVerdict(s.now):
-		return "it is probably given up once it is certain that a worker that fell silent under it is gone"
+		return "a worker fell silent under it: it waits until it is certain whether that worker has crashed"
 	case exclusive && u.crashedRepeatedly() && (s.losingWorkers() || !s.hasSteadyTerm()):
-		return "workers crashed under it: it waits for a time in which few others are lost"
+		return "workers crashed under it: it waits until fewer workers are being lost"
 	}
 	return ""
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -62,8 +62,8 @@
 	entry worker.RegistryEntry
 	// heardAt is when the entry was last read.
 	heardAt time.Time
-	// moved is the registry's entry if it has another address than the worker has answered at; nil if not.
-	moved *movedEntry
+	// newAddress is the registry's entry if it has another address than the worker has answered at; nil if not.
+	newAddress *newAddress
 	// listed is true if the registry lists the worker; confirmed is true once it has accepted this epoch and reported
 	// what it runs.
 	listed, confirmed bool
@@ -141,7 +141,7 @@
 	return s.accepting(ws) && !ws.health.Quarantined(s.now)
 }
 
-// accepting reports whether tasks may start on a worker, whatever has failed there.
+// accepting reports whether tasks may start on a worker, regardless of failures there.
 func (s *session) accepting(ws *workerState) bool {
 	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.clockMs > 0 && ws.lease == renewable && !ws.reserved &&
 		!ws.entry.Draining && !ws.unresponsive && ws.lostPolls == 0 && !ws.ignoresOrders(s.now) && s.mayStartIn(ws.entry.DataCentre)
@@ -161,8 +161,8 @@
 	return s.healthy(ws) && (!ws.health.OnTrial() || len(ws.members) == 0) && !ws.hasProbation()
 }
 
-// suspect reports whether a worker gets no new tasks only because of what has failed there.
-func (s *session) suspect(ws *workerState) bool {
+// unhealthy reports whether a worker gets no new tasks only because of what has failed there.
+func (s *session) unhealthy(ws *workerState) bool {
 	return s.accepting(ws) && !ws.hasProbation() && !s.usable(ws)
 }
 
@@ -309,8 +309,8 @@
 		s.countSilentLoss(ws, lost)
 	}
 	s.recordFinalLease(ws)
-	s.checkMove(ws)
-	if !ws.listed && ws.moved == nil && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
+	s.checkNewAddress(ws)
+	if !ws.listed && ws.newAddress == nil && len(ws.members) == 0 && !ws.polling && ws.pendingStores == 0 &&
 		(ws.replaced || ws.lastAcked >= ws.lastStored) {
 		s.releaseFinalLease(ws)
 		if ws.startedAtMs != 0 {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -163,7 +163,7 @@
 	return nil
 }
 
-// applyFinalLease keeps a worker's final lease. It lasts from now on: the record was submitted before.
+// applyFinalLease keeps a worker's final lease. The remaining time counts from now, which is after its submission.
 func (r *Replica) applyFinalLease(worker string, value []byte) error {
 	delete(r.finalLeases, worker)
 	if len(value) == 0 {
