A restarted owner doesn't wait for a predecessor that was its own former process

The successor counted, beside the lease, the 3.6 s for which an owner that is cut off may go on renewing leases. Often it is the same instance, restarted: its former process has ended. So has an owner that released the ownership.

Renewals of the ownership say now whether it is the sole one: it has lasted for so long that no earlier owner can renew leases any more. If such an owner is replaced after a release, or by its own instance, nobody is left who could renew, so only the lease counts, for runs with a record of usual leases. That record is also written where the longest lease isn't longer than the usual one.

TestRestartedSuccessorWaitsForIsolatedOwner guards against running twice: it fails if the record isn't asked whether the last ownership was the sole one.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -318,6 +318,7 @@
 	s.checkRuns()
 	s.logUnreachedRuns()
 	s.recordUsualLeases()
+	s.markSoleOwner()
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -142,7 +142,7 @@
 	if m.startSent && m.reportedAt.IsZero() && ws.restartedLeaseEnd.After(end) {
 		return ws.restartedLeaseEnd
 	}
-	if usual := s.earlierLeaseEnd(s.usualLease()); !ws.confirmed && m.run.usualLeases && usual.Before(end) && !s.mayHaveJustStarted(m) {
+	if usual := s.earlierUsualLeaseEnd(); !ws.confirmed && m.run.usualLeases && usual.Before(end) && !s.mayHaveJustStarted(m) {
 		return usual
 	}
 	return end
@@ -178,11 +178,26 @@
 // unrecordedLeaseEnd returns by when the longest lease has ended that an earlier owner may have renewed.
 func (s *session) unrecordedLeaseEnd() time.Time { return s.earlierLeaseEnd(s.Options.MaxLease) }
 
+// markSoleOwner lets renewals say when no earlier owner can renew leases any more.
+func (s *session) markSoleOwner() {
+	if s.now.Sub(s.term.ClaimedAt) > earlierOwnerWindow {
+		s.term.MarkSole()
+	}
+}
+
 // earlierLeaseEnd returns by when a lease of the given length has ended that an earlier owner renewed for as long as it could.
 func (s *session) earlierLeaseEnd(lease time.Duration) time.Time {
 	return s.term.ClaimedAt.Add(time.Duration(float64(lease)*clockDriftFactor) + earlierOwnerWindow)
 }
 
+// earlierUsualLeaseEnd returns by when a usual lease has ended that an earlier owner renewed.
+func (s *session) earlierUsualLeaseEnd() time.Time {
+	if s.term.EarlierOwnersEnded {
+		return s.term.ClaimedAt.Add(time.Duration(float64(s.usualLease())*clockDriftFactor) + messageMargin)
+	}
+	return s.earlierLeaseEnd(s.usualLease())
+}
+
 // releaseFinalLease deletes the record of a worker's final lease. The lease may be renewed once that is stored.
 func (s *session) releaseFinalLease(ws *workerState) {
 	if ws.lease != final {
--- a/internal/dispatch/usuallease.go
+++ b/internal/dispatch/usuallease.go
@@ -22,10 +22,9 @@
 	return false
 }
 
-// checkUsualLeases records that the workers of a run hold no longer leases than usual, once that is certain and a later owner would have to
-// count with longer ones.
+// checkUsualLeases records that the workers of a run hold no longer leases than usual, once that is certain.
 func (s *session) checkUsualLeases(r *run) {
-	if r.usualLeases || r.stopReason != "" || r.unit.run != r || s.usualLease() == s.Options.MaxLease {
+	if r.usualLeases || r.stopReason != "" || r.unit.run != r {
 		return
 	}
 	for _, m := range r.members {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -56,6 +56,11 @@
 	Appender *storelog.Appender
 	// ClaimedAt is when the append of the claim returned.
 	ClaimedAt time.Time
+	// EarlierOwnersEnded is true if no earlier owner can act any more: the last one released the ownership, or was a former process of
+	// this instance, and it had stored that those before it had ended.
+	EarlierOwnersEnded bool
+	// MarkSole makes renewals of the ownership say that no earlier owner can renew leases any more.
+	MarkSole func()
 	// StepDown ends the term at once, for a reason that the owner finds elsewhere, such as a worker that has seen a
 	// higher fencing token.
 	StepDown func(reason string)
@@ -209,8 +214,9 @@
 	if err != nil || storedEnd > end {
 		return appendedClaim{}, false
 	}
+	earlierEnded := latest.GetSole() && (latest.GetReleased() || latest.GetInstance() == c.instance)
 	owner := &storev1.Owner{
-		Instance: c.instance, Epoch: latest.GetEpoch() + 1, Claim: uuid.NewString(), CpuMillicores: c.cpu,
+		Instance: c.instance, Epoch: latest.GetEpoch() + 1, Claim: uuid.NewString(), CpuMillicores: c.cpu, Sole: earlierEnded,
 	}
 	record, err := replica.OwnerRecord(owner)
 	if err != nil {
@@ -265,7 +271,7 @@
 			endTerm(err)
 		}
 	})
-	renewal, err := replica.OwnerRecord(claim.owner)
+	renewal, err := newRenewal(claim.owner)
 	switch {
 	case err != nil:
 		endTerm(err)
@@ -275,8 +281,9 @@
 		c.setEpoch(epoch)
 		running.Go(func() { c.renew(term, appender, claim.owner, renewal, endTerm) })
 		c.runTerm(term, Term{
-			Epoch: epoch, Appender: appender, ClaimedAt: claim.at, StepDown: func(reason string) { endTerm(errors.New(reason)) },
-			Renew: func() *storelog.PendingAppend { return appender.Submit(renewal) },
+			Epoch: epoch, Appender: appender, ClaimedAt: claim.at, EarlierOwnersEnded: claim.owner.GetSole(), MarkSole: renewal.markSole,
+			StepDown: func(reason string) { endTerm(errors.New(reason)) },
+			Renew:    func() *storelog.PendingAppend { return appender.Submit(renewal.record()) },
 			Overloaded: func() {
 				if claim.mayYield && c.isWeak(time.Now()) {
 					endTerm(errYielded)
@@ -292,7 +299,7 @@
 		c.claimAfter = time.Now().Add(maxWeakerDelay + maxAgeDelay)
 	}
 	if ctx.Err() != nil || yielded {
-		c.release(appender, claim.owner, yielded)
+		c.release(appender, claim.owner, yielded, claim.owner.GetSole() || (renewal != nil && renewal.sole.Load()))
 	} else {
 		c.events.Log(events.OwnershipLost, "epoch", epoch, "reason", context.Cause(term))
 	}
@@ -303,7 +310,7 @@
 // renew appends the owner's record at every renewInterval until ctx ends, and ends the term when the replica has read a
 // claim with a higher epoch.
 func (c *Candidate) renew(
-	ctx context.Context, appender *storelog.Appender, owner *storev1.Owner, renewal storelog.Record,
+	ctx context.Context, appender *storelog.Appender, owner *storev1.Owner, renewal *renewal,
 	endTerm context.CancelCauseFunc,
 ) {
 	ticker := time.NewTicker(renewInterval)
@@ -321,17 +328,17 @@
 		case <-changed:
 		case <-ticker.C:
 			if last == nil || isClosed(last.Done()) {
-				last = appender.Submit(renewal)
+				last = appender.Submit(renewal.record())
 			}
 		}
 	}
 }
 
 // release appends the release of the ownership, so that another instance needn't wait for ownerTimeout.
-func (c *Candidate) release(appender *storelog.Appender, owner *storev1.Owner, yielded bool) {
+func (c *Candidate) release(appender *storelog.Appender, owner *storev1.Owner, yielded, sole bool) {
 	record, err := replica.OwnerRecord(&storev1.Owner{
 		Instance: owner.GetInstance(), Epoch: owner.GetEpoch(), Claim: owner.GetClaim(), CpuMillicores: owner.GetCpuMillicores(),
-		Released: true, Yielded: yielded,
+		Released: true, Yielded: yielded, Sole: sole,
 	})
 	if err != nil {
 		c.events.Log(events.OwnershipLost, "epoch", owner.GetEpoch(), "error", err)
--- a/internal/node/stored_lease_test.go
+++ b/internal/node/stored_lease_test.go
@@ -429,3 +429,54 @@
 		})
 	}
 }
+
+// Guards against jobs that have nothing running beside free workers after a restart of the owner: it counted how long an owner that is cut off
+// may go on, although the last one was its own former process.
+func TestLossWithRestartedOwnerWaitsForUsualLeaseOnly(t *testing.T) {
+	// The restarted owner claims within 1.5 s.
+	const maxWait = 1500*time.Millisecond + usualLease + 500*time.Millisecond
+	for _, maxLease := range []time.Duration{longLease, 6 * time.Second} {
+		runCluster(t, make([]float64, 3), 2, &cluster{maxLease: maxLease}, func(c *cluster) {
+			requireOK(c, c.submit(1, 2, "i0", tasks(1, 8, time.Minute)))
+			time.Sleep(15 * time.Second)
+			c.lose(c.workers.WorkerOf(id(1) + ".0.0.0"))
+			time.Sleep(300 * time.Millisecond)
+			owner := c.owner()
+			c.kill(owner)
+			time.Sleep(500 * time.Millisecond)
+			c.startNode(owner)
+			c.requireStarted(id(1)+".0.0.0", 2, maxWait)
+		})
+	}
+}
+
+// Guards against a task that runs twice at a time: an owner that is cut off renews the lease of a worker, and its successor is restarted soon
+// after its claim. That one has ended, but the one before it hasn't.
+func TestRestartedSuccessorWaitsForIsolatedOwner(t *testing.T) {
+	for restart := 200 * time.Millisecond; restart <= 5*time.Second; restart += 300 * time.Millisecond {
+		run(t, 3, 6, func(c *cluster) {
+			previous := c.owner()
+			requireOK(c, c.submit(0, 2, previous, tasks(12, 2, 40*time.Second)))
+			time.Sleep(15 * time.Second)
+			c.partition(previous, 2, 6)
+			c.setDown(previous, true)
+			next := previous
+			for next == previous {
+				time.Sleep(50 * time.Millisecond)
+				for name, n := range c.nodes {
+					if name != previous && n.Epoch() > 0 {
+						next = name
+					}
+				}
+			}
+			time.Sleep(restart)
+			c.kill(next)
+			time.Sleep(100 * time.Millisecond)
+			c.startNode(next)
+			time.Sleep(30 * time.Second)
+			c.setDown(previous, false)
+			c.heal()
+			c.await(0, 2, replica.Completed, 2*time.Minute)
+		})
+	}
+}
