Final leases name the tasks that may end later, and when

Cause: counted the longest lease for a start without an answer from the later owner's own claim, as for suspects.

Suspects wait as before.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -21,6 +21,9 @@
 // record.
 const finalLeaseInterval = time.Second
 
+// lateStartMargin is how long after a start order was sent a later owner expects that it may be carried out.
+const lateStartMargin = earlierOwnerWindow
+
 // leaseState is what the store may hold about a worker's lease.
 type leaseState int
 
@@ -46,17 +49,19 @@
 	silent := ws.unresponsive && (s.age(ws.silentSince) >= minSilence || ws.hasProbation())
 	unheard := !ws.confirmed && !ws.listed && s.registryRead && s.now.Sub(s.startedAt) > learnTimeout
 	due := ws.lease == renewable && (silent || unheard)
-	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval && s.now.Before(s.lastLeaseEnd(ws))
+	again := ws.lease == final && s.now.Sub(ws.leaseRecordedAt) >= finalLeaseInterval
 	if (!due && !again) || !ws.hasSentMembers() || s.storeRefuses || s.suspended() {
 		return
 	}
 	s.updateSuspects(ws, due)
-	left := s.lastLeaseEnd(ws).Sub(s.now)
+	end, later := s.finalLease(ws)
 	if due {
 		s.Events.Log(events.LeaseFinal, "worker", ws.id, "epoch", s.term.Epoch, "members", len(ws.members), "suspects", len(ws.suspects),
-			"lease_left_ms", left.Milliseconds())
+			"lease_left_ms", end.Sub(s.now).Milliseconds(), "later", len(later))
 	}
-	record, err := replica.FinalLeaseRecord(ws.id, ws.startedAtMs, left, ws.suspects)
+	record, err := replica.FinalLeaseRecord(ws.id, replica.FinalLease{
+		End: end, LaterEnds: later, Suspects: ws.suspects, WorkerStartMs: ws.startedAtMs,
+	}, s.now)
 	if err != nil {
 		s.term.StepDown(err.Error())
 		return
@@ -65,18 +70,36 @@
 	s.appendRecords(nil, record)
 }
 
-// lastLeaseEnd returns when the last of a worker's members has ended by its lease, except suspects: a later owner counts these by itself.
-func (s *session) lastLeaseEnd(ws *workerState) time.Time {
-	var last time.Time
+// finalLease returns when the members on a worker have ended by its lease, and by the name of each member that may end later when that one has.
+// Suspects are left out: a later owner counts these by itself.
+func (s *session) finalLease(ws *workerState) (end time.Time, later map[string]time.Time) {
+	later = map[string]time.Time{}
 	for _, m := range ws.members {
-		if end := s.leaseEnd(m); m.wasSent() && end.After(last) && !ws.suspected(m) {
-			last = end
+		memberEnd := s.leaseEnd(m)
+		_, inherited := ws.laterEnds[m.name]
+		switch {
+		case !m.wasSent() || ws.suspected(m):
+		case m.startMayBeUnderway():
+			later[m.name] = memberEnd.Add(lateStartMargin)
+		case inherited || m.isUnlisted():
+			later[m.name] = memberEnd
+		case memberEnd.After(end):
+			end = memberEnd
 		}
 	}
-	if last.IsZero() {
-		return ws.leaseEnd
+	if end.IsZero() {
+		end = ws.leaseEnd
 	}
-	return last
+	return end, later
+}
+
+// isUnlisted reports whether no report has listed a member yet that this owner has started.
+func (m *member) isUnlisted() bool { return m.startSent && m.reportedAt.IsZero() }
+
+// startMayBeUnderway reports whether a start order for a member may still be carried out: it wasn't answered. If the worker's next
+// incarnation does so, which has a clock of its own, the lease counts from then.
+func (m *member) startMayBeUnderway() bool {
+	return m.isUnlisted() && (m.phase == starting || m.mayBeDelayed)
 }
 
 // suspected reports whether the record of the worker's final lease names a member as a suspect.
@@ -86,8 +109,7 @@
 }
 
 // updateSuspects finds the tasks that may have caused the loss of a worker: those that had just started there, by this owner while no other
-// worker was lost, or possibly by an earlier one; and those that may start yet. Unless first is true, it only updates the evidence
-// against those that are known.
+// worker was lost, or possibly by an earlier one. Unless first is true, it only updates the evidence against those that are known.
 func (s *session) updateSuspects(ws *workerState, first bool) {
 	if first {
 		ws.suspects = map[string]float32{}
@@ -96,7 +118,7 @@
 	for _, lost := range all {
 		cause := lost.run.unit.lossCause(lost.age)
 		others, _ := s.countLosses(s.silentSince(ws).Add(-lossWindow), s.now, ws.entry.Address, cause, false)
-		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member)) || lost.startMayBeUnderway()
+		mayBeCause := (lost.prompt() && others == 0) || (lost.age < 0 && s.mayHaveJustStarted(lost.member))
 		_, known := ws.suspects[lost.name]
 		switch {
 		case known && lost.age < 0: // the evidence of an earlier owner stays as it was
@@ -109,12 +131,6 @@
 	}
 }
 
-// startMayBeUnderway reports whether a start order for a lost member may still be carried out: it wasn't answered. If the next incarnation
-// does so, which has a clock of its own, the lease counts from then.
-func (l lostMember) startMayBeUnderway() bool {
-	return l.startSent && (l.lastPhase == starting || l.mayBeDelayed)
-}
-
 // mayHaveJustStarted reports whether a task that an earlier owner started may have run for less than promptCrashTime when its worker fell
 // silent. The clocks of two owners may differ, which only makes more or fewer suspects.
 func (s *session) mayHaveJustStarted(m *member) bool {
@@ -139,7 +155,10 @@
 // has just started.
 func (s *session) leaseEnd(m *member) time.Time {
 	ws, end := m.worker, m.worker.leaseEnd
-	if m.startSent && m.reportedAt.IsZero() && ws.restartedLeaseEnd.After(end) {
+	if later, known := ws.laterEnds[m.name]; known && m.run.restored {
+		return later
+	}
+	if m.isUnlisted() && ws.restartedLeaseEnd.After(end) {
 		return ws.restartedLeaseEnd
 	}
 	if usual := s.earlierUsualLeaseEnd(); !ws.confirmed && m.run.usualLeases && usual.Before(end) && !s.mayHaveJustStarted(m) {
@@ -203,7 +222,7 @@
 	if ws.lease != final {
 		return
 	}
-	ws.lease, ws.suspects = releasing, nil
+	ws.lease, ws.suspects, ws.laterEnds = releasing, nil, nil
 	s.appendRecords(func() {
 		ws.lease, s.dirty = renewable, true
 		s.pollSoon(ws)
@@ -214,7 +233,7 @@
 func (s *session) restoreFinalLeases() {
 	for id, lease := range s.Replica.FinalLeases() {
 		ws := s.worker(id)
-		ws.lease, ws.suspects, ws.startedAtMs = final, maps.Clone(lease.Suspects), lease.WorkerStartMs
+		ws.lease, ws.suspects, ws.startedAtMs, ws.laterEnds = final, maps.Clone(lease.Suspects), lease.WorkerStartMs, lease.LaterEnds
 		if lease.End.Before(ws.leaseEnd) {
 			ws.leaseEnd = lease.End
 		}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -100,8 +100,10 @@
 	leaseEnd, restartedLeaseEnd time.Time
 	// lease is what the store may hold about the lease. If that is a record, suspects has the evidence against the tasks that it suspects,
 	// by their names, and leaseRecordedAt is when this owner has last written it.
-	lease           leaseState
-	suspects        map[string]float32
+	lease    leaseState
+	suspects map[string]float32
+	// laterEnds has when tasks have ended, by their names, that an earlier owner recorded to end later than the others.
+	laterEnds       map[string]time.Time
 	leaseRecordedAt time.Time
 	// unresponsive is true if the last call was not answered. answeredAt is when the last answer arrived before that, and silentSince
 	// when the first call since then failed; zero if none did.
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -173,7 +173,14 @@
 	if err := proto.Unmarshal(value, lease); err != nil {
 		return errors.Wrap(err, "decode final lease")
 	}
-	left := time.Duration(max(0, lease.GetLeftMs())) * time.Millisecond
-	r.finalLeases[worker] = FinalLease{End: time.Now().Add(left), Suspects: lease.GetSuspects(), WorkerStartMs: lease.GetWorkerStartMs()}
+	now := time.Now()
+	end := func(leftMs int64) time.Time { return now.Add(time.Duration(max(0, leftMs)) * time.Millisecond) }
+	kept := FinalLease{
+		End: end(lease.GetLeftMs()), LaterEnds: map[string]time.Time{}, Suspects: lease.GetSuspects(), WorkerStartMs: lease.GetWorkerStartMs(),
+	}
+	for task, leftMs := range lease.GetLaterLeftMs() {
+		kept.LaterEnds[task] = end(leftMs)
+	}
+	r.finalLeases[worker] = kept
 	return nil
 }
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -46,12 +46,16 @@
 	return encode(upkeepPrefix+strconv.FormatInt(wave, 10), progress)
 }
 
-// FinalLeaseRecord returns the record of how long the final lease of a worker's incarnation lasts, with the evidence against the tasks
-// that may have caused its loss.
-func FinalLeaseRecord(worker string, startMs int64, left time.Duration, suspects map[string]float32) (storelog.Record, error) {
-	return encode(leasePrefix+worker, &storev1.FinalLease{
-		LeftMs: max(0, left).Milliseconds() + 1, Suspects: suspects, WorkerStartMs: startMs,
-	})
+// FinalLeaseRecord returns the record of a worker's final lease, submitted at the given time.
+func FinalLeaseRecord(worker string, lease FinalLease, now time.Time) (storelog.Record, error) {
+	leftMs := func(end time.Time) int64 { return max(0, end.Sub(now)).Milliseconds() + 1 }
+	record := &storev1.FinalLease{
+		LeftMs: leftMs(lease.End), Suspects: lease.Suspects, WorkerStartMs: lease.WorkerStartMs, LaterLeftMs: map[string]int64{},
+	}
+	for task, end := range lease.LaterEnds {
+		record.LaterLeftMs[task] = leftMs(end)
+	}
+	return encode(leasePrefix+worker, record)
 }
 
 // FinalLeaseTombstone returns the record that deletes a worker's final lease.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -134,6 +134,8 @@
 type FinalLease struct {
 	// End is by when everything that was started on the worker has ended, on the monotonic clock.
 	End time.Time
+	// LaterEnds has the same for each task that may end later, by its name.
+	LaterEnds map[string]time.Time
 	// Suspects has the evidence that the loss of the worker adds against each task that may have caused it, by the task's name.
 	Suspects map[string]float32
 	// WorkerStartMs is the start of the worker's incarnation, by its clock; 0 if unknown.
