--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -4,17 +4,18 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-# The race detector itself crashes in this package on arm64: "ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346".
-crashes_detector=github.com/dotterelgauge/dotterelgauge/internal/node
+# The race detector's runtime crashes in this package: the timers of a testing/synctest bubble may run on two threads with one race context.
+# On x86-64 one thread at a time prevents that. On arm64 it runs without the detector.
+bubbles=github.com/dotterelgauge/dotterelgauge/internal/node
 
 # run_tests runs the tests of all packages, with the given flags of go test.
 run_tests() {
-  if [ "$(go env GOHOSTARCH)" != arm64 ]; then
-    go test -race "$@" ./... ./api/...
-    return
+  go list ./... ./api/... | grep -vx "$bubbles" | xargs go test -race "$@"
+  if [ "$(go env GOHOSTARCH)" = arm64 ]; then
+    go test "$@" "$bubbles"
+  else
+    go test -race -cpu 1 "$@" "$bubbles"
   fi
-  go list ./... ./api/... | grep -vx "$crashes_detector" | xargs go test -race "$@"
-  go test "$@" "$crashes_detector"
 }
 
 known=$(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null || true)
