Worker speeds come from comparisons within a step

Learned speeds were mostly noise: a sample compared a run with its declared estimate, which is wrong by a factor of 2 or more, so the error of the learned speeds was 0.38 (sd of the logarithm) where the true speeds differ by 0.18. Tasks of one step differ by 15% only.

learned.Speeds estimates the rate of each step at speed 1 from its other tasks and from the declared estimate, each by the inverse of its variance; the variance of estimates and the spread within steps are learned. A sample that contradicts what is known lets the worker be learned anew, a new incarnation starts anew, a gang tells of its slowest worker only, and tasks off their rack or away from their data give no sample. The end of a task is a sample too, and times are taken from the workers' clocks. Every 3 s the scale moves by 2% at most towards a typical speed of 1.

--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
@@ -168,6 +169,15 @@
 	return nil
 }
 
+// RunsNear reports whether a unit of a step that has members on the given racks runs at full speed: near its data, or on one rack if it
+// needs that.
+func RunsNear(step *storev1.Step, racks []string) bool {
+	if name := step.GetDataRack(); name != "" {
+		return !slices.ContainsFunc(racks, func(rack string) bool { return rack != name })
+	}
+	return !step.GetSameRack() || !slices.ContainsFunc(racks, func(rack string) bool { return rack != racks[0] })
+}
+
 // freeAccelerators returns how many accelerators are available on the workers, each worker counted once.
 func (s *planState) freeAccelerators(workers []string, view resourceView) int {
 	count := 0
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -193,6 +193,8 @@
 	upkeep       upkeep
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
+	// speeds learns the speeds of the workers.
+	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
 	unrecordedLeases      []*run
 	usualLeasesRecordedAt time.Time
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -7,6 +7,7 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
@@ -51,6 +52,8 @@
 	remaining int
 	// readyAt is when the step became ready to run; zero before. nextWaitReport is when the log states again why it waits.
 	readyAt, nextWaitReport time.Time
+	// rate is the rate at which the step's tasks progress, as far as known.
+	rate learned.StepRate
 	// asked is true while a question asks why the step waits.
 	asked bool
 	// tickets allow the step to run on workers, by their id, if its queue needs advice. denied has the workers on which it may not run,
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -91,6 +92,7 @@
 	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
 		if ws.startedAtMs != 0 {
 			ws.lastProcessed, ws.lastStored, ws.lastAcked, ws.restarted = 0, 0, 0, true
+			ws.speed = learned.Speed{}            // it may be another machine
 			s.expectLease(ws, s.Options.MaxLease) // by an order with the clock of its former life
 			if !ws.unresponsive {
 				s.recordLoss(ws)
@@ -227,7 +229,7 @@
 		s.recordBegun(r.unit.step.job)
 		s.checkStarted(r)
 	}
-	s.learnSpeed(m, reported.Percent)
+	s.learnSpeed(m, reported.Percent, false)
 	if reported.Percent > m.percent || reported.Percent < m.percent {
 		m.progressedAt = s.now
 	}
@@ -277,6 +279,7 @@
 		}
 		ws.health.RecordSuccess()
 		if known {
+			s.learnSpeed(member, fullPercent, true)
 			s.endProbation(member.run)
 		}
 		s.completeUnit(u, onStored)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -8,6 +8,7 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -87,10 +88,11 @@
 	stopSentAt, stopAcceptedAt time.Time
 	// missingSince is when the worker's reports ceased to list the task; zero while they list it.
 	missingSince time.Time
-	// percent is the progress in the latest report; the speed is learned from the progress since speedBasePercent at
-	// speedBaseAt.
-	percent, speedBasePercent float64
-	speedBaseAt               time.Time
+	// percent is the progress in the latest report; the speed is learned from the progress since speedBase. rate is what the task tells of
+	// the rate of its step.
+	percent   float64
+	speedBase speedBase
+	rate      learned.TaskRate
 	// progressedAt is when the progress last changed, and reportedAt when the worker last reported the task as running.
 	progressedAt, reportedAt time.Time
 	// latencyMs is the tail latency of a serving task; pacePercent is the share of its speed at which a filler task may run.
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -1,32 +1,12 @@
 package learned_test
 
 import (
-	"math"
 	"testing"
 	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 )
 
-func TestSpeedIsTheGeometricMean(t *testing.T) {
-	var speed learned.Speed
-	if speed.Value() != 1 {
-		t.Errorf("the speed without samples is %v, want 1", speed.Value())
-	}
-	speed.AddSample(1, 2*time.Second, time.Second)
-	speed.AddSample(1, time.Second, 2*time.Second)
-	if math.Abs(speed.Value()-1) > 1e-9 {
-		t.Errorf("the geometric mean of 2 and 0.5 is %v, want 1", speed.Value())
-	}
-	// The speed must follow a worker that becomes faster.
-	for range 20 {
-		speed.AddSample(0.5, 4*time.Second, time.Second)
-	}
-	if speed.Value() < 1.9 {
-		t.Errorf("the speed is %v after many samples of 2, want at least 1.9", speed.Value())
-	}
-}
-
 func TestQuarantineDoublesAndWorkerIsOnTrialAfterwards(t *testing.T) {
 	now := time.Unix(0, 0)
 	var health learned.Health
@@ -73,12 +53,3 @@
 		t.Errorf("the upper estimate is %v after a second at 100 cores, want 95 to 105", estimate)
 	}
 }
-
-// Guards against a speed that is no number for good after two reports at the same time about a task without an estimate.
-func TestSpeedIgnoresEmptySamples(t *testing.T) {
-	var speed learned.Speed
-	speed.AddSample(0.5, 0, 0)
-	if speed.Value() != 1 || speed.Samples() != 0 {
-		t.Errorf("the speed is %v of %d samples, want 1 of none", speed.Value(), speed.Samples())
-	}
-}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -93,7 +93,9 @@
 	guaranteed                    dataCentreGuarantees
 	reservations                  map[replica.Task][]string
 	urgentDemand                  learned.Demand
+	speeds                        learned.Speeds
 	demandObservedAt              int64
+	recenteredAt                  int64
 	checker                       checker
 	meter                         meter
 }
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -7,11 +7,15 @@
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 )
 
 // crossRackSlowdown is the factor by which a gang that asks for one rack takes longer on several racks.
 const crossRackSlowdown = 3
 
+// recenterIntervalMillis is the minimum time between two calls of Speeds.Recenter.
+const recenterIntervalMillis = 3000
+
 // referenceSpeed is the speedPermille of a worker that runs at speed 1.
 const referenceSpeed = 1000
 
@@ -163,12 +167,41 @@
 	workShare := float64(target.trace.GetRunMs()-target.savedAtStart) / float64(target.trace.GetRunMs())
 	for _, name := range target.workers {
 		d.workersByName[name].health.RecordSuccess()
-		d.workersByName[name].speed.AddSample(workShare, assign.Estimate(target.step), runTime)
 	}
+	d.learnSpeed(target, workShare, runTime)
 	d.endRun(target, target.trace.GetRunMs())
 	d.closeJob(target, finished)
 }
 
+// learnSpeed updates the speed of the slowest worker of a job that is complete. Each job has one step of one unit, so that there are no
+// other tasks to compare it with.
+func (d *dataCentreReplay) learnSpeed(target *job, share float64, runTime time.Duration) {
+	racks, workers := make([]string, 0, len(target.workers)), map[string]bool{}
+	slowest := d.workersByName[target.workers[0]]
+	for _, name := range target.workers {
+		worker := d.workersByName[name]
+		racks, workers[name] = append(racks, worker.GetRack()), true
+		if worker.speed.Value() < slowest.speed.Value() {
+			slowest = worker
+		}
+	}
+	if !assign.RunsNear(target.step, racks) {
+		return
+	}
+	d.speeds.AddSample(&slowest.speed, &learned.StepRate{}, &learned.TaskRate{}, learned.Sample{
+		At: d.currentTime(), Share: share, Elapsed: runTime, Estimate: assign.Estimate(target.step), Workers: len(workers),
+	})
+	if d.now-d.recenteredAt < recenterIntervalMillis {
+		return
+	}
+	d.recenteredAt = d.now
+	all := make([]*learned.Speed, 0, len(d.workers))
+	for _, w := range d.workers {
+		all = append(all, &w.speed)
+	}
+	d.speeds.Recenter(all)
+}
+
 func (d *dataCentreReplay) cancelJob(target *job) {
 	if target.phase.ended() {
 		return
