Classes of speed, one speed for gangs, and fits over all resources

A third of the urgent gangs ran at the slowest speed. Speeds counted as similar up to a ratio of 1.35, because their error was some tenths, so that the classes 0.8, 1 and 1.25 were mixed; among them the tightest fit decided, and of equal fits the faster worker, also for batch. A job past its objective required infinite speed, so that late batch took the fastest workers.

Urgent units without slack start on the fastest class that has room for all members, others on the slowest that suffices, gangs on one class if one holds them. Batch that can't end in time even on the fastest worker leaves these to others unless the pool is idle. Fits compare all resources, and untouched workers come last.

--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -1,10 +1,8 @@
 package assign
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -14,9 +12,6 @@
 const (
 	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its estimate.
 	maxRackWaitShare = 1.0
-	// similarSpeedRatio is the maximum ratio of the speeds of two workers that count as similar. It is well above 1 because
-	// the error of learned speeds is some tenths.
-	similarSpeedRatio = 1.35
 	// estimateMargin is the factor by which a unit is assumed to exceed its estimate: declared estimates are often wrong by
 	// half, and a gang ends with its slowest member.
 	estimateMargin = 2.0
@@ -114,7 +109,7 @@
 func (s *planState) placeNearData(unit *Unit, view resourceView) *placement {
 	if racks := s.preferredRacks(unit); racks != nil {
 		var best *placement
-		minSpeed := requiredSpeed(unit, s.Now)
+		minSpeed := s.preferredSpeed(unit)
 		for _, rack := range racks {
 			if found := s.placeOn(unit, view, rack.workers); found.isBetterThan(best, minSpeed) {
 				best = found
@@ -192,23 +187,26 @@
 // candidate is a worker that can run members of a unit.
 type candidate struct {
 	worker *Worker
-	// count is the number of members that fit, and leftover what one of them leaves free.
-	count    int
-	leftover Resources
+	// count is the number of members that fit, and fit how well; placeOn sets fit.
+	count int
+	fit   fit
 }
 
 // placeOn returns a placement of a unit on some of the workers, or nil. The members of a gang wait for the slowest, so they
 // go to workers of similar speed: the slowest that are fast enough for the objective, because urgent units need the fast ones.
-// Among workers of similar speed it prefers the tightest fit.
+// Among workers of similar speed it prefers the tightest fit. The workers must be sorted by decreasing speed.
 func (s *planState) placeOn(unit *Unit, view resourceView, workers []*Worker) *placement {
 	candidates, total := s.candidates(unit, view, workers)
 	members := unit.Members()
 	if total < members {
 		return nil
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.worker.Speed, b.worker.Speed) })
-	chosen := append([]candidate(nil), chooseSpeedGroup(candidates, members, requiredSpeed(unit, s.Now))...)
-	slices.SortStableFunc(chosen, compareFit)
+	minSpeed := s.preferredSpeed(unit)
+	chosen := chooseSpeedGroup(candidates, members, minSpeed)
+	for i := range chosen {
+		chosen[i].fit = fitOf(chosen[i].worker, view(chosen[i].worker), ResourcesOf(unit.Step))
+	}
+	slices.SortFunc(chosen, compareFit(math.IsInf(minSpeed, 1) || minSpeed > chosen[0].worker.Speed))
 	found := &placement{speed: math.Inf(1), workers: make([]string, 0, members)}
 	for _, candidate := range chosen {
 		for range min(candidate.count, members-len(found.workers)) {
@@ -220,86 +218,33 @@
 	return found
 }
 
-// chooseSpeedGroup returns candidates of similar speed that hold all members. It prefers the slowest group of at least
-// minSpeed, then the fastest group. If no group holds all members, it returns the fastest candidates that do together. The
-// candidates must be sorted by increasing speed.
-func chooseSpeedGroup(candidates []candidate, members int, minSpeed float64) []candidate {
-	var chosen []candidate
-	for first := range candidates {
-		group := similarSpeed(candidates[first:])
-		if !canHold(group, members) {
-			continue
-		}
-		chosen = group
-		if candidates[first].worker.Speed >= minSpeed {
-			break
-		}
-	}
-	if chosen == nil {
-		return fastest(candidates, members)
-	}
-	return chosen
-}
-
-// candidates returns the workers that can run members of a unit, and how many members they can run together.
+// candidates returns the workers that can run members of a unit by increasing speed, and how many members they can run together. The
+// workers must be sorted by decreasing speed.
 func (s *planState) candidates(unit *Unit, view resourceView, workers []*Worker) ([]candidate, int) {
 	var candidates []candidate
 	total := 0
 	need := ResourcesOf(unit.Step)
-	for _, worker := range workers {
+	for _, worker := range slices.Backward(workers) {
 		available := view(worker)
 		if !available.Contains(need) || (unit.Exclusive && !worker.Empty) || !s.allowed(unit, worker) {
 			continue
 		}
 		if count := countFitting(unit, worker, available); count > 0 {
-			candidates = append(candidates, candidate{worker: worker, count: count, leftover: available.Sub(need)})
+			candidates = append(candidates, candidate{worker: worker, count: count})
 			total += count
 		}
 	}
 	return candidates, total
 }
 
-// similarSpeed returns the leading candidates, sorted by increasing speed, that are about as fast as the first one.
-func similarSpeed(candidates []candidate) []candidate {
-	limit := similarSpeedRatio * candidates[0].worker.Speed
-	end := sort.Search(len(candidates), func(i int) bool { return candidates[i].worker.Speed > limit })
-	return candidates[:end]
-}
-
-// fastest returns the trailing candidates, sorted by increasing speed, that hold all members.
-func fastest(candidates []candidate, members int) []candidate {
-	total := 0
-	for first := len(candidates) - 1; first > 0; first-- {
-		if total += candidates[first].count; total >= members {
-			return candidates[first:]
-		}
-	}
-	return candidates
-}
-
-// canHold reports whether the candidates hold all members together.
-func canHold(candidates []candidate, members int) bool {
-	for i := 0; i < len(candidates) && members > 0; i++ {
-		members -= candidates[i].count
-	}
-	return members <= 0
-}
-
 // requiredSpeed returns the worker speed with which the job of a unit ends by its objective, infinite if none is enough.
-func requiredSpeed(unit *Unit, now time.Time) float64 {
-	timeLeft := unit.Objective.Sub(now) - runOverhead
+func requiredSpeed(unit *Unit, now time.Time) float64 { return speedToEndBy(unit, unit.Objective, now) }
+
+// speedToEndBy returns the worker speed with which the job of a unit ends by the given time, infinite if none is enough.
+func speedToEndBy(unit *Unit, end, now time.Time) float64 {
+	timeLeft := end.Sub(now) - runOverhead
 	if timeLeft <= 0 {
 		return math.Inf(1)
 	}
 	return estimateMargin * float64(unit.Remaining) / float64(timeLeft)
 }
-
-// compareFit compares two candidates: the one with the tighter fit comes first, then the faster one.
-func compareFit(a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(a.leftover.Accelerators, b.leftover.Accelerators),
-		cmp.Compare(b.worker.Speed, a.worker.Speed),
-		cmp.Compare(a.leftover.Memory, b.leftover.Memory),
-		cmp.Compare(a.worker.ID, b.worker.ID),
-	)
-}
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -24,7 +24,7 @@
 	plan        Plan
 }
 
-// pool is the workers of a service.
+// pool is the workers of a service, sorted by decreasing speed.
 type pool struct {
 	workers []*Worker
 	racks   []rack
@@ -32,7 +32,7 @@
 	idle bool
 }
 
-// rack is the workers of a service in one rack.
+// rack is the workers of a service in one rack, sorted by decreasing speed.
 type rack struct {
 	name    string
 	workers []*Worker
@@ -44,8 +44,7 @@
 		victims: map[*RunningUnit]bool{}, runningJobs: map[string]bool{},
 		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
 	}
-	for i := range snapshot.Workers {
-		worker := &snapshot.Workers[i]
+	for _, worker := range bySpeed(snapshot.Workers) {
 		s.workers[worker.ID] = worker
 		if s.pools[worker.Service] == nil {
 			s.pools[worker.Service] = &pool{}
--- a/internal/assign/urgent.go
+++ b/internal/assign/urgent.go
@@ -70,16 +70,8 @@
 			usable = append(usable, worker)
 		}
 	}
-	slices.SortFunc(usable, func(a, b *Worker) int { return cmp.Or(cmp.Compare(b.Speed, a.Speed), cmp.Compare(a.ID, b.ID)) })
-	for first := 0; first < len(usable); {
-		end := first
-		for end < len(usable) && usable[first].Speed <= similarSpeedRatio*usable[end].Speed {
-			end++
-		}
-		slices.SortFunc(usable[first:end], func(a, b *Worker) int {
-			return cmp.Or(cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
-		})
-		first = end
-	}
+	slices.SortFunc(usable, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(speedClass(b.Speed), speedClass(a.Speed)), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
+	})
 	return usable
 }
