Workers are kept whole for urgent tasks that need one

Capacity for urgent units was kept in cores, but two of five urgent tasks need all 8 accelerators of a worker: in cores that is 0.6 workers, and a service whose workers each run one small task counts as idle, although no worker is whole.

learned.Shapes learns how many whole workers urgent units need, how many of them in one rack, and the cores of those that need part of a worker. The plan keeps as many workers whole, the fastest, of equal ones those that it kept before, in one rack for gangs that need one. Small urgent tasks use them last; units that fit nowhere else, or in no other rack, use them as before. Nothing is kept whole without demand or while more than half of the workers run nothing.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -19,7 +19,7 @@
 	if worker.Service != unit.Service || (unit.Avoid[worker.ID] && !unit.anyWorker) {
 		return false
 	}
-	if worker.urgentOnly && !unit.mayUseUrgentOnly() {
+	if (worker.urgentOnly && !unit.mayUseUrgentOnly()) || (worker.keptWhole && unit.sparesWhole) {
 		return false
 	}
 	if worker.NearLatencyTarget && unit.Step.GetFills() {
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -91,11 +91,17 @@
 	return p.freeAccelerators < other.freeAccelerators
 }
 
-// place returns the best placement of a unit within the resources of view, or nil. A unit that has waited for long enough gets
-// workers that it would avoid if no others hold it.
+// place returns the best placement of a unit within the resources of view, or nil. A unit whose tasks need part of a worker gets
+// workers that are kept whole only if no others hold it. A unit that has waited for long enough gets workers that it would avoid if no
+// others hold it.
 func (s *planState) place(unit *Unit, view resourceView) *placement {
-	unit.anyWorker = false
+	unit.anyWorker, unit.sparesWhole = false, s.poolOf(unit).keepsWholeFrom(unit)
 	found := s.placeNearData(unit, view)
+	if found == nil && unit.sparesWhole {
+		unit.sparesWhole = false
+		found = s.placeNearData(unit, view)
+	}
+	unit.sparesWhole = false
 	if found == nil && s.mayUseAnyWorker(unit) {
 		unit.anyWorker = true
 		found = s.placeNearData(unit, view)
@@ -128,6 +134,11 @@
 	if s.Now.Sub(unit.WaitingSince) >= s.maxRackWait(unit) {
 		return false
 	}
+	return s.rackHolds(unit, racks)
+}
+
+// rackHolds reports whether one of the racks has the capacity for a unit on workers that it may use.
+func (s *planState) rackHolds(unit *Unit, racks []rack) bool {
 	for _, rack := range racks {
 		count := 0
 		for _, worker := range rack.workers {
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -30,6 +30,8 @@
 	racks   []rack
 	// idle is true if more than idlePoolShare of the pool's cores are free.
 	idle bool
+	// wholeCapacity is the capacity of the workers that are kept whole, zero if there are none.
+	wholeCapacity Resources
 }
 
 // rack is the workers of a service in one rack, sorted by decreasing speed.
@@ -42,7 +44,7 @@
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
 		victims: map[*RunningUnit]bool{}, runningJobs: map[string]bool{},
-		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
+		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}, Kept: map[string]bool{}},
 	}
 	for _, worker := range bySpeed(snapshot.Workers) {
 		s.workers[worker.ID] = worker
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -84,10 +84,15 @@
 	// NearLatencyTarget is true if the latency of a serving task on the worker is near its target. The worker then gets no
 	// more tasks of steps that fill.
 	NearLatencyTarget bool
+	// Kept is true if the previous plan kept the worker for urgent units.
+	Kept bool
+	// speedClass is the same for workers of similar speed, and grows with the speed.
+	speedClass int
 	// reserved is the sum of the reservations on the worker in this plan.
 	reserved Resources
-	// urgentOnly is true if the worker is kept for urgent units; see mayUseUrgentOnly.
-	urgentOnly bool
+	// urgentOnly is true if the worker is kept for urgent units; see mayUseUrgentOnly. keptWhole is true if it is kept for those that need
+	// a whole worker.
+	urgentOnly, keptWhole bool
 	// starting is true if this plan starts a unit on the worker.
 	starting bool
 }
@@ -133,6 +138,8 @@
 	ahead   int
 	// needsUrgentOnly is true if the unit fits only with workers that are kept for urgent units.
 	needsUrgentOnly bool
+	// sparesWhole is true while the unit is placed without the workers that are kept whole.
+	sparesWhole bool
 	// anyWorker is true if the unit has exceeded its preferenceWait and fits only with workers that it would avoid.
 	anyWorker bool
 }
@@ -166,9 +173,10 @@
 // Snapshot is the input of a plan.
 type Snapshot struct {
 	Now time.Time
-	// UrgentCores is the number of cores that covers the demand of urgent units most of the time, by service; see
-	// Resources.CoreEquivalent.
+	// UrgentCores is the number of cores that covers the demand of urgent units that need part of a worker most of the time, by
+	// service; see Resources.CoreEquivalent. UrgentWhole is the demand of those whose tasks need a whole worker each.
 	UrgentCores map[string]float64
+	UrgentWhole map[string]WholeDemand
 	// NoPreemption is true while it is not known what all workers run. The plan preempts nothing then.
 	NoPreemption bool
 	Workers      []Worker
@@ -176,6 +184,12 @@
 	Running      []RunningUnit
 }
 
+// WholeDemand is a demand for workers that run nothing else.
+type WholeDemand struct {
+	// Workers is the number of workers, and RackWidth how many of them one unit needs in one rack.
+	Workers, RackWidth int
+}
+
 // Start is the decision to start a unit. Workers has the id of a worker for each member.
 type Start struct {
 	Task    replica.Task
@@ -197,6 +211,9 @@
 	Reservations map[replica.Task][]string
 	// Reasons has a reason for each unit with Unit.Explain set.
 	Reasons map[replica.Task]Reason
+	// Kept has the ids of the workers that are kept for urgent units; true for those kept for units that need whole workers. The caller
+	// must pass them to the next plan in Worker.Kept.
+	Kept map[string]bool
 }
 
 // Reason says why a unit waits, or where it starts.
--- a/internal/assign/speedgroup.go
+++ b/internal/assign/speedgroup.go
@@ -139,11 +139,12 @@
 	}
 }
 
-// bySpeed returns the workers by decreasing speed.
+// bySpeed returns the workers by decreasing speed. It sets their speedClass.
 func bySpeed(workers []Worker) []*Worker {
 	sorted := make([]*Worker, len(workers))
 	for i := range workers {
 		sorted[i] = &workers[i]
+		sorted[i].speedClass = speedClass(workers[i].Speed)
 	}
 	slices.SortStableFunc(sorted, func(a, b *Worker) int { return cmp.Compare(b.Speed, a.Speed) })
 	return sorted
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -192,7 +192,9 @@
 	reservations map[replica.Task][]string
 	upkeep       upkeep
 	// urgentDemand is the demand of each service's urgent jobs.
-	urgentDemand map[string]*learned.Demand
+	urgentDemand map[string]*learned.Shapes
+	// kept has the workers that the last plan kept for urgent units, by id; true for those that are kept whole.
+	kept map[string]bool
 	// speeds learns the speeds of the workers.
 	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
@@ -221,7 +223,7 @@
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
 		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
-		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		urgentDemand: map[string]*learned.Shapes{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -26,7 +26,7 @@
 	took := time.Since(startedAt)
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
-	s.reservations = plan.Reservations
+	s.reservations, s.kept = plan.Reservations, plan.Kept
 	maps.Copy(plan.Reasons, s.held)
 	s.logWaits(plan.Reasons)
 	s.answerQuestions(plan.Reasons)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -92,6 +92,7 @@
 type poolState struct {
 	workers, usable, quarantined, onTrial, unresponsive, draining int
 	capacity, free, freeing                                       int
+	keptWhole, kept                                               int
 	starting, running, stopping, waiting                          acceleratorCounts
 }
 
@@ -131,10 +132,13 @@
 			stateOf(s.serviceOf(j.spec)).addJob(j)
 		}
 	}
+	cores, whole := s.urgentShapes()
 	for service, state := range states {
 		s.Events.Log(events.PoolState, "service", service, "workers", state.workers, "usable", state.usable,
 			"quarantined", state.quarantined, "on_trial", state.onTrial, "unresponsive", state.unresponsive,
 			"draining", state.draining, "accelerators", state.capacity, "free", state.free, "freeing", state.freeing,
+			"kept_whole", state.keptWhole, "kept", state.kept, "urgent_whole", whole[service].Workers, "urgent_rack", whole[service].RackWidth,
+			"urgent_cores", int(cores[service]),
 			"starting_by_priority", fmt.Sprint(state.starting), "running_by_priority", fmt.Sprint(state.running),
 			"stopping_by_priority", fmt.Sprint(state.stopping), "waiting_by_priority", fmt.Sprint(state.waiting),
 			"queued_starts", len(s.orders.prompt.starts), "queued_orders", len(s.orders.prompt.others),
@@ -157,6 +161,11 @@
 	case ws.health.OnTrial():
 		p.onTrial++
 	}
+	if whole, kept := s.kept[ws.id]; whole {
+		p.keptWhole++
+	} else if kept {
+		p.kept++
+	}
 	p.capacity += int(ws.entry.Capacity.GetAccelerators())
 	if s.usable(ws) {
 		free, freeing := ws.free()
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -11,14 +11,17 @@
 // snapshot returns the input of a plan.
 func (s *session) snapshot() *assign.Snapshot {
 	s.steady, s.held = map[lossCause]map[string]bool{}, map[replica.Task]assign.Reason{}
-	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores(), NoPreemption: !s.knowsRuns()}
+	out := &assign.Snapshot{Now: s.now, NoPreemption: !s.knowsRuns()}
+	out.UrgentCores, out.UrgentWhole = s.urgentShapes()
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
+		_, kept := s.kept[ws.id]
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
 			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
+			Kept: kept,
 		})
 	}
 	withinGuarantee := s.accountsWithinGuarantee()
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -53,3 +53,25 @@
 		t.Errorf("the upper estimate is %v after a second at 100 cores, want 95 to 105", estimate)
 	}
 }
+
+// Guards against demand in cores that hides that tasks need whole workers, and against workers that stay kept after the demand has ended.
+func TestShapesOfDemand(t *testing.T) {
+	var shapes learned.Shapes
+	for i := range 600 {
+		rackWidth := 0.0
+		if i%50 == 0 {
+			rackWidth = 4
+		}
+		shapes.Observe(6, 100, rackWidth, 100*time.Millisecond)
+	}
+	if shapes.WholeWorkers() != 6 || shapes.RackWidth() < 3 || shapes.PartCores() < 95 || shapes.PartCores() > 105 {
+		t.Errorf("the demand is %d whole workers, %d in a rack, and %.0f cores, want 6, 3 or 4, and 100",
+			shapes.WholeWorkers(), shapes.RackWidth(), shapes.PartCores())
+	}
+	for range 1200 {
+		shapes.Observe(0, 0, 0, 100*time.Millisecond)
+	}
+	if shapes.WholeWorkers() != 0 || shapes.RackWidth() != 0 {
+		t.Errorf("the demand is %d whole workers, %d in a rack, two minutes after the last", shapes.WholeWorkers(), shapes.RackWidth())
+	}
+}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -92,7 +92,8 @@
 	workers                       []*workerState
 	guaranteed                    dataCentreGuarantees
 	reservations                  map[replica.Task][]string
-	urgentDemand                  learned.Demand
+	urgentDemand                  learned.Shapes
+	kept                          map[string]bool
 	speeds                        learned.Speeds
 	demandObservedAt              int64
 	recenteredAt                  int64
@@ -211,7 +212,7 @@
 // changeOwner clears the state that an owner holds only in memory. The speeds of the workers are recorded, so a new owner
 // has them.
 func (d *dataCentreReplay) changeOwner() {
-	d.reservations, d.urgentDemand, d.demandObservedAt = nil, learned.Demand{}, d.now
+	d.reservations, d.kept, d.urgentDemand, d.demandObservedAt = nil, nil, learned.Shapes{}, d.now
 	for _, w := range d.workers {
 		w.health = learned.Health{}
 	}
@@ -227,7 +228,7 @@
 		return
 	}
 	plan := d.plan(d.view())
-	d.reservations = plan.Reservations
+	d.reservations, d.kept = plan.Reservations, plan.Kept
 	for _, preemption := range plan.Preemptions {
 		d.stopRun(d.jobs[preemption.Task.Job])
 	}
@@ -244,15 +245,24 @@
 	return slices.ContainsFunc(d.openJobs, func(j *job) bool { return j.phase == waiting })
 }
 
-// observeUrgentDemand records the cores that urgent jobs have needed since the last decision.
+// observeUrgentDemand records what urgent jobs have needed since the last decision.
 func (d *dataCentreReplay) observeUrgentDemand() {
-	cores := 0.0
+	whole, cores, rackWidth := 0.0, 0.0, 0.0
 	for _, j := range d.openJobs {
-		if assign.IsUrgent(j.spec, maxStopMillis*time.Millisecond) {
-			cores += float64(j.step.GetCount()) * assign.ResourcesOf(j.step).CoreEquivalent()
+		if !assign.IsUrgent(j.spec, maxStopMillis*time.Millisecond) {
+			continue
+		}
+		need, members := assign.ResourcesOf(j.step), float64(j.step.GetCount())
+		if !assign.NeedsWholeWorker(need, d.workers[0].capacity) {
+			cores += members * need.CoreEquivalent()
+			continue
+		}
+		whole += members
+		if j.step.GetSameRack() {
+			rackWidth = max(rackWidth, members)
 		}
 	}
-	d.urgentDemand.Observe(cores, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
+	d.urgentDemand.Observe(whole, cores, rackWidth, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
 	d.demandObservedAt = d.now
 }
 
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -15,13 +15,17 @@
 func (d *dataCentreReplay) view() View {
 	var out View
 	out.Snapshot = &assign.Snapshot{
-		Now: d.currentTime(), UrgentCores: map[string]float64{d.trace.name: d.urgentDemand.UpperEstimate()},
+		Now: d.currentTime(), UrgentCores: map[string]float64{d.trace.name: d.urgentDemand.PartCores()},
+		UrgentWhole: map[string]assign.WholeDemand{
+			d.trace.name: {Workers: d.urgentDemand.WholeWorkers(), RackWidth: d.urgentDemand.RackWidth()},
+		},
 	}
 	freeing := d.freeingResources()
 	for _, w := range d.workers {
+		_, kept := d.kept[w.GetName()]
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: w.GetName(), Service: d.trace.name, Rack: w.GetRack(), Free: w.capacity.Sub(w.used), Freeing: freeing[w.GetName()],
-			Capacity: w.capacity, Speed: w.speed.Value(), Usable: d.usable(w), OnTrial: w.health.OnTrial(),
+			Capacity: w.capacity, Speed: w.speed.Value(), Usable: d.usable(w), OnTrial: w.health.OnTrial(), Kept: kept,
 		})
 	}
 	mean, urgent := d.meanWork(), d.urgentAccelerators()
