Urgent tasks count by the scarcest resource of a worker

The demand of urgent tasks that need part of a worker was counted in their own cores: a task with 4 of 8 accelerators and 4 cores is 36 of the 192 cores of a worker, of which only two fit on it. It now counts as half a worker.

--- a/internal/assign/whole_test.go
+++ b/internal/assign/whole_test.go
@@ -204,3 +204,23 @@
 		}
 	})
 }
+
+// Guards against a demand of tasks that fill a worker's accelerators, or its memory, of which the cores are only a part: too few workers
+// would be kept.
+func TestPartOfWorkerFollowsFromTheScarcestResource(t *testing.T) {
+	capacity := assign.Resources{CPU: 128000, Memory: 256 * 1024, Accelerators: 8} // 192 cores
+	for _, test := range []struct {
+		need assign.Resources
+		want float64
+	}{
+		{assign.Resources{CPU: 1000, Memory: 1024, Accelerators: 4}, 96},
+		{assign.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}, 24},
+		{assign.Resources{CPU: 16000, Memory: 1024, Accelerators: 1}, 24},
+		{assign.Resources{CPU: 52000, Memory: 110 * 1024, Accelerators: 1}, 96},
+		{assign.Resources{CPU: 1000, Memory: 64 * 1024}, 48},
+	} {
+		if got := assign.PartCores(test.need, capacity); got != test.want {
+			t.Errorf("a task that needs %+v takes %v cores, want %v", test.need, got, test.want)
+		}
+	}
+}
--- a/internal/dispatch/urgent.go
+++ b/internal/dispatch/urgent.go
@@ -46,11 +46,11 @@
 // add adds the units of a step that are not done; capacity is that of the service's largest worker.
 func (n *urgentNeed) add(st *step, capacity assign.Resources) {
 	unit := st.units[0]
+	members := float64(memberCount(unit))
 	if !assign.NeedsWholeWorker(unit.resources(), capacity) {
-		n.cores += float64(st.remaining) * st.unitCores()
+		n.cores += float64(st.remaining) * members * assign.PartCores(unit.resources(), capacity)
 		return
 	}
-	members := float64(memberCount(unit))
 	n.whole += float64(st.remaining) * members
 	if st.spec.GetSameRack() {
 		n.rackWidth = max(n.rackWidth, members)
@@ -78,8 +78,3 @@
 	}
 	return cores, whole
 }
-
-// unitCores returns the cores that a unit of the step takes.
-func (st *step) unitCores() float64 {
-	return float64(memberCount(st.units[0])) * st.units[0].resources().CoreEquivalent()
-}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -254,7 +254,7 @@
 		}
 		need, members := assign.ResourcesOf(j.step), float64(j.step.GetCount())
 		if !assign.NeedsWholeWorker(need, d.workers[0].capacity) {
-			cores += members * need.CoreEquivalent()
+			cores += members * assign.PartCores(need, d.workers[0].capacity)
 			continue
 		}
 		whole += members
