Plans use expected durations in place of declared estimates

Objective, late time, credit, work and remaining time of a unit were computed from the declared estimate: a job whose estimate was too short fell to 0.3 or 0.02 of its credit while its runs went on.

Learned speeds compare runs with declared estimates, so their mean contains the error of these for the whole fleet: where all tasks take four times their estimate, all workers have speed 0.25 and nothing is left to learn. Durations are therefore learned, and planned with once they are in use, relative to the geometric mean of the known speeds. Once that is 1 by itself, this has no effect.

--- a/internal/assign/credit.go
+++ b/internal/assign/credit.go
@@ -19,32 +19,44 @@
 	LateFactor = 3
 )
 
+// Expectations are the expected durations of a task of each step of a job on a worker of speed 1, in the order of the steps.
+type Expectations []time.Duration
+
+// Declared returns the durations that the caller declared. They are what is expected where nothing better is known.
+func Declared(spec *storev1.Job) Expectations {
+	expected := make(Expectations, len(spec.GetSteps()))
+	for i, step := range spec.GetSteps() {
+		expected[i] = Estimate(step)
+	}
+	return expected
+}
+
 // Estimate returns the declared duration of a task of the step on a worker of speed 1.
 func Estimate(step *storev1.Step) time.Duration {
 	return time.Duration(step.GetEstimateMs()) * time.Millisecond
 }
 
 // TaskWork returns the work of one task of a step in core-seconds.
-func TaskWork(step *storev1.Step) float64 {
-	return ResourcesFromProto(step.GetNeed()).CoreEquivalent() * Estimate(step).Seconds()
+func TaskWork(step *storev1.Step, expected time.Duration) float64 {
+	return ResourcesFromProto(step.GetNeed()).CoreEquivalent() * expected.Seconds()
 }
 
 // JobWork returns the work of one occurrence of a job in core-seconds.
-func JobWork(spec *storev1.Job) float64 {
+func JobWork(spec *storev1.Job, expected Expectations) float64 {
 	work := 0.0
-	for _, step := range spec.GetSteps() {
-		work += float64(step.GetCount()) * TaskWork(step)
+	for i, step := range spec.GetSteps() {
+		work += float64(step.GetCount()) * TaskWork(step, expected[i])
 	}
 	return work
 }
 
-// CriticalPaths returns for each step the time from its start to the end of the job at speed 1: its own estimate and those
-// on the longest path of steps that depend on it.
-func CriticalPaths(spec *storev1.Job) []time.Duration {
+// CriticalPaths returns for each step the time from its start to the end of the job at speed 1: its own expected duration and
+// those on the longest path of steps that depend on it.
+func CriticalPaths(spec *storev1.Job, expected Expectations) []time.Duration {
 	steps := spec.GetSteps()
 	paths := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		paths[i] += Estimate(steps[i])
+		paths[i] += expected[i]
 		for _, earlier := range steps[i].GetAfter() {
 			paths[earlier] = max(paths[earlier], paths[i])
 		}
@@ -54,14 +66,14 @@
 
 // IsUrgent reports whether a job has the highest priority (0) and so little slack before its objective that it can't wait
 // for a preemption; stop is how long a run takes to stop.
-func IsUrgent(spec *storev1.Job, stop time.Duration) bool {
-	return spec.GetPriority() == 0 && TimeToObjective(spec)-criticalPath(spec) < minSlackStops*stop
+func IsUrgent(spec *storev1.Job, expected Expectations, stop time.Duration) bool {
+	return spec.GetPriority() == 0 && TimeToObjective(spec, expected)-criticalPath(spec, expected) < minSlackStops*stop
 }
 
-// criticalPath returns the sum of the estimates on the longest path of dependent steps.
-func criticalPath(spec *storev1.Job) time.Duration {
+// criticalPath returns the sum of the expected durations on the longest path of dependent steps.
+func criticalPath(spec *storev1.Job, expected Expectations) time.Duration {
 	length := time.Duration(0)
-	for _, path := range CriticalPaths(spec) {
+	for _, path := range CriticalPaths(spec, expected) {
 		length = max(length, path)
 	}
 	return length
@@ -69,17 +81,17 @@
 
 // TimeToObjective returns the time from when a job is due to its objective, the end of the time in which it earns its full
 // credit: its critical path times its stretch factor, plus its target duration.
-func TimeToObjective(spec *storev1.Job) time.Duration {
-	return time.Duration(spec.GetStretchFactor()*float64(criticalPath(spec))) +
+func TimeToObjective(spec *storev1.Job, expected Expectations) time.Duration {
+	return time.Duration(spec.GetStretchFactor()*float64(criticalPath(spec, expected))) +
 		time.Duration(spec.GetTargetDurationMs())*time.Millisecond
 }
 
 // Credit returns what a job earns if it ends by its objective. It decreases with the priority number and grows with the work
 // of the job relative to meanWork, the mean work in its queue in core-seconds; 0 means that the mean is unknown.
-func Credit(spec *storev1.Job, meanWork float64) float64 {
+func Credit(spec *storev1.Job, expected Expectations, meanWork float64) float64 {
 	relative := 1.0
 	if meanWork > 0 {
-		relative = JobWork(spec) / meanWork
+		relative = JobWork(spec, expected) / meanWork
 	}
 	return (baseCreditShare + (1-baseCreditShare)*min(relative, maxRelativeWork)) / float64(1+spec.GetPriority())
 }
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its estimate.
+	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its expected duration.
 	maxRackWaitShare = 1.0
 	// similarSpeedRatio is the maximum ratio of the speeds of two workers that count as similar. It is well above 1 because
 	// the error of learned speeds is some tenths.
@@ -148,7 +148,7 @@
 
 // maxRackWait returns how long a unit waits for a preferred rack.
 func (s *planState) maxRackWait(unit *Unit) time.Duration {
-	return s.preferenceWait(unit, time.Duration(float64(unit.Step.GetEstimateMs())*maxRackWaitShare)*time.Millisecond)
+	return s.preferenceWait(unit, time.Duration(float64(unit.expected())*maxRackWaitShare))
 }
 
 // preferredRacks returns the racks on which a unit runs at full speed, nil if it does so on any worker.
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -69,7 +69,7 @@
 	// Free is known to be unused. Freeing is still used by runs that have been ordered to stop.
 	Free, Freeing Resources
 	Capacity      Resources
-	// Speed is relative to the declared estimates: 2 halves them, and 1 is the value of an unknown speed.
+	// Speed is relative to the expected durations: 2 halves them, and 1 is the value of an unknown speed.
 	Speed float64
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
 	// it then gets one unit at a time.
@@ -109,7 +109,9 @@
 	WaitingSince time.Time
 	// Objective is when the job should end. Between Objective and LateUntil it earns part of its credit.
 	Objective, LateUntil time.Time
-	// Remaining is the estimated time until the job ends if the unit starts now on a worker of speed 1.
+	// Expected is the expected duration of a task of the unit's step on a worker of speed 1; 0 means that it is the declared one.
+	Expected time.Duration
+	// Remaining is the expected time until the job ends if the unit starts now on a worker of speed 1.
 	Remaining time.Duration
 	// Credit is what the job earns if it ends by Objective. Work is the work left in it, in core-seconds.
 	Credit, Work float64
@@ -148,6 +150,14 @@
 	return 1
 }
 
+// expected returns the expected duration of a task of the unit's step on a worker of speed 1.
+func (u *Unit) expected() time.Duration {
+	if u.Expected > 0 {
+		return u.Expected
+	}
+	return Estimate(u.Step)
+}
+
 // RunningUnit is a unit that runs and has not been ordered to stop.
 type RunningUnit struct {
 	Task     replica.Task
@@ -157,6 +167,9 @@
 	Step     *storev1.Step
 	// Workers has the id of a worker for each member.
 	Workers []string
+	// Remaining is the expected time until the run ends, and RemainingHigh the time within which it ends with a probability of 90%.
+	// They are positive unless nothing is known of the duration.
+	Remaining, RemainingHigh time.Duration
 	// LostWork is the work that stopping the unit loses, in core-seconds.
 	LostWork float64
 	// Density is the result of the function Density for the unit as if it waited.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -176,6 +176,10 @@
 	steady map[lossCause]map[string]bool
 	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
 	held map[replica.Task]assign.Reason
+	// durations is what was learned of the durations of tasks; nil if the declared estimates are used.
+	durations *learned.Durations
+	// typicalSpeed is the geometric mean of the known speeds of workers.
+	typicalSpeed float64
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -217,8 +221,8 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
-		losses:       map[string]workerLoss{},
-		queueStats:   map[string]*queueStats{},
+		losses:     map[string]workerLoss{},
+		queueStats: map[string]*queueStats{}, durations: learned.NewDurations(), typicalSpeed: 1,
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -7,6 +7,7 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
@@ -25,7 +26,9 @@
 	firstRunAt  time.Time
 	waitingUnit *unit
 	// occurrences are those that are due or have recorded runs, in their order.
-	occurrences  []*occurrence
+	occurrences []*occurrence
+	// countedWork is the work of the job that is included in the statistics of its queue.
+	countedWork  float64
 	recordedRuns map[replica.Task]*storev1.Run
 }
 
@@ -38,6 +41,14 @@
 	// started is true once all members of a run of it were running in this term.
 	started bool
 	steps   []*step
+	// expect has what is known of the durations of the steps, and expected what was expected of them when the last plan was made.
+	expect   *expect.Occurrence
+	expected assign.Expectations
+}
+
+// done reports whether all steps are done.
+func (o *occurrence) done() bool {
+	return !slices.ContainsFunc(o.steps, func(st *step) bool { return st.remaining > 0 })
 }
 
 // step is one step of an occurrence.
@@ -113,7 +124,7 @@
 func (j *job) openOccurrences() int {
 	open := 0
 	for _, o := range j.occurrences {
-		if slices.ContainsFunc(o.steps, func(st *step) bool { return st.remaining > 0 }) {
+		if !o.done() {
 			open++
 		}
 	}
@@ -185,7 +196,7 @@
 // addJob adds a job, with its occurrences that are due or have recorded runs.
 func (s *session) addJob(j *job) {
 	s.jobs[j.spec.GetId()] = j
-	s.addToQueueStats(j.spec)
+	s.addToQueueStats(j)
 	if j.hasEnded() {
 		return
 	}
@@ -231,7 +242,8 @@
 
 // openOccurrence opens one occurrence and restores its recorded runs.
 func (s *session) openOccurrence(j *job, number int) {
-	o := &occurrence{number: number, dueAt: dueAt(j.spec, number)}
+	o := &occurrence{number: number, dueAt: dueAt(j.spec, number), expect: expect.New(s.durations, j.spec)}
+	o.expected = o.expect.Expected(nil)
 	j.occurrences = append(j.occurrences, o)
 	for index, spec := range j.spec.GetSteps() {
 		st := &step{job: j, occurrence: o, spec: spec, index: index}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -222,6 +222,9 @@
 func (s *session) recordProgress(m *member, reported worker.RunningTask) {
 	r := m.run
 	m.missingSince, m.reportedAt = time.Time{}, s.now
+	if m.firstReportedAt.IsZero() {
+		m.firstPercent, m.firstReportedAt = reported.Percent, s.now
+	}
 	if m.phase == starting || m.phase == unconfirmed {
 		m.phase, m.confirmedAt = running, s.now
 		s.recordBegun(r.unit.step.job)
--- a/internal/dispatch/queuestats.go
+++ b/internal/dispatch/queuestats.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/assign"
-)
+import "github.com/dotterelgauge/dotterelgauge/internal/assign"
 
 // queueStats sums up the jobs of a queue; totalWork is in core-seconds.
 type queueStats struct {
@@ -12,14 +9,21 @@
 }
 
 // addToQueueStats adds a job to the statistics of its queue.
-func (s *session) addToQueueStats(spec *storev1.Job) {
-	stats, known := s.queueStats[spec.GetQueue()]
+func (s *session) addToQueueStats(j *job) {
+	stats, known := s.queueStats[j.spec.GetQueue()]
 	if !known {
 		stats = &queueStats{}
-		s.queueStats[spec.GetQueue()] = stats
+		s.queueStats[j.spec.GetQueue()] = stats
 	}
 	stats.jobs++
-	stats.totalWork += assign.JobWork(spec)
+	s.updateQueueStats(j)
+}
+
+// updateQueueStats updates what the statistics include of a job, to the work that is expected of it now.
+func (s *session) updateQueueStats(j *job) {
+	work := assign.JobWork(j.spec, s.expected(j))
+	s.queueStats[j.spec.GetQueue()].totalWork += work - j.countedWork
+	j.countedWork = work
 }
 
 // meanWork returns the mean work of a queue's jobs in core-seconds; 0 if none is known.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -24,7 +24,8 @@
 		"priority", spec.GetPriority(), "steps", len(spec.GetSteps()), "times", occurrenceCount(spec), "tasks", first.GetCount(),
 		"gang", first.GetGang(), "same_rack", first.GetSameRack(), "data_rack", first.GetDataRack(),
 		"accelerators", first.GetNeed().GetAccelerators(), "checkpointing", first.GetCheckpointing(),
-		"core_s", int(assign.JobWork(spec)), "objective_ms", assign.TimeToObjective(spec).Milliseconds())
+		"core_s", int(assign.JobWork(spec, assign.Declared(spec))),
+		"objective_ms", assign.TimeToObjective(spec, assign.Declared(spec)).Milliseconds())
 }
 
 // logRestored logs what the store holds at the start of the term.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -93,6 +93,9 @@
 	speedBaseAt               time.Time
 	// progressedAt is when the progress last changed, and reportedAt when the worker last reported the task as running.
 	progressedAt, reportedAt time.Time
+	// firstPercent is the progress in the first report, at firstReportedAt.
+	firstPercent    float64
+	firstReportedAt time.Time
 	// latencyMs is the tail latency of a serving task; pacePercent is the share of its speed at which a filler task may run.
 	latencyMs   float64
 	pacePercent int
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -10,13 +10,14 @@
 
 // snapshot returns the input of a plan.
 func (s *session) snapshot() *assign.Snapshot {
+	s.updateExpectations()
 	s.steady, s.held = map[lossCause]map[string]bool{}, map[replica.Task]assign.Reason{}
 	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores(), NoPreemption: !s.knowsRuns()}
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: s.plannedSpeed(ws), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
@@ -36,19 +37,19 @@
 
 // addOccurrence adds the units of an occurrence that wait or run.
 func (s *session) addOccurrence(out *assign.Snapshot, j *job, o *occurrence, claimed bool) {
-	criticalPaths := assign.CriticalPaths(j.spec)
-	timeToObjective := assign.TimeToObjective(j.spec)
+	criticalPaths := assign.CriticalPaths(j.spec, o.expected)
+	timeToObjective := assign.TimeToObjective(j.spec, o.expected)
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed,
 		Due: o.dueAt, Objective: o.dueAt.Add(timeToObjective), LateUntil: o.dueAt.Add(assign.LateFactor * timeToObjective),
-		Credit: assign.Credit(j.spec, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
+		Credit: assign.Credit(j.spec, o.expected, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
 	}
 	for _, st := range o.steps {
 		if st.readyAt.IsZero() || st.remaining == 0 {
 			continue
 		}
 		unit := common
-		unit.Step, unit.WaitingSince, unit.Remaining = st.spec, st.readyAt, criticalPaths[st.index]
+		unit.Step, unit.WaitingSince, unit.Remaining, unit.Expected = st.spec, st.readyAt, criticalPaths[st.index], o.expected[st.index]
 		unit.TasksPerWorker, unit.Allowed = st.tasksPerWorker(), s.allowedWorkers(st)
 		s.addStep(out, st, unit)
 	}
@@ -90,7 +91,7 @@
 			unit.Explain, explain = explain, false
 			out.Waiting = append(out.Waiting, unit)
 		case !st.spec.GetLongRunning():
-			unit.Work += assign.TaskWork(st.spec) * float64(memberCount(u))
+			unit.Work += assign.TaskWork(st.spec, unit.Expected) * float64(memberCount(u))
 			s.addRunning(out, u, &unit)
 		default:
 			if stoppable--; stoppable >= 0 {
@@ -120,7 +121,7 @@
 	for _, st := range o.steps {
 		for _, u := range st.units {
 			if !u.done && u.run == nil {
-				work += assign.TaskWork(st.spec) * float64(memberCount(u))
+				work += assign.TaskWork(st.spec, o.expected[st.index]) * float64(memberCount(u))
 			}
 		}
 	}
@@ -134,9 +135,11 @@
 	if r.stopReason != "" || !r.reported() {
 		return
 	}
+	left, high := u.step.occurrence.expect.Remaining(u.step.index, s.progress(r))
 	out.Running = append(out.Running, assign.RunningUnit{
 		Task: u.task, Account: waiting.Account, Priority: waiting.Priority, Claimed: waiting.Claimed, Step: u.step.spec,
 		Workers: r.workerIDs(), LostWork: s.lostWork(r), Density: assign.Density(waiting, s.now),
+		Remaining: left, RemainingHigh: high,
 	})
 }
 
--- /dev/null
+++ b/internal/expect/expect_test.go
@@ -0,0 +1,151 @@
+package expect_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// job returns a job with one step of count tasks.
+func job(count uint32, declared time.Duration) *storev1.Job {
+	return &storev1.Job{
+		Queue: "q", Account: "a", StretchFactor: 3, TargetDurationMs: 1000,
+		Steps: []*storev1.Step{{Count: count, EstimateMs: declared.Milliseconds(), Need: &storev1.Resources{Accelerators: 1}}},
+	}
+}
+
+// trained returns a predictor after 30 jobs that took four times their estimate, give or take a third.
+func trained() *learned.Durations {
+	durations := learned.NewDurations()
+	for i := range 30 {
+		factor := 4 * math.Exp(0.3*math.Sin(float64(i)))
+		expect.New(durations, job(1, 2*time.Second)).Finish(0, time.Duration(2*factor*float64(time.Second)), now)
+	}
+	return durations
+}
+
+// expected returns what is expected of a job's only step.
+func expected(o *expect.Occurrence) time.Duration { return o.Expected(nil)[0] }
+
+// wantAbout fails if a duration differs from the wanted one by more than a share of it.
+func wantAbout(t *testing.T, what string, got, want time.Duration, share float64) {
+	t.Helper()
+	if math.Abs(float64(got-want)) > share*float64(want) {
+		t.Errorf("%s is %v, want about %v", what, got, want)
+	}
+}
+
+// Guards against plans that change before finished runs have shown that the declared estimates are wrong, and with the setting "declared".
+func TestDeclaredEstimatesWithoutHistory(t *testing.T) {
+	for name, durations := range map[string]*learned.Durations{"no history": learned.NewDurations(), "declared": nil} {
+		o := expect.New(durations, job(10, 2*time.Second))
+		o.Add(0, expect.Run{Elapsed: 30 * time.Second, Speed: 1})
+		o.Finish(0, 20*time.Second, now)
+		if got := expected(o); got != 2*time.Second {
+			t.Errorf("%s: the expectation is %v, want the estimate of 2 s", name, got)
+		}
+		if median, high := o.Remaining(0, expect.Run{Elapsed: 30 * time.Second, Speed: 1}); median <= 0 || high < median {
+			t.Errorf("%s: the remaining time is %v, at most %v, want it to be positive", name, median, high)
+		}
+	}
+}
+
+// Guards against a job whose order collapses when its objective passes: its runs that go on show that it takes longer, and with that the
+// objective is later.
+func TestObjectiveMovesWithRunsInProgress(t *testing.T) {
+	spec := job(5, 2*time.Second)
+	o := expect.New(trained(), spec)
+	wantAbout(t, "the expectation before the start", expected(o), 8*time.Second, 0.2)
+	for elapsed := time.Second; elapsed < 10*time.Minute; elapsed += elapsed / 2 {
+		o.Reset()
+		o.Add(0, expect.Run{Elapsed: elapsed, Speed: 1})
+		if objective := assign.TimeToObjective(spec, o.Expected(nil)); objective < elapsed {
+			t.Errorf("after %v without a pause the job's objective of %v has passed", elapsed, objective)
+		}
+	}
+}
+
+// Guards against a step whose tasks are expected to differ from those that have finished or report progress.
+func TestOtherTasksOfStepAreExpectedToTakeAsLong(t *testing.T) {
+	o := expect.New(trained(), job(39, 2*time.Second))
+	o.Finish(0, 18*time.Second, now)
+	o.Finish(0, 22*time.Second, now)
+	wantAbout(t, "the expectation after two tasks of 20 s", expected(o), 20*time.Second, 0.25)
+	o = expect.New(trained(), job(39, 2*time.Second))
+	for range 5 {
+		// On a worker of speed 0.8, 30% are done after 7.5 s, so the task takes 25 s there.
+		o.Add(0, expect.Run{Elapsed: 8 * time.Second, Speed: 0.8, Share: 0.3, At: 7500 * time.Millisecond})
+	}
+	wantAbout(t, "the expectation after progress at a rate of 20 s", expected(o), 20*time.Second, 0.25)
+}
+
+// Guards against one large job that counts as many observations: its tasks are of one kind.
+func TestTasksOfOneStepAreOneObservation(t *testing.T) {
+	durations := trained()
+	before := expected(expect.New(durations, job(1, 2*time.Second)))
+	large := expect.New(durations, job(39, 2*time.Second))
+	for range 39 {
+		large.Finish(0, 24*time.Second, now)
+	}
+	if after := expected(expect.New(durations, job(1, 2*time.Second))); after > before*13/10 {
+		t.Errorf("a job of 39 tasks of 24 s changes the expectation of the next one from %v to %v", before, after)
+	}
+	if runs := durations.Accuracy()["q"].FinishedRuns; runs != 30+39 {
+		t.Errorf("%d finished runs are counted, want 69", runs)
+	}
+}
+
+// Guards against learning from resumed runs, and from runs on unsuitable racks, as if they showed whole tasks.
+func TestPartialRunsAreNotLearnedFrom(t *testing.T) {
+	durations := trained()
+	before := expected(expect.New(durations, job(1, 2*time.Second)))
+	for range 20 {
+		o := expect.New(durations, job(1, 2*time.Second))
+		o.Add(0, expect.Run{Elapsed: time.Minute, Speed: 1, Share: 0.5, At: time.Minute, Partial: true})
+		o.Finish(0, 0, now)
+	}
+	if after := expected(expect.New(durations, job(1, 2*time.Second))); after != before {
+		t.Errorf("partial runs change the expectation from %v to %v", before, after)
+	}
+	for _, test := range []struct {
+		step  *storev1.Step
+		racks []string
+		want  bool
+	}{
+		{&storev1.Step{DataRack: "r1"}, []string{"r1"}, false},
+		{&storev1.Step{DataRack: "r1"}, []string{"r2"}, true},
+		{&storev1.Step{SameRack: true}, []string{"r1", "r1"}, false},
+		{&storev1.Step{SameRack: true}, []string{"r1", "r2"}, true},
+		{&storev1.Step{}, []string{"r1", "r2"}, false},
+	} {
+		if got := expect.Slowed(test.step, test.racks); got != test.want {
+			t.Errorf("%v on %v: slowed %v, want %v", test.step, test.racks, got, test.want)
+		}
+	}
+}
+
+// Guards against a remaining time that ignores the progress since the last report, or that comes from the estimate although the run itself
+// reports how fast it is.
+func TestRemainingTimeFollowsProgress(t *testing.T) {
+	o := expect.New(trained(), job(1, 2*time.Second))
+	run := expect.Run{Elapsed: 12 * time.Second, Speed: 1, Share: 0.5, At: 10 * time.Second}
+	o.Add(0, run)
+	median, high := o.Remaining(0, run)
+	wantAbout(t, "the remaining time at 50% after 10 s, 2 s later", median, 8*time.Second, 0.1)
+	wantAbout(t, "its high quantile", high, 12*time.Second, 0.25)
+	// It resumed at 40%, and has made 30% in 3 s since.
+	run = expect.Run{Elapsed: 3 * time.Second, Speed: 1, BaseShare: 0.4, Share: 0.7, At: 3 * time.Second, Partial: true}
+	median, _ = o.Remaining(0, run)
+	wantAbout(t, "the remaining time of a resumed run", median, 3*time.Second, 0.15)
+	run = expect.Run{Elapsed: time.Hour, Speed: 1, Share: 0.99, At: 10 * time.Second}
+	if median, high = o.Remaining(0, run); median <= 0 || high < median {
+		t.Errorf("long after its expected end a run has %v left, at most %v, want it to be positive", median, high)
+	}
+}
--- a/internal/learned/durations.go
+++ b/internal/learned/durations.go
@@ -84,6 +84,16 @@
 // Changes returns a number that increases with each change of what is predicted.
 func (d *Durations) Changes() uint64 { return d.changes }
 
+// InUse reports whether predictions are used for any queue.
+func (d *Durations) InUse() bool {
+	for _, q := range d.queues {
+		if q.inUse {
+			return true
+		}
+	}
+	return false
+}
+
 // Series is the history of the work with one key. It is valid as long as its Durations.
 type Series struct {
 	work    Work
--- a/internal/learned/residuals.go
+++ b/internal/learned/residuals.go
@@ -12,8 +12,8 @@
 	sketchAccuracy = 0.02
 	// maxFactor limits the factors in a sketch, and so its number of bins.
 	maxFactor = 50.0
-	// priorSpread is the spread that is assumed without history: declared estimates are often wrong by half or more.
-	priorSpread = 0.5
+	// PriorSpread is the spread that is assumed without history: declared estimates are often wrong by half or more.
+	PriorSpread = 0.5
 	// minSpread and maxSpread limit the spread. Below minSpread the tasks of one step differ by more than that.
 	minSpread, maxSpread = 0.1, 1.5
 	// priorResidualWeight is the weight of that assumption, in steps.
@@ -32,7 +32,7 @@
 	r := newFactors()
 	// These are the quantiles of a normal distribution at 10, 30, 50, 70 and 90%, in standard deviations.
 	for _, deviations := range []float64{-highDeviations, -0.5244, 0, 0.5244, highDeviations} {
-		r.insert(math.Exp(priorSpread*deviations), priorResidualWeight/5)
+		r.insert(math.Exp(PriorSpread*deviations), priorResidualWeight/5)
 	}
 	return r
 }
--- a/internal/mock/client.go
+++ b/internal/mock/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -167,7 +168,7 @@
 	step := w.findJob(task.Job).GetSteps()[task.Step]
 	saved, _ := time.ParseDuration(order.Checkpoint) // empty for the first run
 	fake.running[order.Task] = &fakeTask{
-		run: order.Run, startedAt: time.Now(), duration: time.Duration(step.GetEstimateMs())*time.Millisecond - saved, step: step,
+		run: order.Run, startedAt: time.Now(), duration: w.durationOf(order.Task, step) - saved, step: step,
 		initialCheckpoint: order.Checkpoint, pacePercent: 100,
 	}
 	if w.TicketValid != nil && !w.TicketValid(order, fake.entry.ID) {
@@ -192,6 +193,14 @@
 	return nil
 }
 
+// durationOf returns how long a task runs without a checkpoint.
+func (w *Workers) durationOf(task string, step *storev1.Step) time.Duration {
+	if w.TaskDuration != nil {
+		return w.TaskDuration(task)
+	}
+	return time.Duration(step.GetEstimateMs()) * time.Millisecond
+}
+
 // checkDuplicateRun records a violation if the task has finished as done or runs on any worker.
 func (w *Workers) checkDuplicateRun(fake *fakeWorker, order worker.Start) {
 	for _, other := range w.byID {
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -38,6 +38,8 @@
 	StopDuration time.Duration
 	// CrashDuration is how long a crashed worker is down.
 	CrashDuration time.Duration
+	// TaskDuration, if set, returns how long a task runs in place of the estimate of its step.
+	TaskDuration func(task string) time.Duration
 	// MaxLease, if set, is the longest lease; longer ones are shortened to it.
 	MaxLease time.Duration
 	// dropStarts and dropPolls make all workers drop starts or polls.
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -183,8 +183,8 @@
 	spec := storedJob(due.submitted, d.trace.name, due.timeMillis)
 	added := &job{
 		trace: due.submitted, spec: spec, step: spec.GetSteps()[0], compared: due.compared, waitingSince: d.now,
-		avoid: map[string]bool{}, timeToObjective: assign.TimeToObjective(spec),
-		coreSeconds: assign.JobWork(spec),
+		avoid: map[string]bool{}, timeToObjective: assign.TimeToObjective(spec, assign.Declared(spec)),
+		coreSeconds: assign.JobWork(spec, assign.Declared(spec)),
 		idealMillis: int64(float64(due.submitted.GetRunMs()) / d.trace.bestSpeed(due.submitted)),
 	}
 	d.submittedCount[spec.GetPriority()]++
@@ -246,7 +246,7 @@
 func (d *dataCentreReplay) observeUrgentDemand() {
 	cores := 0.0
 	for _, j := range d.openJobs {
-		if assign.IsUrgent(j.spec, maxStopMillis*time.Millisecond) {
+		if assign.IsUrgent(j.spec, assign.Declared(j.spec), maxStopMillis*time.Millisecond) {
 			cores += float64(j.step.GetCount()) * assign.ResourcesOf(j.step).CoreEquivalent()
 		}
 	}
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -92,7 +92,7 @@
 		Due: accepted, LastAttempt: j.failures+1 >= maxFailures, WaitingSince: time.UnixMilli(j.waitingSince),
 		Objective: accepted.Add(j.timeToObjective), LateUntil: accepted.Add(assign.LateFactor * j.timeToObjective),
 		Remaining: time.Duration(remaining * float64(assign.Estimate(j.step))),
-		Credit:    assign.Credit(j.spec, mean[j.spec.GetPriority()]),
+		Credit:    assign.Credit(j.spec, assign.Declared(j.spec), mean[j.spec.GetPriority()]),
 		Work:      remaining * j.coreSeconds, Avoid: j.avoid,
 	}
 }
