Required speed of units with learned durations doesn't double their expectation

Declared estimates are assumed to be wrong by the factor 2. With an objective of 1.5 times the critical path + 0.3 s, a unit then needs a speed of 1.3 or more at once and faster workers than there are soon after, so it waits or preempts for them. A learned expectation is wrong by much less, and the objective moves with it, so only the difference between the tasks of the step (15%) is left: the last of 13 tasks takes 1.28 times the median. Without history the factor is 2 as before.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -185,3 +185,17 @@
 		t.Error("a unit that failed on all workers never starts again")
 	}
 }
+
+// Guards against a unit with a learned duration that gets the fastest workers as if its duration were a declared estimate.
+func TestMarginOfLearnedDurations(t *testing.T) {
+	for margin, want := range map[float64]string{0: "w01", 1.25: "w00"} {
+		build := newScene().workers(2, 2)
+		build.snapshot.Workers[0].Speed, build.snapshot.Workers[1].Speed = 0.9, 1.4
+		build.waiting("a", 0, step(1, 1), func(unit *assign.Unit) {
+			unit.Margin, unit.Objective = margin, snapshotTime.Add(6*time.Second+250*time.Millisecond)
+		})
+		if plan := assign.MakePlan(&build.snapshot); plan.Starts[0].Workers[0] != want {
+			t.Errorf("margin %v: the unit starts on %s, want %s", margin, plan.Starts[0].Workers[0], want)
+		}
+	}
+}
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -16,7 +16,7 @@
 	// similarSpeedRatio is the maximum ratio of the speeds of two workers that count as similar. It is well above 1 because
 	// the error of learned speeds is some tenths.
 	similarSpeedRatio = 1.35
-	// estimateMargin is the factor by which a unit is assumed to exceed its estimate: declared estimates are often wrong by
+	// estimateMargin is the factor by which a unit is assumed to exceed its declared estimate: declared estimates are often wrong by
 	// half, and a gang ends with its slowest member.
 	estimateMargin = 2.0
 	// runOverhead is the time allowed for what happens before and after a run.
@@ -281,7 +281,7 @@
 	if timeLeft <= 0 {
 		return math.Inf(1)
 	}
-	return estimateMargin * float64(unit.Remaining) / float64(timeLeft)
+	return cmp.Or(unit.Margin, estimateMargin) * float64(unit.Remaining) / float64(timeLeft)
 }
 
 // compareFit compares two candidates: the one with the tighter fit comes first, then the faster one.
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -111,6 +111,8 @@
 	Objective, LateUntil time.Time
 	// Expected is the expected duration of a task of the unit's step on a worker of speed 1; 0 means that it is the declared one.
 	Expected time.Duration
+	// Margin is the factor by which the last of the step's tasks is assumed to exceed Expected; 0 means estimateMargin.
+	Margin float64
 	// Remaining is the expected time until the job ends if the unit starts now on a worker of speed 1.
 	Remaining time.Duration
 	// Credit is what the job earns if it ends by Objective. Work is the work left in it, in core-seconds.
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -50,6 +50,7 @@
 		}
 		unit := common
 		unit.Step, unit.WaitingSince, unit.Remaining, unit.Expected = st.spec, st.readyAt, criticalPaths[st.index], o.expected[st.index]
+		unit.Margin = o.expect.Margin(st.index)
 		unit.TasksPerWorker, unit.Allowed = st.tasksPerWorker(), s.allowedWorkers(st)
 		s.addStep(out, st, unit)
 	}
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -76,10 +76,10 @@
 type step struct {
 	// series is nil if the duration of the step isn't learned.
 	series *learned.Series
-	// units is the number of its tasks or gangs, finished the number of those that have finished, and sumLogs the sum of the logarithms of
+	// tasks is the number of its tasks, units that of its tasks or gangs, finished the number of those that have finished, and sumLogs the sum of the logarithms of
 	// their durations in seconds.
-	units, finished int
-	sumLogs         float64
+	tasks, units, finished int
+	sumLogs                float64
 	// sampled is the weight of the samples that were taken of the step so far, and countedFinished the number of known durations in them.
 	sampled float64
 	// predicted is what was predicted before its first task started; 0 before.
@@ -95,7 +95,7 @@
 func New(durations *learned.Durations, spec *storev1.Job) *Occurrence {
 	o := &Occurrence{durations: durations, declared: assign.Declared(spec), steps: make([]step, len(spec.GetSteps()))}
 	for i, s := range spec.GetSteps() {
-		o.steps[i].units = int(s.GetCount())
+		o.steps[i].tasks, o.steps[i].units = int(s.GetCount()), int(s.GetCount())
 		if s.GetGang() {
 			o.steps[i].units = 1
 		}
@@ -113,6 +113,17 @@
 	return o.steps[index].series != nil && o.steps[index].series.Learned()
 }
 
+// Margin returns the factor by which the last of a step's tasks to end is expected to exceed the expected duration; 0 if that is the declared
+// estimate. It doesn't contain the error of the expectation: where a job takes longer than expected, its objective is later as well.
+func (o *Occurrence) Margin(index int) float64 {
+	if !o.Learned(index) {
+		return 0
+	}
+	// The median of the largest of n values is their quantile 0.5^(1/n).
+	quantile := math.Pow(0.5, 1/float64(max(1, o.steps[index].tasks)))
+	return math.Exp(taskSpread * math.Sqrt2 * math.Erfinv(2*quantile-1))
+}
+
 // Reset forgets the runs in progress; the caller then adds those that there are.
 func (o *Occurrence) Reset() {
 	for i := range o.steps {
