Durations are recorded for the next owner, and shown to operators

Key "durations" of the jobs' partition, one record for all queues of at most 60 KB (the latest keys), at most every 5 s and only once the last one is stored, so that an outage isn't followed by a burst. The next owner restores it; one of another version, or with values that can't have been recorded, is ignored with event 442, one that can't be decoded with 205.

Events 441 (restored), 442 (ignored), 443 (predictions come into use or go out of use).

The owner's loop keeps little of this: expect.Model has what is learned, when it is recorded, and what operators see.

--- a/cmd/dotterelctl/status.go
+++ b/cmd/dotterelctl/status.go
@@ -33,6 +33,14 @@
 	for _, state := range slices.Sorted(maps.Keys(status.GetJobs())) {
 		fmt.Printf("jobs %s: %d\n", state, status.GetJobs()[state])
 	}
+	for _, queue := range status.GetDurations() {
+		used := "declared estimates"
+		if queue.GetLearned() {
+			used = "learned durations"
+		}
+		fmt.Printf("queue %s: %d finished runs, usual error of estimates factor %.2f, of predictions %.2f; plans use %s\n", queue.GetQueue(),
+			queue.GetFinishedRuns(), queue.GetDeclaredFactor(), queue.GetPredictedFactor(), used)
+	}
 	for _, worker := range status.GetWorkers() {
 		if c.Workers || worker.GetState() != "usable" {
 			fmt.Printf("worker %s  %s  rack %s  %s  speed %.2f  %d tasks, %d accelerators free\n", worker.GetId(), worker.GetService(),
--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -20,7 +20,9 @@
 const logCloseTimeout = 300 * time.Millisecond
 
 // serveCommand runs an instance with the settings of the platform's settings file.
-type serveCommand struct{}
+type serveCommand struct {
+	Durations string `default:"learned" enum:"learned,declared" help:"What plans use as the durations of tasks: what was learned from finished runs, where these show that the declared estimates are wrong, or the declared estimates alone (${enum})."`
+}
 
 // Run runs the instance until SIGTERM or SIGINT.
 func (c *serveCommand) Run() error {
@@ -28,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	settings.DeclaredDurations = c.Durations == "declared"
 	writer := events.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTimeout)
 	logger := events.New(writer, settings.Name)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
@@ -68,6 +69,8 @@
 	// CapacityGrace is how long after a worker's capacity has shrunk tasks may still start within the capacity that it had; 0 if
 	// capacities don't shrink.
 	CapacityGrace time.Duration
+	// DeclaredDurations is true if the declared estimates are used in place of durations learned from finished runs.
+	DeclaredDurations bool
 	// Retention is how long callers can query the state of a job that has ended.
 	Retention time.Duration
 }
@@ -176,8 +179,8 @@
 	steady map[lossCause]map[string]bool
 	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
 	held map[replica.Task]assign.Reason
-	// durations is what was learned of the durations of tasks; nil if the declared estimates are used.
-	durations *learned.Durations
+	// model is what is known of the durations of tasks.
+	model *expect.Model
 	// typicalSpeed is the geometric mean of the known speeds of workers.
 	typicalSpeed float64
 	// queueStats are the statistics of each queue's jobs.
@@ -222,7 +225,7 @@
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
 		losses:     map[string]workerLoss{},
-		queueStats: map[string]*queueStats{}, durations: learned.NewDurations(), typicalSpeed: 1,
+		queueStats: map[string]*queueStats{}, typicalSpeed: 1,
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
@@ -326,6 +329,7 @@
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
+	s.recordDurations()
 	s.advanceWaves()
 	if s.now.Sub(s.lastRetirement) > retireInterval {
 		s.lastRetirement = s.now
--- a/internal/dispatch/expect.go
+++ b/internal/dispatch/expect.go
@@ -6,32 +6,41 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/expect"
-	"github.com/dotterelgauge/dotterelgauge/internal/learned"
+	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
 // updateExpectations updates the expected durations of all open jobs from what has been learned and from their runs in progress.
 func (s *session) updateExpectations() {
-	if s.durations == nil {
+	if !s.model.Learns() {
 		return
 	}
-	var running []learned.Running
-	s.eachOpenOccurrence(func(_ *job, o *occurrence) {
-		o.expect.Reset()
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				if u.run != nil && !u.run.startedAt.IsZero() {
-					o.expect.Add(st.index, s.progress(u.run))
+	s.updateTypicalSpeed()
+	var open []*expect.Occurrence
+	for _, j := range s.jobs {
+		if j.hasEnded() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.done() {
+				continue
+			}
+			o.expect.Reset()
+			for _, st := range o.steps {
+				for _, u := range st.units {
+					if u.run != nil && !u.run.startedAt.IsZero() {
+						o.expect.Add(st.index, s.progress(u.run))
+					}
 				}
 			}
+			open = append(open, o.expect)
 		}
-		running = o.expect.Running(running)
-	})
-	s.durations.SetRunning(running)
-	s.updateTypicalSpeed()
-	s.eachOpenOccurrence(func(j *job, o *occurrence) {
-		o.expected = o.expect.Expected(o.expected[:0])
-		s.updateQueueStats(j)
-	})
+	}
+	s.model.Update(open)
+	for _, j := range s.jobs {
+		if !j.hasEnded() {
+			s.updateQueueStats(j)
+		}
+	}
 }
 
 // updateTypicalSpeed computes the geometric mean of the known speeds, to which speeds are relative where durations are learned: as speeds
@@ -49,38 +58,36 @@
 
 // plannedSpeed returns the speed of a worker for plans. It is relative to the typical one once learned durations are in use.
 func (s *session) plannedSpeed(ws *workerState) float64 {
-	if s.durations == nil || !s.durations.InUse() {
+	if !s.model.InUse() {
 		return ws.speed.Value()
 	}
 	return ws.speed.Value() / s.typicalSpeed
 }
 
-// eachOpenOccurrence calls use for each occurrence that isn't done of the jobs that have not ended.
-func (s *session) eachOpenOccurrence(use func(*job, *occurrence)) {
-	for _, j := range s.jobs {
-		if j.hasEnded() {
-			continue
-		}
-		for _, o := range j.occurrences {
-			if !o.done() {
-				use(j, o)
-			}
-		}
-	}
-}
-
 // expected returns the expected durations of a job's latest occurrence.
 func (s *session) expected(j *job) assign.Expectations {
 	if len(j.occurrences) == 0 {
-		return expect.New(s.durations, j.spec).Expected(nil)
+		return s.model.Occurrence(j.spec).Expected
+	}
+	return j.occurrences[len(j.occurrences)-1].expect.Expected
+}
+
+// recordDurations records what was learned of durations for the next owner.
+func (s *session) recordDurations() {
+	if durations := s.model.Record(s.now); durations != nil {
+		record, err := replica.DurationsRecord(durations)
+		if err != nil {
+			s.term.StepDown(err.Error())
+			return
+		}
+		s.appendRecords(s.model.Stored, record)
 	}
-	return j.occurrences[len(j.occurrences)-1].expected
 }
 
 // learnDuration learns from the run of a unit that is done. The duration of the whole task is known if the run began at its start, and in
 // this term.
 func (s *session) learnDuration(u *unit) {
-	if r := u.run; s.durations != nil && r != nil {
+	if r := u.run; r != nil {
 		duration := time.Duration(0)
 		if p := s.progress(r); !r.startedAt.IsZero() && !p.Partial {
 			duration = time.Duration(float64(p.Elapsed) * p.Speed)
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -14,12 +14,11 @@
 // maxExplainedSteps limits the steps of a job that are explained.
 const maxExplainedSteps = 8
 
-// query runs a function in the loop of the current term. It returns false if this instance isn't the owner or ctx ends
-// first.
-func (d *Dispatcher) query(ctx context.Context, action func(*session)) bool {
+// query runs a function in the loop of the current term. It does nothing if this instance isn't the owner, or if ctx ends first.
+func (d *Dispatcher) query(ctx context.Context, action func(*session)) {
 	s := d.current.Load()
 	if s == nil {
-		return false
+		return
 	}
 	done := make(chan struct{})
 	s.post(func() {
@@ -28,11 +27,9 @@
 	})
 	select {
 	case <-done:
-		return true
 	case <-ctx.Done():
 	case <-s.ctx.Done():
 	}
-	return false
 }
 
 // Explain returns a line for each waiting step of a job, up to maxExplainedSteps, that says why it waits. The next plan gives
@@ -119,6 +116,13 @@
 	return workers
 }
 
+// Durations returns how well the owner knows the durations of each queue's tasks. It returns none on an instance that isn't the owner.
+func (d *Dispatcher) Durations(ctx context.Context) []*apiv1.QueueDurations {
+	var queues []*apiv1.QueueDurations
+	d.query(ctx, func(s *session) { queues = s.model.Queues() })
+	return queues
+}
+
 func (s *session) workerStatus(ws *workerState) *apiv1.WorkerStatus {
 	free, _ := ws.free()
 	return &apiv1.WorkerStatus{
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -41,9 +41,8 @@
 	// started is true once all members of a run of it were running in this term.
 	started bool
 	steps   []*step
-	// expect has what is known of the durations of the steps, and expected what was expected of them when the last plan was made.
-	expect   *expect.Occurrence
-	expected assign.Expectations
+	// expect has what is known of the durations of the steps.
+	expect *expect.Occurrence
 }
 
 // done reports whether all steps are done.
@@ -182,6 +181,7 @@
 // restore adds the jobs that the store holds at the start of the term.
 func (s *session) restore(stored []replica.Job) {
 	s.restoreFinalLeases()
+	s.model = expect.NewModel(s.Replica.Durations(), !s.Options.DeclaredDurations, s.Events)
 	for _, j := range stored {
 		restored := &job{spec: j.Job, cancelled: j.Cancelled, recordedRuns: j.Runs}
 		if outcome := j.Outcome; outcome != nil {
@@ -242,8 +242,7 @@
 
 // openOccurrence opens one occurrence and restores its recorded runs.
 func (s *session) openOccurrence(j *job, number int) {
-	o := &occurrence{number: number, dueAt: dueAt(j.spec, number), expect: expect.New(s.durations, j.spec)}
-	o.expected = o.expect.Expected(nil)
+	o := &occurrence{number: number, dueAt: dueAt(j.spec, number), expect: s.model.Occurrence(j.spec)}
 	j.occurrences = append(j.occurrences, o)
 	for index, spec := range j.spec.GetSteps() {
 		st := &step{job: j, occurrence: o, spec: spec, index: index}
--- a/internal/dispatch/runchecks.go
+++ b/internal/dispatch/runchecks.go
@@ -95,7 +95,7 @@
 		return false
 	}
 	remaining := time.Duration((1 - m.percent/fullPercent) * float64(assign.Estimate(step)) / m.worker.speed.Value())
-	if s.durations != nil && !m.run.startedAt.IsZero() {
+	if s.model.Learns() && !m.run.startedAt.IsZero() {
 		remaining, _ = m.run.unit.step.occurrence.expect.Remaining(m.run.unit.step.index, s.progress(m.run))
 	}
 	return step.GetLongRunning() || (step.GetCheckpointing() && remaining > s.Options.StopDuration+departureMargin)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -37,19 +37,19 @@
 
 // addOccurrence adds the units of an occurrence that wait or run.
 func (s *session) addOccurrence(out *assign.Snapshot, j *job, o *occurrence, claimed bool) {
-	criticalPaths := assign.CriticalPaths(j.spec, o.expected)
-	timeToObjective := assign.TimeToObjective(j.spec, o.expected)
+	criticalPaths := assign.CriticalPaths(j.spec, o.expect.Expected)
+	timeToObjective := assign.TimeToObjective(j.spec, o.expect.Expected)
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed,
 		Due: o.dueAt, Objective: o.dueAt.Add(timeToObjective), LateUntil: o.dueAt.Add(assign.LateFactor * timeToObjective),
-		Credit: assign.Credit(j.spec, o.expected, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
+		Credit: assign.Credit(j.spec, o.expect.Expected, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
 	}
 	for _, st := range o.steps {
 		if st.readyAt.IsZero() || st.remaining == 0 {
 			continue
 		}
 		unit := common
-		unit.Step, unit.WaitingSince, unit.Remaining, unit.Expected = st.spec, st.readyAt, criticalPaths[st.index], o.expected[st.index]
+		unit.Step, unit.WaitingSince, unit.Remaining, unit.Expected = st.spec, st.readyAt, criticalPaths[st.index], o.expect.Expected[st.index]
 		unit.Margin = o.expect.Margin(st.index)
 		unit.TasksPerWorker, unit.Allowed = st.tasksPerWorker(), s.allowedWorkers(st)
 		s.addStep(out, st, unit)
@@ -122,7 +122,7 @@
 	for _, st := range o.steps {
 		for _, u := range st.units {
 			if !u.done && u.run == nil {
-				work += assign.TaskWork(st.spec, o.expected[st.index]) * float64(memberCount(u))
+				work += assign.TaskWork(st.spec, o.expect.Expected[st.index]) * float64(memberCount(u))
 			}
 		}
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -79,7 +79,12 @@
 	CrashesCleared      = Event{429, log.InfoLevel, "crashes under a task cleared", "nothing; the task has lasted"}
 	LeaseFinal          = Event{430, log.WarnLevel, "lease of a silent worker is final", actionWorker}
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
-	PoolState           = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
+	DurationsRestored   = Event{441, log.InfoLevel, "durations of tasks restored", actionNone}
+	DurationsIgnored    = Event{442, log.WarnLevel, "recorded durations of tasks ignored",
+		"nothing; durations are learned anew, which takes some twenty jobs of a queue"}
+	DurationsLearned = Event{443, log.InfoLevel, "predicted durations of a queue come into use or go out of use",
+		"nothing; ask the callers of the queue for better estimates if the factor of the declared ones is high"}
+	PoolState = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
 )
 
 // Events of calls: 5xx.
@@ -102,6 +107,7 @@
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
 		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal,
+		DurationsRestored, DurationsIgnored, DurationsLearned,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -69,7 +69,9 @@
 	// durations is nil if the declared estimates are used.
 	durations *learned.Durations
 	declared  assign.Expectations
-	steps     []step
+	// Expected has the expected duration of a task of each step, as of the latest update by Model.Update.
+	Expected assign.Expectations
+	steps    []step
 }
 
 // step is what is known of a step.
@@ -91,8 +93,9 @@
 	longest      time.Duration
 }
 
-// New returns the expectations of one execution of a job; durations is nil if they are the declared ones.
-func New(durations *learned.Durations, spec *storev1.Job) *Occurrence {
+// Occurrence returns the expectations of one execution of a job.
+func (m *Model) Occurrence(spec *storev1.Job) *Occurrence {
+	durations := m.durations
 	o := &Occurrence{durations: durations, declared: assign.Declared(spec), steps: make([]step, len(spec.GetSteps()))}
 	for i, s := range spec.GetSteps() {
 		o.steps[i].tasks, o.steps[i].units = int(s.GetCount()), int(s.GetCount())
@@ -105,6 +108,7 @@
 			})
 		}
 	}
+	o.update()
 	return o
 }
 
@@ -156,8 +160,8 @@
 	}
 }
 
-// Running returns what the runs in progress of the steps show that have nothing better yet, for Durations.SetRunning.
-func (o *Occurrence) Running(running []learned.Running) []learned.Running {
+// running appends what the runs in progress of the steps show that have nothing better yet, for Durations.SetRunning.
+func (o *Occurrence) running(running []learned.Running) []learned.Running {
 	for i := range o.steps {
 		if st := &o.steps[i]; st.longest > 0 && st.finished == 0 && st.inProgress == 0 {
 			running = append(running, learned.Running{Series: st.series, Declared: o.declared[i], Elapsed: st.longest})
@@ -194,15 +198,14 @@
 	})
 }
 
-// Expected appends the expected durations of all steps to expected, which it returns.
-func (o *Occurrence) Expected(expected assign.Expectations) assign.Expectations {
-	expected = append(expected, o.declared...)
+// update updates Expected.
+func (o *Occurrence) update() {
+	o.Expected = append(o.Expected[:0], o.declared...)
 	for i := range o.steps {
 		if o.Learned(i) {
-			expected[i] = o.distribution(i).Median
+			o.Expected[i] = o.distribution(i).Median
 		}
 	}
-	return expected
 }
 
 // distribution returns the distribution of the duration of a task of a step that isn't running, or whose run shows nothing.
--- a/internal/expect/expect_test.go
+++ b/internal/expect/expect_test.go
@@ -7,8 +7,8 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/expect"
-	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 )
 
 var now = time.Unix(1_700_000_000, 0)
@@ -21,18 +21,26 @@
 	}
 }
 
-// trained returns a predictor after 30 jobs that took four times their estimate, give or take a third.
-func trained() *learned.Durations {
-	durations := learned.NewDurations()
+// untrained returns a model without history.
+func untrained(learning bool) *expect.Model { return expect.NewModel(nil, learning, events.Discard()) }
+
+// trained returns a model after 30 jobs that took four times their estimate, give or take a third.
+func trained() *expect.Model {
+	model := untrained(true)
 	for i := range 30 {
 		factor := 4 * math.Exp(0.3*math.Sin(float64(i)))
-		expect.New(durations, job(1, 2*time.Second)).Finish(0, time.Duration(2*factor*float64(time.Second)), now)
+		model.Occurrence(job(1, 2*time.Second)).Finish(0, time.Duration(2*factor*float64(time.Second)), now)
 	}
-	return durations
+	return model
 }
 
 // expected returns what is expected of a job's only step.
-func expected(o *expect.Occurrence) time.Duration { return o.Expected(nil)[0] }
+func expected(model *expect.Model, o *expect.Occurrence) time.Duration {
+	if model.Learns() {
+		model.Update([]*expect.Occurrence{o})
+	}
+	return o.Expected[0]
+}
 
 // wantAbout fails if a duration differs from the wanted one by more than a share of it.
 func wantAbout(t *testing.T, what string, got, want time.Duration, share float64) {
@@ -44,11 +52,11 @@
 
 // Guards against plans that change before finished runs have shown that the declared estimates are wrong, and with the setting "declared".
 func TestDeclaredEstimatesWithoutHistory(t *testing.T) {
-	for name, durations := range map[string]*learned.Durations{"no history": learned.NewDurations(), "declared": nil} {
-		o := expect.New(durations, job(10, 2*time.Second))
+	for name, model := range map[string]*expect.Model{"no history": untrained(true), "declared": untrained(false)} {
+		o := model.Occurrence(job(10, 2*time.Second))
 		o.Add(0, expect.Run{Elapsed: 30 * time.Second, Speed: 1})
 		o.Finish(0, 20*time.Second, now)
-		if got := expected(o); got != 2*time.Second {
+		if got := expected(model, o); got != 2*time.Second {
 			t.Errorf("%s: the expectation is %v, want the estimate of 2 s", name, got)
 		}
 		if median, high := o.Remaining(0, expect.Run{Elapsed: 30 * time.Second, Speed: 1}); median <= 0 || high < median {
@@ -61,12 +69,14 @@
 // objective is later.
 func TestObjectiveMovesWithRunsInProgress(t *testing.T) {
 	spec := job(5, 2*time.Second)
-	o := expect.New(trained(), spec)
-	wantAbout(t, "the expectation before the start", expected(o), 8*time.Second, 0.2)
+	model := trained()
+	o := model.Occurrence(spec)
+	wantAbout(t, "the expectation before the start", expected(model, o), 8*time.Second, 0.2)
 	for elapsed := time.Second; elapsed < 10*time.Minute; elapsed += elapsed / 2 {
 		o.Reset()
 		o.Add(0, expect.Run{Elapsed: elapsed, Speed: 1})
-		if objective := assign.TimeToObjective(spec, o.Expected(nil)); objective < elapsed {
+		model.Update([]*expect.Occurrence{o})
+		if objective := assign.TimeToObjective(spec, o.Expected); objective < elapsed {
 			t.Errorf("after %v without a pause the job's objective of %v has passed", elapsed, objective)
 		}
 	}
@@ -74,30 +84,31 @@
 
 // Guards against a step whose tasks are expected to differ from those that have finished or report progress.
 func TestOtherTasksOfStepAreExpectedToTakeAsLong(t *testing.T) {
-	o := expect.New(trained(), job(39, 2*time.Second))
+	model := trained()
+	o := model.Occurrence(job(39, 2*time.Second))
 	o.Finish(0, 18*time.Second, now)
 	o.Finish(0, 22*time.Second, now)
-	wantAbout(t, "the expectation after two tasks of 20 s", expected(o), 20*time.Second, 0.25)
-	o = expect.New(trained(), job(39, 2*time.Second))
+	wantAbout(t, "the expectation after two tasks of 20 s", expected(model, o), 20*time.Second, 0.25)
+	o = model.Occurrence(job(39, 2*time.Second))
 	for range 5 {
 		// On a worker of speed 0.8, 30% are done after 7.5 s, so the task takes 25 s there.
 		o.Add(0, expect.Run{Elapsed: 8 * time.Second, Speed: 0.8, Share: 0.3, At: 7500 * time.Millisecond})
 	}
-	wantAbout(t, "the expectation after progress at a rate of 20 s", expected(o), 20*time.Second, 0.25)
+	wantAbout(t, "the expectation after progress at a rate of 20 s", expected(model, o), 20*time.Second, 0.25)
 }
 
 // Guards against one large job that counts as many observations: its tasks are of one kind.
 func TestTasksOfOneStepAreOneObservation(t *testing.T) {
-	durations := trained()
-	before := expected(expect.New(durations, job(1, 2*time.Second)))
-	large := expect.New(durations, job(39, 2*time.Second))
+	model := trained()
+	before := expected(model, model.Occurrence(job(1, 2*time.Second)))
+	large := model.Occurrence(job(39, 2*time.Second))
 	for range 39 {
 		large.Finish(0, 24*time.Second, now)
 	}
-	if after := expected(expect.New(durations, job(1, 2*time.Second))); after > before*13/10 {
+	if after := expected(model, model.Occurrence(job(1, 2*time.Second))); after > before*13/10 {
 		t.Errorf("a job of 39 tasks of 24 s changes the expectation of the next one from %v to %v", before, after)
 	}
-	if runs := durations.Accuracy()["q"].FinishedRuns; runs != 30+39 {
+	if runs := model.Queues()[0].GetFinishedRuns(); runs != 30+39 {
 		t.Errorf("%d finished runs are counted, want 69", runs)
 	}
 }
@@ -106,25 +117,25 @@
 // as much as a declared estimate although the objective moves with it.
 func TestMarginCoversTheSlowestTask(t *testing.T) {
 	for tasks, want := range map[uint32]float64{1: 1, 13: 1.28, 39: 1.36} {
-		if got := expect.New(trained(), job(tasks, 2*time.Second)).Margin(0); math.Abs(got-want) > 0.03 {
+		if got := trained().Occurrence(job(tasks, 2*time.Second)).Margin(0); math.Abs(got-want) > 0.03 {
 			t.Errorf("the margin of %d tasks is %.2f, want %.2f", tasks, got, want)
 		}
 	}
-	if got := expect.New(learned.NewDurations(), job(13, 2*time.Second)).Margin(0); got != 0 {
+	if got := untrained(true).Occurrence(job(13, 2*time.Second)).Margin(0); got != 0 {
 		t.Errorf("the margin without history is %.2f, want 0 for that of declared estimates", got)
 	}
 }
 
 // Guards against learning from resumed runs, and from runs on unsuitable racks, as if they showed whole tasks.
 func TestPartialRunsAreNotLearnedFrom(t *testing.T) {
-	durations := trained()
-	before := expected(expect.New(durations, job(1, 2*time.Second)))
+	model := trained()
+	before := expected(model, model.Occurrence(job(1, 2*time.Second)))
 	for range 20 {
-		o := expect.New(durations, job(1, 2*time.Second))
+		o := model.Occurrence(job(1, 2*time.Second))
 		o.Add(0, expect.Run{Elapsed: time.Minute, Speed: 1, Share: 0.5, At: time.Minute, Partial: true})
 		o.Finish(0, 0, now)
 	}
-	if after := expected(expect.New(durations, job(1, 2*time.Second))); after != before {
+	if after := expected(model, model.Occurrence(job(1, 2*time.Second))); after != before {
 		t.Errorf("partial runs change the expectation from %v to %v", before, after)
 	}
 	for _, test := range []struct {
@@ -147,7 +158,7 @@
 // Guards against a remaining time that ignores the progress since the last report, or that comes from the estimate although the run itself
 // reports how fast it is.
 func TestRemainingTimeFollowsProgress(t *testing.T) {
-	o := expect.New(trained(), job(1, 2*time.Second))
+	o := trained().Occurrence(job(1, 2*time.Second))
 	run := expect.Run{Elapsed: 12 * time.Second, Speed: 1, Share: 0.5, At: 10 * time.Second}
 	o.Add(0, run)
 	median, high := o.Remaining(0, run)
@@ -162,3 +173,38 @@
 		t.Errorf("long after its expected end a run has %v left, at most %v, want it to be positive", median, high)
 	}
 }
+
+// Guards against a record for each finished run, and against a burst of records after an outage of the store.
+func TestRecordIsMadeEveryFiveSecondsAtMost(t *testing.T) {
+	model, records := trained(), 0
+	for i := range 200 {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		model.Occurrence(job(1, 2*time.Second)).Finish(0, 8*time.Second, at)
+		if model.Record(at) != nil {
+			records++
+			model.Stored()
+		}
+	}
+	if records != 4 {
+		t.Errorf("%d records are made in 20 s, want 4", records)
+	}
+	model.Occurrence(job(1, 2*time.Second)).Finish(0, 8*time.Second, now)
+	for i := 30; i < 90; i += 10 {
+		if record := model.Record(now.Add(time.Duration(i) * time.Second)); (record != nil) != (i == 30) {
+			t.Errorf("after %d s without an answer of the store a record is made: %v", i, record != nil)
+		}
+	}
+}
+
+// Guards against a new owner that starts without what the last one knew, and against one that fails or plans with garbage because the record
+// is of another version.
+func TestModelContinuesFromRecord(t *testing.T) {
+	record := trained().Record(now)
+	restored := expect.NewModel(record, true, events.Discard())
+	wantAbout(t, "the restored expectation", expected(restored, restored.Occurrence(job(1, 2*time.Second))), 8*time.Second, 0.2)
+	record.Version++
+	other := expect.NewModel(record, true, events.Discard())
+	if got := expected(other, other.Occurrence(job(1, 2*time.Second))); got != 2*time.Second {
+		t.Errorf("with a record of another version the expectation is %v, want the estimate of 2 s", got)
+	}
+}
--- a/internal/learned/durations.go
+++ b/internal/learned/durations.go
@@ -74,6 +74,8 @@
 	series map[Work]*Series
 	// changes is increased with each change of what is predicted.
 	changes uint64
+	// observations counts the samples.
+	observations uint64
 }
 
 // NewDurations returns a predictor without history.
@@ -84,6 +86,9 @@
 // Changes returns a number that increases with each change of what is predicted.
 func (d *Durations) Changes() uint64 { return d.changes }
 
+// Observations returns the number of samples that were learned from.
+func (d *Durations) Observations() uint64 { return d.observations }
+
 // InUse reports whether predictions are used for any queue.
 func (d *Durations) InUse() bool {
 	for _, q := range d.queues {
@@ -157,9 +162,9 @@
 	}
 	queue := d.queue(work.Queue)
 	s := &Series{work: work, queue: queue, offsets: [3]*offset{
-		queue.offset(offsetKey{account: work.Account}, priorAccount),
-		queue.offset(offsetKey{hasShape: true, shape: work.Shape}, priorShape),
-		queue.offset(offsetKey{account: work.Account, hasShape: true, shape: work.Shape}, priorShape),
+		queue.offset(offsetKey{account: work.Account}),
+		queue.offset(offsetKey{hasShape: true, shape: work.Shape}),
+		queue.offset(offsetKey{account: work.Account, hasShape: true, shape: work.Shape}),
 	}}
 	d.series[work] = s
 	return s
@@ -172,9 +177,12 @@
 	return d.queues[name]
 }
 
-func (q *queueDurations) offset(key offsetKey, prior float64) *offset {
+func (q *queueDurations) offset(key offsetKey) *offset {
 	if q.offsets[key] == nil {
-		q.offsets[key] = &offset{prior: prior}
+		q.offsets[key] = &offset{prior: priorAccount}
+		if key.hasShape {
+			q.offsets[key].prior = priorShape
+		}
 	}
 	return q.offsets[key]
 }
@@ -236,6 +244,7 @@
 		return
 	}
 	d.changes++
+	d.observations++
 	q, x, y := s.queue, toLog(sample.Declared), toLog(sample.Actual)
 	q.usedAt = sample.At
 	declaredError, predictedError := math.Abs(y-x), math.Abs(y-toLog(sample.Predicted))
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -55,6 +55,8 @@
 	capacityGrace time.Duration
 	// maxLease is the longest lease that the workers grant; 0 for lease.
 	maxLease time.Duration
+	// declaredDurations is the setting of the instances that start after it was set.
+	declaredDurations bool
 	// down are the instances that get no answer from the store, and cut the workers that an instance can't reach.
 	down map[string]bool
 	cut  map[string]map[string]bool
@@ -175,7 +177,7 @@
 	started := node.New(node.Settings{
 		Name: name, Cores: c.cores[name], TakeoverDelay: 3 * time.Second, MaxLease: c.workers.MaxLease, ConfigApplyTime: 2 * time.Second,
 		StopDuration: time.Second, GangWait: 3 * time.Second, RestoreDuration: 250 * time.Millisecond, CapacityGrace: c.capacityGrace,
-		Retention: time.Minute, GracePeriod: 6 * time.Second,
+		Retention: time.Minute, GracePeriod: 6 * time.Second, DeclaredDurations: c.declaredDurations,
 	}, node.Platform{
 		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
 		Workers: reachableWorkers{c, name}, Advisor: c.advisor,
--- a/internal/node/durations_test.go
+++ b/internal/node/durations_test.go
@@ -9,8 +9,9 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-// watchExpected replaces the owner by one whose plans set what it returns: the largest expected duration of a waiting unit in the latest plan.
-func (c *cluster) watchExpected() *atomic.Int64 {
+// watchExpected replaces the owner by the instance name, whose plans set what it returns: the largest expected duration of a waiting unit in
+// the latest plan.
+func (c *cluster) watchExpected(name string) *atomic.Int64 {
 	expected := &atomic.Int64{}
 	c.planner = func(snapshot *assign.Snapshot) assign.Plan {
 		longest := int64(0)
@@ -22,8 +23,8 @@
 		}
 		return assign.MakePlan(snapshot)
 	}
-	c.kill("i0")
-	c.startNode("i1")
+	c.kill(c.owner())
+	c.startNode(name)
 	time.Sleep(15 * time.Second)
 	c.owner()
 	return expected
@@ -42,7 +43,7 @@
 func TestOwnerLearnsDurations(t *testing.T) {
 	run(t, 1, 4, func(c *cluster) {
 		c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
-		expected := c.watchExpected()
+		expected := c.watchExpected("i1")
 		c.finishJobs(0, 1)
 		if got := time.Duration(expected.Load()); got != 2*time.Second {
 			t.Errorf("without history the owner expects %v, want the estimate of 2 s", got)
@@ -53,3 +54,61 @@
 		}
 	})
 }
+
+// requireExpected fails the test if the expected duration isn't about the wanted one.
+func requireExpected(t *testing.T, when string, expected *atomic.Int64, want time.Duration) {
+	t.Helper()
+	if got := time.Duration(expected.Load()); got < want*3/4 || got > want*5/4 {
+		t.Errorf("%s the owner expects %v, want about %v", when, got, want)
+	}
+}
+
+// Guards against a new owner that plans with declared estimates until it has learned what its predecessor knew.
+func TestNextOwnerContinuesWithRecordedDurations(t *testing.T) {
+	run(t, 1, 4, func(c *cluster) {
+		c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
+		c.finishJobs(0, 13)
+		time.Sleep(6 * time.Second)
+		expected := c.watchExpected("i1")
+		c.finishJobs(13, 1)
+		requireExpected(t, "with the record of the last owner", expected, 8*time.Second)
+	})
+}
+
+// Guards against an owner that is lost before it has recorded anything, or while the store holds a damaged record, and whose successor doesn't
+// learn or fails.
+func TestDurationsAreLearnedAnewWithoutValidRecord(t *testing.T) {
+	for name, damage := range map[string]func(c *cluster){
+		"not recorded": func(*cluster) {},
+		"damaged":      func(c *cluster) { c.store.Put("durations", []byte{0xff, 0x01}) },
+		"version 0":    func(c *cluster) { c.store.Put("durations", []byte{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, 4, func(c *cluster) {
+				damage(c)
+				c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
+				expected := c.watchExpected("i1")
+				c.finishJobs(0, 1)
+				requireExpected(t, "without a record", expected, 2*time.Second)
+				c.finishJobs(1, 13)
+				requireExpected(t, "after 13 more runs", expected, 8*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against the setting "declared" that doesn't restore what was before: plans with declared estimates, and no record.
+func TestDeclaredDurations(t *testing.T) {
+	run(t, 1, 4, func(c *cluster) {
+		c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
+		c.declaredDurations = true
+		expected := c.watchExpected("i1")
+		c.finishJobs(0, 13)
+		requireExpected(t, "with declared durations", expected, 2*time.Second)
+		for _, record := range c.store.Records() {
+			if record.Key == "durations" {
+				t.Fatal("the owner records durations that it doesn't use")
+			}
+		}
+	})
+}
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -53,7 +53,7 @@
 		put("r/"+id(1)+".0.0.1", &storev1.Run{
 			Number: 1, Phase: storev1.RunPhase_RUN_PHASE_OPEN, Workers: []string{"w00", "w01", "w02"}, Crashes: []uint32{1, 2, 3},
 		})
-		for _, key := range []string{"", "x", "j/", "r/", "r/.", "o/" + id(1), "c/", "u/", "u/x", "speeds", "z/" + id(3)} {
+		for _, key := range []string{"", "x", "j/", "r/", "r/.", "o/" + id(1), "c/", "u/", "u/x", "speeds", "durations", "z/" + id(3)} {
 			c.store.Put(key, []byte{0xff, 0xff, 0xff})
 		}
 		requireOK(c, c.submit(1, 2, "i0", step))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,8 @@
 	notReadyShare = 0.55
 	// shutdownShare is the part of GracePeriod that is left for requests in progress.
 	shutdownShare = 0.3
+	// durationsTimeout limits how long the metrics page waits for the owner's loop.
+	durationsTimeout = 300 * time.Millisecond
 	// memoryLimitShare is the part of MemoryBytes that is the runtime's soft memory limit. gcPercent is the heap growth
 	// that starts a garbage collection below that limit; it is low because memory is scarcer than CPU time.
 	memoryLimitShare = 0.7
@@ -139,6 +141,7 @@
 			TakeoverDelay: settings.TakeoverDelay, EvacuateTime: settings.EvacuateTime,
 			MaxLease: settings.MaxLease, StopDuration: settings.StopDuration, GangWait: settings.GangWait,
 			RestoreDuration: settings.RestoreDuration, CapacityGrace: settings.CapacityGrace, Retention: settings.Retention,
+			DeclaredDurations: settings.DeclaredDurations,
 		},
 		Client: platform.Workers, Advisor: platform.Advisor, Machines: platform.Machines, Waves: waves,
 		Evacuations: evacuations, ConfigAge: n.configAge,
@@ -296,6 +299,11 @@
 	expvar.Publish("latency", &n.stages)
 	expvar.Publish("owner_epoch", expvar.Func(func() any { return n.candidate.Epoch() }))
 	expvar.Publish("configuration_age_ms", expvar.Func(func() any { return n.configAge().Milliseconds() }))
+	expvar.Publish("durations", expvar.Func(func() any {
+		ctx, cancel := context.WithTimeout(context.Background(), durationsTimeout)
+		defer cancel()
+		return n.dispatcher.Durations(ctx)
+	}))
 	expvar.Publish("configuration_version", expvar.Func(func() any {
 		if current := n.configs.Current(); current != nil {
 			return current.Version
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -40,6 +40,8 @@
 	GangWait time.Duration
 	// RestoreDuration is how long a task takes to resume from a checkpoint.
 	RestoreDuration time.Duration
+	// DeclaredDurations is true if the owner plans with the declared estimates in place of durations learned from finished runs.
+	DeclaredDurations bool
 	// CapacityGrace is how long after a worker's capacity has shrunk tasks may still start within the capacity that it had; 0 if
 	// capacities don't shrink.
 	CapacityGrace time.Duration
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -19,6 +19,8 @@
 		return r.applyOwner(record)
 	case speedsKey:
 		return r.applySpeeds(record)
+	case durationsKey:
+		return r.applyDurations(record)
 	}
 	kind, name := record.Key[:min(2, len(record.Key))], record.Key[min(2, len(record.Key)):]
 	switch kind {
@@ -150,6 +152,15 @@
 	return nil
 }
 
+func (r *Replica) applyDurations(record storelog.Record) error {
+	durations := &storev1.Durations{}
+	if err := proto.Unmarshal(record.Value, durations); err != nil {
+		return errors.Wrap(err, "decode durations")
+	}
+	r.durations = durations
+	return nil
+}
+
 func (r *Replica) applyUpkeep(name string, value []byte) error {
 	wave, err := strconv.ParseInt(name, 10, 64)
 	if err != nil {
--- a/internal/replica/fuzz_test.go
+++ b/internal/replica/fuzz_test.go
@@ -22,7 +22,7 @@
 			f.Fatal(err)
 		}
 		for _, key := range []string{
-			"j/" + job, "r/" + job + ".0.0.0", "r/" + job + ".-1.0.0", "o/" + job, "c/" + job, "owner", "u/1", "speeds", "",
+			"j/" + job, "r/" + job + ".0.0.0", "r/" + job + ".-1.0.0", "o/" + job, "c/" + job, "owner", "u/1", "speeds", "durations", "",
 		} {
 			f.Add(key, value)
 		}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -41,6 +41,11 @@
 	return encode(speedsKey, &storev1.Speeds{Speed: speeds})
 }
 
+// DurationsRecord returns the record of what was learned of the durations of tasks.
+func DurationsRecord(durations *storev1.Durations) (storelog.Record, error) {
+	return encode(durationsKey, durations)
+}
+
 // UpkeepRecord returns the record of the progress of a wave of upkeep.
 func UpkeepRecord(wave int64, progress *storev1.Upkeep) (storelog.Record, error) {
 	return encode(upkeepPrefix+strconv.FormatInt(wave, 10), progress)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,6 +25,7 @@
 const (
 	ownerKey      = "owner"
 	speedsKey     = "speeds"
+	durationsKey  = "durations"
 	jobPrefix     = "j/"
 	cancelPrefix  = "c/"
 	runPrefix     = "r/"
@@ -154,6 +155,8 @@
 	// acceptors has the time of the latest job by the CPU of the instances that accepted it, in millicores.
 	acceptors map[uint32]time.Time
 	speeds    map[string]float64
+	// durations is what the owners have learned of durations; nil if no record was read.
+	durations *storev1.Durations
 	// upkeep is the progress of each wave of upkeep.
 	upkeep map[int64]*storev1.Upkeep
 	// finalLeases are the final leases by the worker's id.
@@ -254,6 +257,13 @@
 	return r.speeds
 }
 
+// Durations returns what the owners have learned of the durations of tasks; nil if nothing is recorded. The caller must not modify it.
+func (r *Replica) Durations() *storev1.Durations {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.durations
+}
+
 // Upkeep returns the progress of a wave of upkeep; nil if none is stored.
 func (r *Replica) Upkeep(wave int64) *storev1.Upkeep {
 	r.mu.RLock()
