Merge the speeds learned within steps

Speeds no longer contain the errors of the declared estimates, so durations are learned at the speeds as they are. RunsNear replaces Slowed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,8 +181,6 @@
 	held map[replica.Task]assign.Reason
 	// model is what is known of the durations of tasks.
 	model *expect.Model
-	// typicalSpeed is the geometric mean of the known speeds of workers.
-	typicalSpeed float64
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -200,6 +198,8 @@
 	upkeep       upkeep
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
+	// speeds learns the speeds of the workers.
+	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
 	unrecordedLeases      []*run
 	usualLeasesRecordedAt time.Time
@@ -224,8 +224,8 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
-		losses:     map[string]workerLoss{},
-		queueStats: map[string]*queueStats{}, typicalSpeed: 1,
+		losses:       map[string]workerLoss{},
+		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
--- a/internal/dispatch/expect.go
+++ b/internal/dispatch/expect.go
@@ -14,7 +14,6 @@
 	if !s.model.Learns() {
 		return
 	}
-	s.updateTypicalSpeed()
 	var open []*expect.Occurrence
 	for _, j := range s.jobs {
 		if j.hasEnded() {
@@ -43,27 +42,6 @@
 	}
 }
 
-// updateTypicalSpeed computes the geometric mean of the known speeds, to which speeds are relative where durations are learned: as speeds
-// compare runs with their expected durations, they also contain by how much these are wrong for the whole fleet.
-func (s *session) updateTypicalSpeed() {
-	sum, count := 0.0, 0.0
-	for _, ws := range s.workers {
-		if ws.listed && ws.speed.Samples() > 0 {
-			sum += math.Log(ws.speed.Value())
-			count++
-		}
-	}
-	s.typicalSpeed = math.Exp(sum / max(count, 1))
-}
-
-// plannedSpeed returns the speed of a worker for plans. It is relative to the typical one once learned durations are in use.
-func (s *session) plannedSpeed(ws *workerState) float64 {
-	if !s.model.InUse() {
-		return ws.speed.Value()
-	}
-	return ws.speed.Value() / s.typicalSpeed
-}
-
 // expected returns the expected durations of a job's latest occurrence.
 func (s *session) expected(j *job) assign.Expectations {
 	if len(j.occurrences) == 0 {
@@ -99,10 +77,8 @@
 // progress returns the progress of a run whose members all run.
 func (s *session) progress(r *run) expect.Run {
 	p := expect.Run{Elapsed: s.now.Sub(r.startedAt), Speed: math.Inf(1), Share: math.Inf(1), Partial: r.restored || r.unit.step.spec.GetFills()}
-	racks := make([]string, len(r.members))
-	for i, m := range r.members {
-		racks[i] = m.worker.entry.Rack
-		p.Speed = min(p.Speed, m.worker.speed.Value()/s.typicalSpeed)
+	for _, m := range r.members {
+		p.Speed = min(p.Speed, m.worker.speed.Value())
 		p.Partial = p.Partial || m.startOrder.Checkpoint != ""
 		if share := min(m.percent/fullPercent, 1); share < p.Share {
 			p.Share, p.At = share, m.progressedAt.Sub(r.startedAt)
@@ -112,6 +88,6 @@
 	if !p.Partial {
 		p.BaseShare, p.BaseAt = 0, 0
 	}
-	p.Partial = p.Partial || expect.Slowed(r.unit.step.spec, racks)
+	p.Partial = p.Partial || !assign.RunsNear(r.unit.step.spec, r.racks())
 	return p
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -17,7 +17,7 @@
 		free, freeing := ws.free()
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: s.plannedSpeed(ws), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -40,15 +39,6 @@
 	Partial bool
 }
 
-// Slowed reports whether the tasks of a step run more slowly than their workers, which are in the given racks: away from their data, or as
-// a gang that needs one rack on several.
-func Slowed(step *storev1.Step, racks []string) bool {
-	if name := step.GetDataRack(); name != "" {
-		return slices.ContainsFunc(racks, func(rack string) bool { return rack != name })
-	}
-	return step.GetSameRack() && len(slices.Compact(slices.Sorted(slices.Values(racks)))) > 1
-}
-
 // total returns the duration of a run as its progress shows it; 0 if there is too little.
 func (r Run) total() time.Duration {
 	made := r.Share - r.BaseShare
@@ -193,7 +183,7 @@
 	}
 	st.sampled += weight
 	mean := time.Duration(math.Exp(st.sumLogs/float64(st.finished)) * float64(time.Second))
-	o.durations.Observe(st.series, learned.Sample{
+	o.durations.Observe(st.series, learned.StepDuration{
 		Declared: o.declared[index], Predicted: st.predicted, Actual: mean, Weight: weight, At: now,
 	})
 }
--- a/internal/expect/expect_test.go
+++ b/internal/expect/expect_test.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// Guards against learning from resumed runs, and from runs on unsuitable racks, as if they showed whole tasks.
+// Guards against learning from resumed runs, and from runs on unsuitable racks, as if they showed whole tasks of usual duration.
 func TestPartialRunsAreNotLearnedFrom(t *testing.T) {
 	model := trained()
 	before := expected(model, model.Occurrence(job(1, 2*time.Second)))
@@ -138,21 +138,6 @@
 	if after := expected(model, model.Occurrence(job(1, 2*time.Second))); after != before {
 		t.Errorf("partial runs change the expectation from %v to %v", before, after)
 	}
-	for _, test := range []struct {
-		step  *storev1.Step
-		racks []string
-		want  bool
-	}{
-		{&storev1.Step{DataRack: "r1"}, []string{"r1"}, false},
-		{&storev1.Step{DataRack: "r1"}, []string{"r2"}, true},
-		{&storev1.Step{SameRack: true}, []string{"r1", "r1"}, false},
-		{&storev1.Step{SameRack: true}, []string{"r1", "r2"}, true},
-		{&storev1.Step{}, []string{"r1", "r2"}, false},
-	} {
-		if got := expect.Slowed(test.step, test.racks); got != test.want {
-			t.Errorf("%v on %v: slowed %v, want %v", test.step, test.racks, got, test.want)
-		}
-	}
 }
 
 // Guards against a remaining time that ignores the progress since the last report, or that comes from the estimate although the run itself
--- a/internal/expect/model.go
+++ b/internal/expect/model.go
@@ -56,9 +56,6 @@
 // Learns reports whether the model learns. Otherwise the declared estimates are used.
 func (m *Model) Learns() bool { return m.durations != nil }
 
-// InUse reports whether anything but declared estimates is used for any queue.
-func (m *Model) InUse() bool { return m.Learns() && m.durations.InUse() }
-
 // Update updates what is expected of occurrences to whose runs in progress the caller has updated them.
 func (m *Model) Update(occurrences []*Occurrence) {
 	var running []learned.Running
--- a/internal/learned/durations.go
+++ b/internal/learned/durations.go
@@ -89,16 +89,6 @@
 // Observations returns the number of samples that were learned from.
 func (d *Durations) Observations() uint64 { return d.observations }
 
-// InUse reports whether predictions are used for any queue.
-func (d *Durations) InUse() bool {
-	for _, q := range d.queues {
-		if q.inUse {
-			return true
-		}
-	}
-	return false
-}
-
 // Series is the history of the work with one key. It is valid as long as its Durations.
 type Series struct {
 	work    Work
@@ -225,9 +215,9 @@
 	return Distribution{Median: fromLog(s.logMedian(toLog(declared)) + s.queue.censoredShift), Spread: spread}
 }
 
-// Sample is what finished tasks of one step show. Tasks of a step take about the same time, so all of them together count as one observation:
+// StepDuration is what finished tasks of one step show. Tasks of a step take about the same time, so all of them together count as one observation:
 // the weights of a step's samples add up to 1.
-type Sample struct {
+type StepDuration struct {
 	// Declared is the declared estimate, Predicted what was predicted before the step's first task started, and Actual the duration on
 	// a worker of speed 1.
 	Declared, Predicted, Actual time.Duration
@@ -239,7 +229,7 @@
 func (d *Durations) CountFinished(s *Series) { s.queue.finished++ }
 
 // Observe learns from a sample.
-func (d *Durations) Observe(s *Series, sample Sample) {
+func (d *Durations) Observe(s *Series, sample StepDuration) {
 	if sample.Actual <= 0 || sample.Weight <= 0 {
 		return
 	}
--- a/internal/learned/record_test.go
+++ b/internal/learned/record_test.go
@@ -67,7 +67,7 @@
 	for i := range 5000 {
 		h.now = h.now.Add(time.Second)
 		key := learned.Work{Account: "account-" + fmt.Sprint(i%10), Queue: fmt.Sprint("queue", i%8), Shape: learned.Shape{Image: fmt.Sprint("image-", i)}}
-		h.durations.Observe(h.durations.Series(key), learned.Sample{
+		h.durations.Observe(h.durations.Series(key), learned.StepDuration{
 			Declared: time.Second, Predicted: time.Second, Actual: 3 * time.Second, Weight: 1, At: h.now,
 		})
 		if i%100 == 0 {
--- a/internal/node/durations_test.go
+++ b/internal/node/durations_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,14 +11,16 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-// watchExpected replaces the owner by the instance name, whose plans set what it returns: the largest expected duration of a waiting unit in
-// the latest plan.
+// watchExpected replaces the owner by the instance name, whose plans set what it returns: the largest expected duration of a waiting unit of
+// q2 in the latest plan.
 func (c *cluster) watchExpected(name string) *atomic.Int64 {
 	expected := &atomic.Int64{}
 	c.planner = func(snapshot *assign.Snapshot) assign.Plan {
 		longest := int64(0)
 		for _, unit := range snapshot.Waiting {
-			longest = max(longest, int64(unit.Expected))
+			if unit.Priority == 2 {
+				longest = max(longest, int64(unit.Expected))
+			}
 		}
 		if longest > 0 {
 			expected.Store(longest)
@@ -30,11 +34,22 @@
 	return expected
 }
 
-// finishJobs runs jobs of one task, whose estimate is 2 s, one after the other.
+// wrongDuration is the duration of a task whose estimate is 2 s: four times as long in jobs of even numbers, and a quarter in the others. What is
+// wrong with the estimates of all queues on average can't be told from the speeds of the workers.
+func wrongDuration(task string) time.Duration {
+	number, err := strconv.ParseInt(strings.Split(task, ".")[0], 16, 64)
+	if err != nil || number%2 == 1 {
+		return 500 * time.Millisecond
+	}
+	return 8 * time.Second
+}
+
+// finishJobs runs pairs of jobs of one task, whose estimate is 2 s, one after the other: one of queue q2 and one of q3.
 func (c *cluster) finishJobs(first, count int) {
-	for n := first; n < first+count; n++ {
-		requireOK(c, c.submit(n, 2, c.runningInstance(), tasks(1, 1, 2*time.Second)))
-		c.await(n, 2, replica.Completed, time.Minute)
+	for n := 2 * first; n < 2*(first+count); n++ {
+		priority := uint32(2 + n%2)
+		requireOK(c, c.submit(n, priority, c.runningInstance(), tasks(1, 1, 2*time.Second)))
+		c.await(n, priority, replica.Completed, time.Minute)
 	}
 }
 
@@ -42,7 +57,7 @@
 // otherwise before any run has shown that.
 func TestOwnerLearnsDurations(t *testing.T) {
 	run(t, 1, 4, func(c *cluster) {
-		c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
+		c.workers.TaskDuration = wrongDuration
 		expected := c.watchExpected("i1")
 		c.finishJobs(0, 1)
 		if got := time.Duration(expected.Load()); got != 2*time.Second {
@@ -66,7 +81,7 @@
 // Guards against a new owner that plans with declared estimates until it has learned what its predecessor knew.
 func TestNextOwnerContinuesWithRecordedDurations(t *testing.T) {
 	run(t, 1, 4, func(c *cluster) {
-		c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
+		c.workers.TaskDuration = wrongDuration
 		c.finishJobs(0, 13)
 		time.Sleep(6 * time.Second)
 		expected := c.watchExpected("i1")
@@ -85,8 +100,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, 1, 4, func(c *cluster) {
+				c.workers.TaskDuration = wrongDuration
 				damage(c)
-				c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
 				expected := c.watchExpected("i1")
 				c.finishJobs(0, 1)
 				requireExpected(t, "without a record", expected, 2*time.Second)
@@ -100,7 +115,7 @@
 // Guards against the setting "declared" that doesn't restore what was before: plans with declared estimates, and no record.
 func TestDeclaredDurations(t *testing.T) {
 	run(t, 1, 4, func(c *cluster) {
-		c.workers.TaskDuration = func(string) time.Duration { return 8 * time.Second }
+		c.workers.TaskDuration = wrongDuration
 		c.declaredDurations = true
 		expected := c.watchExpected("i1")
 		c.finishJobs(0, 13)
