Urgent units get fast workers where there are some; replays learn durations

A learned expectation needs no margin of 2 to decide whether a unit waits or preempts for faster workers: it allows for the slowest task of the step and, by the factor 1.1, for errors of speeds. Priority 0 therefore keeps a margin of 2 for the choice.

dotterelctl replay: the scheduler learns durations as an owner does (without progress reports); the column "scheduler, declared" is the same with declared ones.

--- a/cmd/dotterelctl/replay.go
+++ b/cmd/dotterelctl/replay.go
@@ -32,7 +32,7 @@
 	}
 	candidates := []replay.Candidate{replay.Scheduler()}
 	if c.Baselines {
-		candidates = append(candidates, replay.Baselines()...)
+		candidates = append(append(candidates, replay.SchedulerDeclared()), replay.Baselines()...)
 	}
 	result, err := replay.Run(trace, override, replay.Options{Candidates: candidates})
 	if err != nil {
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -239,13 +239,18 @@
 }
 
 // requiredSpeed returns the worker speed with which the job of a unit ends by its objective, infinite if none is enough.
-func requiredSpeed(unit *Unit, now time.Time) float64 { return speedToEndBy(unit, unit.Objective, now) }
+func requiredSpeed(unit *Unit, now time.Time) float64 {
+	return speedToEndBy(unit, unit.margin(), unit.Objective, now)
+}
+
+// margin returns the factor by which the unit is assumed to exceed its expected duration.
+func (u *Unit) margin() float64 { return cmp.Or(u.Margin, estimateMargin) }
 
-// speedToEndBy returns the worker speed with which the job of a unit ends by the given time, infinite if none is enough.
-func speedToEndBy(unit *Unit, end, now time.Time) float64 {
+// speedToEndBy returns the worker speed with which the job of a unit ends by the given time if it takes margin times as long as expected, infinite if none is enough.
+func speedToEndBy(unit *Unit, margin float64, end, now time.Time) float64 {
 	timeLeft := end.Sub(now) - runOverhead
 	if timeLeft <= 0 {
 		return math.Inf(1)
 	}
-	return cmp.Or(unit.Margin, estimateMargin) * float64(unit.Remaining) / float64(timeLeft)
+	return margin * float64(unit.Remaining) / float64(timeLeft)
 }
--- a/internal/assign/speedgroup.go
+++ b/internal/assign/speedgroup.go
@@ -19,20 +19,25 @@
 // worker is too slow for that, it is infinite for a unit of priority 0 and while the pool is idle. Otherwise such a unit leaves the fast
 // workers to units that can still end in time, and should get the speed with which its job earns part of its credit, or none.
 func (s *planState) preferredSpeed(unit *Unit) float64 {
-	speed, pool := requiredSpeed(unit, s.Now), s.poolOf(unit)
-	if unit.Priority == 0 || pool.idle || !pool.isHopeless(speed) {
+	margin, pool := unit.margin(), s.poolOf(unit)
+	if unit.Priority == 0 {
+		// There is room for a run that fails then.
+		margin = max(margin, estimateMargin)
+	}
+	speed := speedToEndBy(unit, margin, unit.Objective, s.Now)
+	if unit.Priority == 0 || pool.idle || !pool.isHopeless(speed, margin) {
 		return speed
 	}
-	if late := speedToEndBy(unit, unit.LateUntil, s.Now); !pool.isHopeless(late) {
+	if late := speedToEndBy(unit, margin, unit.LateUntil, s.Now); !pool.isHopeless(late, margin) {
 		return late
 	}
 	return 0
 }
 
-// isHopeless reports whether a unit that requires a speed, which allows for estimateMargin, would be too slow on the fastest worker even if
-// its estimate were as much too long.
-func (p *pool) isHopeless(speed float64) bool {
-	return len(p.workers) > 0 && speed > estimateMargin*estimateMargin*p.workers[0].Speed
+// isHopeless reports whether a unit that requires a speed, which allows for a margin, would be too slow on the fastest worker even if its
+// expected duration were as much too long.
+func (p *pool) isHopeless(speed, margin float64) bool {
+	return len(p.workers) > 0 && speed > margin*margin*p.workers[0].Speed
 }
 
 // chooseSpeedGroup returns candidates of similar speed that hold all members, which all candidates do together. They have at least
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -18,6 +18,8 @@
 	// task shows of its step: the speed of its worker isn't known exactly either.
 	taskSpread     = 0.15
 	observedSpread = 0.2
+	// speedMargin allows for the errors of learned speeds, some per cent, and for starts and ends that are noticed late.
+	speedMargin = 1.1
 	// minPriorSpread is the least spread of the durations of different steps that is assumed where a step's own tasks show something else.
 	minPriorSpread = 0.35
 	// minShare is the progress of a run from which on it shows how long the run takes: progress is reported in whole percent, and late.
@@ -115,7 +117,7 @@
 	}
 	// The median of the largest of n values is their quantile 0.5^(1/n).
 	quantile := math.Pow(0.5, 1/float64(max(1, o.steps[index].tasks)))
-	return math.Exp(taskSpread * math.Sqrt2 * math.Erfinv(2*quantile-1))
+	return speedMargin * math.Exp(taskSpread*math.Sqrt2*math.Erfinv(2*quantile-1))
 }
 
 // Reset forgets the runs in progress; the caller then adds those that there are.
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -9,6 +9,8 @@
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
@@ -52,9 +54,9 @@
 	firstStart, endedAt int64
 	failures            uint32
 	// avoid holds the workers on which the job failed.
-	avoid           map[string]bool
-	timeToObjective time.Duration
-	// coreSeconds is the work of the whole job in core-seconds.
+	avoid map[string]bool
+	// expect has what is known of the job's duration. coreSeconds is the work that is expected of the whole job, in core-seconds.
+	expect      *expect.Occurrence
 	coreSeconds float64
 	// savesOnStop is true if the stop in progress saves all work done so far.
 	savesOnStop bool
@@ -96,13 +98,14 @@
 	speeds                        learned.Speeds
 	demandObservedAt              int64
 	recenteredAt                  int64
+	model                         *expect.Model
 	checker                       checker
 	meter                         meter
 }
 
-func newDataCentreReplay(trace *dataCentreTrace, plan Planner, options Options, measured window) *dataCentreReplay {
+func newDataCentreReplay(trace *dataCentreTrace, candidate Candidate, options Options, measured window) *dataCentreReplay {
 	d := &dataCentreReplay{
-		trace: trace, plan: plan, options: options, jobs: map[string]*job{},
+		trace: trace, plan: candidate.Plan, model: expect.NewModel(nil, candidate.Learns, events.Discard()), options: options, jobs: map[string]*job{},
 		submittedCount: map[uint32]float64{}, submittedWork: map[uint32]float64{},
 		workersByName: map[string]*workerState{}, guaranteed: trace.guaranteed,
 		meter: meter{measured: measured},
@@ -185,12 +188,11 @@
 	spec := storedJob(due.submitted, d.trace.name, due.timeMillis)
 	added := &job{
 		trace: due.submitted, spec: spec, step: spec.GetSteps()[0], compared: due.compared, waitingSince: d.now,
-		avoid: map[string]bool{}, timeToObjective: assign.TimeToObjective(spec, assign.Declared(spec)),
-		coreSeconds: assign.JobWork(spec, assign.Declared(spec)),
+		avoid: map[string]bool{}, expect: d.model.Occurrence(spec),
 		idealMillis: int64(float64(due.submitted.GetRunMs()) / d.trace.bestSpeed(due.submitted)),
 	}
 	d.submittedCount[spec.GetPriority()]++
-	d.submittedWork[spec.GetPriority()] += added.coreSeconds
+	d.updateWork(added)
 	d.jobs[spec.GetId()] = added
 	d.allJobs, d.openJobs = append(d.allJobs, added), append(d.openJobs, added)
 }
@@ -248,7 +250,7 @@
 func (d *dataCentreReplay) observeUrgentDemand() {
 	cores := 0.0
 	for _, j := range d.openJobs {
-		if assign.IsUrgent(j.spec, assign.Declared(j.spec), maxStopMillis*time.Millisecond) {
+		if assign.IsUrgent(j.spec, j.expect.Expected, maxStopMillis*time.Millisecond) {
 			cores += float64(j.step.GetCount()) * assign.ResourcesOf(j.step).CoreEquivalent()
 		}
 	}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -58,13 +58,20 @@
 	// Name identifies the planner in the result.
 	Name string
 	Plan Planner
+	// Learns is true if the view has durations learned from the jobs that have finished, in place of the declared ones alone.
+	Learns bool
 }
 
 // Scheduler returns the scheduler's own planner, as a candidate.
 func Scheduler() Candidate {
-	return Candidate{Name: "scheduler", Plan: func(view View) assign.Plan { return assign.MakePlan(view.Snapshot) }}
+	return Candidate{Name: "scheduler", Plan: makePlan, Learns: true}
 }
 
+// SchedulerDeclared returns the scheduler's own planner with the setting that plans use declared durations.
+func SchedulerDeclared() Candidate { return Candidate{Name: "scheduler, declared", Plan: makePlan} }
+
+func makePlan(view View) assign.Plan { return assign.MakePlan(view.Snapshot) }
+
 // Options configure a replay.
 type Options struct {
 	Candidates []Candidate
@@ -93,7 +100,7 @@
 	for _, candidate := range options.Candidates {
 		totals := newTotals(measured)
 		for _, part := range parts {
-			run := newDataCentreReplay(part, candidate.Plan, options, measured)
+			run := newDataCentreReplay(part, candidate, options, measured)
 			run.simulate()
 			totals.addDataCentre(run)
 		}
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -168,6 +168,11 @@
 	for _, name := range target.workers {
 		d.workersByName[name].health.RecordSuccess()
 	}
+	duration := time.Duration(0)
+	if p := d.progress(target); !p.Partial {
+		duration = time.Duration(float64(p.Elapsed) * p.Speed)
+	}
+	target.expect.Finish(0, duration, d.currentTime())
 	d.learnSpeed(target, workShare, runTime)
 	d.endRun(target, target.trace.GetRunMs())
 	d.closeJob(target, finished)
@@ -176,20 +181,12 @@
 // learnSpeed updates the speed of the slowest worker of a job that is complete. Each job has one step of one unit, so that there are no
 // other tasks to compare it with.
 func (d *dataCentreReplay) learnSpeed(target *job, share float64, runTime time.Duration) {
-	racks, workers := make([]string, 0, len(target.workers)), map[string]bool{}
-	slowest := d.workersByName[target.workers[0]]
-	for _, name := range target.workers {
-		worker := d.workersByName[name]
-		racks, workers[name] = append(racks, worker.GetRack()), true
-		if worker.speed.Value() < slowest.speed.Value() {
-			slowest = worker
-		}
-	}
+	slowest, racks, workers := d.slowestWorker(target)
 	if !assign.RunsNear(target.step, racks) {
 		return
 	}
 	d.speeds.AddSample(&slowest.speed, &learned.StepRate{}, &learned.TaskRate{}, learned.Sample{
-		At: d.currentTime(), Share: share, Elapsed: runTime, Estimate: assign.Estimate(target.step), Workers: len(workers),
+		At: d.currentTime(), Share: share, Elapsed: runTime, Estimate: assign.Estimate(target.step), Workers: workers,
 	})
 	if d.now-d.recenteredAt < recenterIntervalMillis {
 		return
@@ -202,6 +199,20 @@
 	d.speeds.Recenter(all)
 }
 
+// slowestWorker returns the worker of a run that is the slowest as far as known, the rack of each member and the number of workers.
+func (d *dataCentreReplay) slowestWorker(target *job) (slowest *workerState, racks []string, workers int) {
+	distinct := map[string]bool{}
+	slowest = d.workersByName[target.workers[0]]
+	for _, name := range target.workers {
+		worker := d.workersByName[name]
+		racks, distinct[name] = append(racks, worker.GetRack()), true
+		if worker.speed.Value() < slowest.speed.Value() {
+			slowest = worker
+		}
+	}
+	return slowest, racks, len(distinct)
+}
+
 func (d *dataCentreReplay) cancelJob(target *job) {
 	if target.phase.ended() {
 		return
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -8,11 +8,13 @@
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
 // view returns the input of the planner: the state of the data centre as its owner knows it.
 func (d *dataCentreReplay) view() View {
+	d.updateExpectations()
 	var out View
 	out.Snapshot = &assign.Snapshot{
 		Now: d.currentTime(), UrgentCores: map[string]float64{d.trace.name: d.urgentDemand.UpperEstimate()},
@@ -43,6 +45,41 @@
 	return out
 }
 
+// updateExpectations updates the expected durations of the open jobs.
+func (d *dataCentreReplay) updateExpectations() {
+	if !d.model.Learns() {
+		return
+	}
+	open := make([]*expect.Occurrence, len(d.openJobs))
+	for i, j := range d.openJobs {
+		j.expect.Reset()
+		if j.phase == running {
+			j.expect.Add(0, d.progress(j))
+		}
+		open[i] = j.expect
+	}
+	d.model.Update(open)
+	for _, j := range d.openJobs {
+		d.updateWork(j)
+	}
+}
+
+// updateWork updates the work that is expected of a job, also in that of the submitted jobs.
+func (d *dataCentreReplay) updateWork(target *job) {
+	work := assign.JobWork(target.spec, target.expect.Expected)
+	d.submittedWork[target.spec.GetPriority()] += work - target.coreSeconds
+	target.coreSeconds = work
+}
+
+// progress returns a run as its owner knows it. Progress in percent isn't part of the replay.
+func (d *dataCentreReplay) progress(target *job) expect.Run {
+	slowest, racks, _ := d.slowestWorker(target)
+	return expect.Run{
+		Elapsed: time.Duration(d.now-target.startedAt) * time.Millisecond, Speed: slowest.speed.Value(),
+		Partial: target.savedAtStart > 0 || !assign.RunsNear(target.step, racks),
+	}
+}
+
 // usable reports whether a worker may get new tasks. A worker on trial gets one only while it runs nothing else.
 func (d *dataCentreReplay) usable(w *workerState) bool {
 	accepting := w.condition == apiv1.TraceCondition_TRACE_CONDITION_HEALTHY ||
@@ -87,12 +124,14 @@
 func (j *job) unit(mean map[uint32]float64) assign.Unit {
 	accepted := time.UnixMilli(j.spec.GetAcceptedUnixMs())
 	remaining := 1 - float64(j.savedWork)/float64(j.trace.GetRunMs())
+	timeToObjective := assign.TimeToObjective(j.spec, j.expect.Expected)
 	return assign.Unit{
 		Task: j.task(), Account: j.spec.GetAccount(), Service: j.spec.GetService(), Step: j.step, Priority: j.spec.GetPriority(),
 		Due: accepted, LastAttempt: j.failures+1 >= maxFailures, WaitingSince: time.UnixMilli(j.waitingSince),
-		Objective: accepted.Add(j.timeToObjective), LateUntil: accepted.Add(assign.LateFactor * j.timeToObjective),
-		Remaining: time.Duration(remaining * float64(assign.Estimate(j.step))),
-		Credit:    assign.Credit(j.spec, assign.Declared(j.spec), mean[j.spec.GetPriority()]),
+		Objective: accepted.Add(timeToObjective), LateUntil: accepted.Add(assign.LateFactor * timeToObjective),
+		Expected: j.expect.Expected[0], Margin: j.expect.Margin(0),
+		Remaining: time.Duration(remaining * float64(j.expect.Expected[0])),
+		Credit:    assign.Credit(j.spec, j.expect.Expected, mean[j.spec.GetPriority()]),
 		Work:      remaining * j.coreSeconds, Avoid: j.avoid,
 	}
 }
--- a/internal/replay/split.go
+++ b/internal/replay/split.go
@@ -207,7 +207,7 @@
 	}
 	const millicores = 1000
 	return &storev1.Job{
-		Id: submitted.GetId(), Account: spec.GetAccount(), Service: dataCentre, Priority: priorities[spec.GetWorkClass()],
+		Id: submitted.GetId(), Queue: spec.GetWorkClass().String(), Account: spec.GetAccount(), Service: dataCentre, Priority: priorities[spec.GetWorkClass()],
 		StretchFactor: stretchFactors[spec.GetWorkClass()], TargetDurationMs: targetDurationsMillis[spec.GetWorkClass()],
 		AcceptedUnixMs: now,
 		Steps: []*storev1.Step{{
