Evacuated data centres: move runs with checkpoints, show states to operators

Operators saw neither whether a data centre that they evacuate is empty nor until when, and a task of an hour, or one that never ends, kept it in use. The owner now moves runs that take checkpoints, and long-running tasks as far as they may be missing, while there is room elsewhere; runs without checkpoints, and those that end sooner than a move, are left to end. `dotterelctl status` shows the state of each data centre, events 431 and 432 log changes and requests for unknown data centres, and a waiting job says how many workers are excluded.

Considered: stopping everything (loses work), moving nothing (as before). docs/design/evacuation.md.

--- a/cmd/dotterelctl/status.go
+++ b/cmd/dotterelctl/status.go
@@ -33,6 +33,13 @@
 	for _, state := range slices.Sorted(maps.Keys(status.GetJobs())) {
 		fmt.Printf("jobs %s: %d\n", state, status.GetJobs()[state])
 	}
+	for _, dataCentre := range status.GetDataCentres() {
+		fmt.Printf("data centre %s  %s  %d tasks", dataCentre.GetName(), dataCentre.GetState(), dataCentre.GetTasks())
+		if left := dataCentre.GetExpectedEmptyMs(); left > 0 {
+			fmt.Printf(", expected to end within %d ms", left)
+		}
+		fmt.Println()
+	}
 	for _, worker := range status.GetWorkers() {
 		if c.Workers || worker.GetState() != "usable" {
 			fmt.Printf("worker %s  %s  rack %s  %s  speed %.2f  %d tasks, %d accelerators free\n", worker.GetId(), worker.GetService(),
--- a/internal/assign/explain.go
+++ b/internal/assign/explain.go
@@ -24,7 +24,7 @@
 		if !unit.Explain {
 			continue
 		}
-		reason := Reason{Text: s.explainWait(unit)}
+		reason := Reason{Text: s.explainWait(unit) + s.explainEvacuation(unit)}
 		if workers, starting := starts[unit.Task]; starting {
 			reason = Reason{Starts: true, Text: "it starts now on " + joinIDs(workers)}
 		}
@@ -87,3 +87,17 @@
 	}
 	return free
 }
+
+// explainEvacuation returns how many workers of a unit's service are in data centres that are evacuated; empty if none is.
+func (s *planState) explainEvacuation(unit *Unit) string {
+	evacuated := 0
+	for _, worker := range s.poolOf(unit).workers {
+		if worker.Evacuated {
+			evacuated++
+		}
+	}
+	if evacuated == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d workers of its service are in data centres that are evacuated", evacuated)
+}
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -79,6 +79,8 @@
 	Unhealthy, Quarantined bool
 	// Gone is true if the worker doesn't answer, or isn't listed: what it may still run isn't in use for any caller.
 	Gone bool
+	// Evacuated is true if the worker isn't usable because its data centre is evacuated.
+	Evacuated bool
 	// Empty is true if nothing runs on the worker.
 	Empty bool
 	// NearLatencyTarget is true if the latency of a serving task on the worker is near its target. The worker then gets no
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
+	"github.com/dotterelgauge/dotterelgauge/internal/evacuation"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
@@ -191,6 +192,7 @@
 	// reservations are the workers that the last plan reserved for each waiting unit.
 	reservations map[replica.Task][]string
 	upkeep       upkeep
+	evacuations  evacuations
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
@@ -220,6 +222,7 @@
 		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
 }
@@ -323,6 +326,7 @@
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
 	s.advanceWaves()
+	s.followEvacuations()
 	if s.now.Sub(s.lastRetirement) > retireInterval {
 		s.lastRetirement = s.now
 		s.retireJobs()
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -19,6 +19,7 @@
 			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
+			Evacuated: s.Evacuations.Requested(ws.entry.DataCentre),
 		})
 	}
 	withinGuarantee := s.accountsWithinGuarantee()
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -72,7 +72,10 @@
 	StepWaiting         = Event{421, log.InfoLevel, "step waiting", "read the reason in the line if jobs of its queue are late"}
 	WorkerCrashed       = Event{423, log.WarnLevel, "worker crashed under a task",
 		"check the program of the job if its task crashes several workers; the job is given up then"}
-	EvacuationChanged   = Event{427, log.InfoLevel, "evacuation of a data centre requested or ended", actionNone}
+	EvacuationChanged = Event{427, log.InfoLevel, "evacuation of a data centre requested or ended", actionNone}
+	DataCentreState   = Event{431, log.InfoLevel, "state of a data centre changed", actionNone}
+	UnknownDataCentre = Event{432, log.WarnLevel, "evacuation of an unknown data centre",
+		"compare the name with the known ones in the line, and request the evacuation of one of these"}
 	CrashWithdrawn      = Event{426, log.InfoLevel, "crash withdrawn", "nothing; the worker was only silent"}
 	ReportsAcknowledged = Event{428, log.InfoLevel, "reports acknowledged", actionNone}
 	WorkerIgnoresOrders = Event{425, log.WarnLevel, "worker ignores orders", actionWorker}
@@ -102,6 +105,7 @@
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
 		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal,
+		DataCentreState, UnknownDataCentre,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -52,3 +53,70 @@
 		}
 	})
 }
+
+// dataCentre returns the owner's view of a data centre: its state and the number of its tasks.
+func (c *cluster) dataCentre(name string) (state string, tasks uint32) {
+	for _, status := range c.nodes[c.owner()].Status(context.Background()).GetDataCentres() {
+		if status.GetName() == name {
+			return status.GetState(), status.GetTasks()
+		}
+	}
+	return "", 0
+}
+
+// Guards against long tasks that keep a data centre from becoming empty although they could go on elsewhere from a checkpoint, and
+// against a state that operators can't rely on.
+func TestCheckpointedTasksLeaveEvacuatedDataCentre(t *testing.T) {
+	const workers = 8
+	run(t, 2, workers, func(c *cluster) {
+		long := tasks(workers, 4, 30*time.Second)
+		long.Checkpointing = true
+		requireOK(c, c.submit(1, 2, "i0", long))
+		time.Sleep(2 * time.Second)
+		if c.runsIn(0, workers) == 0 {
+			t.Fatal("no task runs in z0: the test shows nothing")
+		}
+		if state, _ := c.dataCentre("z0"); state != "in use" {
+			t.Errorf("the state before the evacuation is %q, want in use", state)
+		}
+		c.operator.Put("z0", []byte("{}"))
+		time.Sleep(200 * time.Millisecond)
+		if state, _ := c.dataCentre("z0"); state != "evacuating" {
+			t.Errorf("the state is %q, want evacuating", state)
+		}
+		time.Sleep(4 * time.Second)
+		if state, left := c.dataCentre("z0"); state != "empty" || left > 0 || c.runsIn(0, workers) > 0 {
+			t.Errorf("the state is %q with %d tasks 4 s after the request, want empty", state, left)
+		}
+		c.operator.Put("z0", nil)
+		time.Sleep(time.Second)
+		if state, _ := c.dataCentre("z0"); state != "returning" {
+			t.Errorf("the state after the evacuation is %q, want returning: nothing has started there", state)
+		}
+		requireOK(c, c.submit(2, 2, "i0", tasks(8*workers, 1, 3*time.Second)))
+		time.Sleep(time.Second)
+		if state, _ := c.dataCentre("z0"); state != "in use" {
+			t.Errorf("the state is %q once tasks have started, want in use", state)
+		}
+		c.await(1, 2, replica.Completed, time.Minute)
+		c.await(2, 2, replica.Completed, time.Minute)
+	})
+}
+
+// Guards against an owner that takes over during an evacuation and leaves the tasks that its predecessor had started where they are.
+func TestNewOwnerMovesTasksOutOfEvacuatedDataCentre(t *testing.T) {
+	const workers = 8
+	run(t, 2, workers, func(c *cluster) {
+		long := tasks(workers, 4, 30*time.Second)
+		long.Checkpointing = true
+		requireOK(c, c.submit(1, 2, "i0", long))
+		time.Sleep(2 * time.Second)
+		c.kill(c.owner())
+		c.operator.Put("z0", []byte("{}"))
+		time.Sleep(10 * time.Second)
+		if left := c.runsIn(0, workers); left > 0 {
+			t.Errorf("%d tasks run in the data centre 10 s after the request, want none", left)
+		}
+		c.await(1, 2, replica.Completed, 2*time.Minute)
+	})
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -22,7 +22,7 @@
 		status.ConfigurationVersion = current.Version
 		status.Queues, status.Accounts = uint32(len(current.Queues)), uint32(len(current.Accounts)) //nolint:gosec // at most hundreds.
 	}
-	status.Workers = n.dispatcher.Workers(ctx)
+	status.Workers, status.DataCentres = n.dispatcher.Workers(ctx), n.dispatcher.DataCentres(ctx)
 	return status
 }
 
