--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/evacuation"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
@@ -69,6 +70,8 @@
 	// CapacityGrace is how long after a worker's capacity has shrunk tasks may still start within the capacity that it had; 0 if
 	// capacities don't shrink.
 	CapacityGrace time.Duration
+	// DeclaredDurations is true if the declared estimates are used in place of durations learned from finished runs.
+	DeclaredDurations bool
 	// Retention is how long callers can query the state of a job that has ended.
 	Retention time.Duration
 }
@@ -177,6 +180,10 @@
 	steady map[lossCause]map[string]bool
 	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
 	held map[replica.Task]assign.Reason
+	// model is what is known of the durations of tasks.
+	model *expect.Model
+	// typicalSpeed is the geometric mean of the known speeds of workers.
+	typicalSpeed float64
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -219,8 +226,8 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
-		losses:       map[string]workerLoss{},
-		queueStats:   map[string]*queueStats{},
+		losses:     map[string]workerLoss{},
+		queueStats: map[string]*queueStats{}, typicalSpeed: 1,
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
@@ -325,6 +332,7 @@
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
+	s.recordDurations()
 	s.advanceWaves()
 	s.followEvacuations()
 	if s.now.Sub(s.lastRetirement) > retireInterval {
