--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
+	"github.com/dotterelgauge/dotterelgauge/internal/evacuation"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
@@ -196,6 +197,7 @@
 	// reservations are the workers that the last plan reserved for each waiting unit.
 	reservations map[replica.Task][]string
 	upkeep       upkeep
+	evacuations  evacuations
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
 	// speeds learns the speeds of the workers.
@@ -227,6 +229,7 @@
 		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
 }
@@ -331,6 +334,7 @@
 	s.recordSpeeds()
 	s.recordDurations()
 	s.advanceWaves()
+	s.followEvacuations()
 	if s.now.Sub(s.lastRetirement) > retireInterval {
 		s.lastRetirement = s.now
 		s.retireJobs()
--- a/internal/learned/durations_test.go
+++ b/internal/learned/durations_test.go
@@ -31,16 +31,16 @@
 	return math.Exp(deviation * h.random.NormFloat64())
 }
 
-func inSeconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // finish lets a step of an account finish, and returns the logarithm of the ratio of its duration to the prediction made before.
 func (h *history) finish(account string, declared, actual float64) float64 {
 	h.now = h.now.Add(time.Second)
 	series := h.durations.Series(work(account))
-	predicted := series.Predict(inSeconds(declared)).Median
+	predicted := series.Predict(seconds(declared)).Median
 	h.durations.CountFinished(series)
 	h.durations.Observe(series, learned.StepDuration{
-		Declared: inSeconds(declared), Predicted: predicted, Actual: inSeconds(actual), Weight: 1, At: h.now,
+		Declared: seconds(declared), Predicted: predicted, Actual: seconds(actual), Weight: 1, At: h.now,
 	})
 	return math.Log(actual / predicted.Seconds())
 }
@@ -94,7 +94,7 @@
 			actual := 10 * h.normal(1)
 			h.finish("a", actual*h.normal(0.1), actual)
 			for _, declared := range []float64{1, 10, 100} {
-				if ratio := h.durations.Series(work("a")).Predict(inSeconds(declared)).Median.Seconds() / declared; math.Abs(math.Log(ratio)) > 0.1 {
+				if ratio := h.durations.Series(work("a")).Predict(seconds(declared)).Median.Seconds() / declared; math.Abs(math.Log(ratio)) > 0.1 {
 					t.Fatalf("seed %d: an estimate of %v s has become %.2f of that", seed, declared, ratio)
 				}
 			}
--- a/internal/learned/speed.go
+++ b/internal/learned/speed.go
@@ -32,8 +32,8 @@
 	// defaultSpread is the variance of the durations of a step's tasks at the same speed, and spreadWeight the weight of a task in the
 	// average of what was observed.
 	defaultSpread = 0.15 * 0.15
-	minSpread     = 0.05 * 0.05
-	maxSpread     = 0.7 * 0.7
+	minVariance   = 0.05 * 0.05
+	maxVariance   = 0.7 * 0.7
 	spreadWeight  = 1.0 / 200
 	// defaultEstimateVariance is the variance of the error of declared estimates, and estimateWeight the weight of a step in the averages
 	// of what was observed.
@@ -100,8 +100,8 @@
 // TaskRate is the part that a task has in the rate of its step. The zero value has no samples.
 type TaskRate struct{ own information }
 
-// Sample is the observation that a part of a task took some time.
-type Sample struct {
+// SpeedSample is the observation that a part of a task took some time.
+type SpeedSample struct {
 	At time.Time
 	// Share is the part of the task, from 0 to 1, and Elapsed the time that it took.
 	Share   float64
@@ -132,7 +132,7 @@
 // The rate of a task has three unknowns: the rate of its step at speed 1, the speed of the worker, and the deviation of the task.
 // Each is estimated from the sample by the inverse of its variance while the others are held at their estimates. A whole task
 // counts once, however many samples it gives, because its deviation is the same in all of them.
-func (f *Speeds) AddSample(speed *Speed, step *StepRate, task *TaskRate, sample Sample) {
+func (f *Speeds) AddSample(speed *Speed, step *StepRate, task *TaskRate, sample SpeedSample) {
 	if sample.Share <= 0 || sample.Elapsed <= 0 {
 		return
 	}
@@ -172,7 +172,7 @@
 // learnSpread adds an observed variance of the durations of a step's tasks.
 func (f *Speeds) learnSpread(variance float64) {
 	f.spread += spreadWeight * (min(variance, surpriseDeviations*surpriseDeviations*f.spread) - f.spread)
-	f.spread = min(max(f.spread, minSpread), maxSpread)
+	f.spread = min(max(f.spread, minVariance), maxVariance)
 }
 
 // learnEstimates adds the observation that a task progressed faster than its estimate by the given factor.
--- a/internal/replay/runs.go
+++ b/internal/replay/runs.go
@@ -185,7 +185,7 @@
 	if !assign.RunsNear(target.step, racks) {
 		return
 	}
-	d.speeds.AddSample(&slowest.speed, &learned.StepRate{}, &learned.TaskRate{}, learned.Sample{
+	d.speeds.AddSample(&slowest.speed, &learned.StepRate{}, &learned.TaskRate{}, learned.SpeedSample{
 		At: d.currentTime(), Share: share, Elapsed: runTime, Estimate: assign.Estimate(target.step), Workers: workers,
 	})
 	if d.now-d.recenteredAt < recenterIntervalMillis {
