--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -10,9 +11,9 @@
 )
 
 const (
-	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its estimate.
+	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its expected duration.
 	maxRackWaitShare = 1.0
-	// estimateMargin is the factor by which a unit is assumed to exceed its estimate: declared estimates are often wrong by
+	// estimateMargin is the factor by which a unit is assumed to exceed its declared estimate: declared estimates are often wrong by
 	// half, and a gang ends with its slowest member.
 	estimateMargin = 2.0
 	// runOverhead is the time allowed for what happens before and after a run.
@@ -155,7 +156,7 @@
 
 // maxRackWait returns how long a unit waits for a preferred rack.
 func (s *planState) maxRackWait(unit *Unit) time.Duration {
-	return s.preferenceWait(unit, time.Duration(float64(unit.Step.GetEstimateMs())*maxRackWaitShare)*time.Millisecond)
+	return s.preferenceWait(unit, time.Duration(float64(unit.expected())*maxRackWaitShare))
 }
 
 // preferredRacks returns the racks on which a unit runs at full speed, nil if it does so on any worker.
@@ -249,13 +250,18 @@
 }
 
 // requiredSpeed returns the worker speed with which the job of a unit ends by its objective, infinite if none is enough.
-func requiredSpeed(unit *Unit, now time.Time) float64 { return speedToEndBy(unit, unit.Objective, now) }
+func requiredSpeed(unit *Unit, now time.Time) float64 {
+	return speedToEndBy(unit, unit.margin(), unit.Objective, now)
+}
+
+// margin returns the factor by which the unit is assumed to exceed its expected duration.
+func (u *Unit) margin() float64 { return cmp.Or(u.Margin, estimateMargin) }
 
-// speedToEndBy returns the worker speed with which the job of a unit ends by the given time, infinite if none is enough.
-func speedToEndBy(unit *Unit, end, now time.Time) float64 {
+// speedToEndBy returns the worker speed with which the job of a unit ends by the given time if it takes margin times as long as expected, infinite if none is enough.
+func speedToEndBy(unit *Unit, margin float64, end, now time.Time) float64 {
 	timeLeft := end.Sub(now) - runOverhead
 	if timeLeft <= 0 {
 		return math.Inf(1)
 	}
-	return estimateMargin * float64(unit.Remaining) / float64(timeLeft)
+	return margin * float64(unit.Remaining) / float64(timeLeft)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,9 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
+	"github.com/dotterelgauge/dotterelgauge/internal/evacuation"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
@@ -68,6 +70,8 @@
 	// CapacityGrace is how long after a worker's capacity has shrunk tasks may still start within the capacity that it had; 0 if
 	// capacities don't shrink.
 	CapacityGrace time.Duration
+	// DeclaredDurations is true if the declared estimates are used in place of durations learned from finished runs.
+	DeclaredDurations bool
 	// Retention is how long callers can query the state of a job that has ended.
 	Retention time.Duration
 }
@@ -176,6 +180,8 @@
 	steady map[lossCause]map[string]bool
 	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
 	held map[replica.Task]assign.Reason
+	// model is what is known of the durations of tasks.
+	model *expect.Model
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -191,6 +197,7 @@
 	// reservations are the workers that the last plan reserved for each waiting unit.
 	reservations map[replica.Task][]string
 	upkeep       upkeep
+	evacuations  evacuations
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Shapes
 	// kept has the workers that the last plan kept for urgent units, by id; true for those that are kept whole.
@@ -224,6 +231,7 @@
 		losses:       map[string]workerLoss{},
 		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Shapes{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
 }
@@ -326,7 +334,9 @@
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
+	s.recordDurations()
 	s.advanceWaves()
+	s.followEvacuations()
 	if s.now.Sub(s.lastRetirement) > retireInterval {
 		s.lastRetirement = s.now
 		s.retireJobs()
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -69,7 +69,7 @@
 	m.speedBase = current
 	if assign.RunsNear(st.spec, r.racks()) {
 		slowest, workers := r.slowestWorker()
-		s.speeds.AddSample(&slowest.speed, &st.rate, &m.rate, learned.Sample{
+		s.speeds.AddSample(&slowest.speed, &st.rate, &m.rate, learned.SpeedSample{
 			At: s.now, Share: progress / fullPercent, Elapsed: elapsed, Estimate: assign.Estimate(st.spec), Workers: workers,
 		})
 	}
--- a/internal/dispatch/urgent.go
+++ b/internal/dispatch/urgent.go
@@ -14,7 +14,7 @@
 	needs := map[string]*urgentNeed{}
 	capacities := s.largestCapacities()
 	for _, j := range s.jobs {
-		if j.hasEnded() || j.cancelled || !assign.IsUrgent(j.spec, s.Options.StopDuration) {
+		if j.hasEnded() || j.cancelled || len(j.occurrences) == 0 || !assign.IsUrgent(j.spec, s.expected(j), s.Options.StopDuration) {
 			continue
 		}
 		service := s.serviceOf(j.spec)
--- a/internal/learned/speed_test.go
+++ b/internal/learned/speed_test.go
@@ -44,7 +44,7 @@
 	const reports = 8
 	for range reports {
 		for i, worker := range workers {
-			f.speeds.AddSample(f.known[worker], &step, &tasks[i], learned.Sample{
+			f.speeds.AddSample(f.known[worker], &step, &tasks[i], learned.SpeedSample{
 				At: f.now, Share: 1.0 / reports, Elapsed: seconds(durations[i] / f.actual[worker] / reports), Estimate: seconds(estimate),
 				Workers: 1,
 			})
@@ -64,7 +64,7 @@
 			slowest = worker
 		}
 	}
-	f.speeds.AddSample(f.known[slowest], &learned.StepRate{}, &learned.TaskRate{}, learned.Sample{
+	f.speeds.AddSample(f.known[slowest], &learned.StepRate{}, &learned.TaskRate{}, learned.SpeedSample{
 		At: f.now, Share: 1, Elapsed: seconds(typical * math.Exp(f.spread*f.random.NormFloat64()) / actual),
 		Estimate: seconds(typical * math.Exp(f.estimateError*f.random.NormFloat64())), Workers: len(workers),
 	})
@@ -82,8 +82,6 @@
 	return math.Sqrt(sum / float64(len(f.known)))
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // Guards against learned speeds that reflect the errors of declared estimates instead of the workers.
 func TestSpeedsAreLearnedDespiteWrongEstimates(t *testing.T) {
 	for seed := range uint64(5) {
@@ -190,8 +188,8 @@
 func TestSpeedIgnoresEmptySamples(t *testing.T) {
 	var speeds learned.Speeds
 	var speed learned.Speed
-	speeds.AddSample(&speed, &learned.StepRate{}, &learned.TaskRate{}, learned.Sample{Share: 0.5})
-	speeds.AddSample(&speed, &learned.StepRate{}, &learned.TaskRate{}, learned.Sample{Share: 0.5, Elapsed: time.Second})
+	speeds.AddSample(&speed, &learned.StepRate{}, &learned.TaskRate{}, learned.SpeedSample{Share: 0.5})
+	speeds.AddSample(&speed, &learned.StepRate{}, &learned.TaskRate{}, learned.SpeedSample{Share: 0.5, Elapsed: time.Second})
 	speeds.Recenter([]*learned.Speed{&speed})
 	if speed.Value() != 1 || speed.Samples() != 0 {
 		t.Errorf("the speed is %v of %d samples, want 1 of none", speed.Value(), speed.Samples())
@@ -203,6 +201,6 @@
 	var step learned.StepRate
 	var task learned.TaskRate
 	for b.Loop() {
-		f.speeds.AddSample(f.known[0], &step, &task, learned.Sample{At: f.now, Share: 0.125, Elapsed: time.Second, Estimate: time.Second})
+		f.speeds.AddSample(f.known[0], &step, &task, learned.SpeedSample{At: f.now, Share: 0.125, Elapsed: time.Second, Estimate: time.Second})
 	}
 }
