Samples of speeds and urgent needs move out of the owner's loop

The division of a task's progress into samples is learned.Progress now, and what a step's units need of workers assign.UrgentNeed, which the replay uses too; both have tests of their own. No change of behaviour.

--- a/internal/assign/urgent.go
+++ b/internal/assign/urgent.go
@@ -10,8 +10,6 @@
 	maxUrgentShare = 1.0 / 3
 	// idlePoolShare is the share of free cores above which a pool is idle, and no workers are kept: all units find resources then.
 	idlePoolShare = 0.5
-	// maxTasksPerWorker limits the number of tasks on a worker in PartCores.
-	maxTasksPerWorker = 1000
 )
 
 // markUrgentOnly marks the workers that are kept for urgent units: first those for units that need whole workers, then others up to the
@@ -122,15 +120,6 @@
 	return p.wholeCapacity != (Resources{}) && !NeedsWholeWorker(ResourcesOf(unit.Step), p.wholeCapacity)
 }
 
-// NeedsWholeWorker reports whether no two tasks with the given need fit on a worker of the given capacity.
-func NeedsWholeWorker(need, capacity Resources) bool { return !capacity.Contains(need.Add(need)) }
-
-// PartCores returns the cores that a task with the given need takes of a worker of the given capacity, on which several fit: the worker's
-// cores divided by the number of such tasks that it holds, which the scarcest resource decides.
-func PartCores(need, capacity Resources) float64 {
-	return capacity.CoreEquivalent() / float64(max(1, countWithin(need, capacity, maxTasksPerWorker)))
-}
-
 // isMostlyUntouched reports whether more than idlePoolShare of the pool's usable workers run nothing; then none need to be kept whole.
 func (p *pool) isMostlyUntouched() bool {
 	usable, untouched := 0, 0
--- a/internal/assign/whole_test.go
+++ b/internal/assign/whole_test.go
@@ -224,3 +224,18 @@
 		}
 	}
 }
+
+// Guards against a demand that leaves out members of gangs, or counts a gang in any racks as one that needs a rack.
+func TestUrgentNeedCountsShapes(t *testing.T) {
+	capacity := assign.Resources{CPU: 32000, Memory: 65536, Accelerators: 8} // 96 cores
+	gang, anywhere := step(3, 8), step(5, 8)
+	gang.Gang, gang.SameRack, anywhere.Gang = true, true, true
+	var need assign.UrgentNeed
+	need.Add(gang, 1, capacity)
+	need.Add(anywhere, 1, capacity)
+	need.Add(step(4, 8), 2, capacity)
+	need.Add(step(4, 2), 3, capacity)
+	if want := (assign.UrgentNeed{Whole: 10, RackWidth: 3, PartCores: 72}); need != want {
+		t.Errorf("the need is %+v, want %+v", need, want)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -88,11 +88,11 @@
 	stopSentAt, stopAcceptedAt time.Time
 	// missingSince is when the worker's reports ceased to list the task; zero while they list it.
 	missingSince time.Time
-	// percent is the progress in the latest report; the speed is learned from the progress since speedBase. rate is what the task tells of
-	// the rate of its step.
-	percent   float64
-	speedBase speedBase
-	rate      learned.TaskRate
+	// percent is the progress in the latest report. progress divides it into samples of the speed, and rate is what the task tells of the
+	// rate of its step.
+	percent  float64
+	progress learned.Progress
+	rate     learned.TaskRate
 	// progressedAt is when the progress last changed, and reportedAt when the worker last reported the task as running.
 	progressedAt, reportedAt time.Time
 	// firstPercent is the progress in the first report, at firstReportedAt.
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -8,69 +8,32 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
-const (
-	// minSampleProgress is the progress between two reports that makes a sample, in percent: progress is reported in whole
-	// percent. The end of a task makes a sample of minFinalProgress.
-	minSampleProgress = 12
-	minFinalProgress  = 5
-	// speedsInterval is the minimum time between two records of the speeds.
-	speedsInterval = 3 * time.Second
-)
-
-// speedBase is a report of the progress of a task, which the next sample of the speed starts from.
-type speedBase struct {
-	percent float64
-	at      time.Time
-	// clockMs is the worker's clock; 0 if unknown.
-	clockMs int64
-}
-
-// elapsedSince returns the time since an earlier report, by the worker's clock if possible: a busy instance reads reports late.
-func (b speedBase) elapsedSince(earlier speedBase) time.Duration {
-	if b.clockMs > earlier.clockMs && earlier.clockMs > 0 {
-		return time.Duration(b.clockMs-earlier.clockMs) * time.Millisecond
-	}
-	return b.at.Sub(earlier.at)
-}
+// speedsInterval is the minimum time between two records of the speeds.
+const speedsInterval = 3 * time.Second
 
 // learnSpeed updates the speed of a worker from the progress of a task, which is complete at the end of its run. All members of a gang
-// progress alike, so that only the first gives samples.
+// progress alike, so that only the first gives samples, and wait for the others at the end.
 func (s *session) learnSpeed(m *member, percent float64, ended bool) {
 	r, st := m.run, m.run.unit.step
-	if m.index != 0 || st.spec.GetLongRunning() || st.spec.GetFills() || r.startedAt.IsZero() || r.stopReason != "" {
+	if m.index != 0 || st.spec.GetLongRunning() || st.spec.GetFills() || r.startedAt.IsZero() || r.stopReason != "" ||
+		(percent >= fullPercent && !ended) {
 		return
 	}
-	if percent >= fullPercent && !ended {
-		return // a gang's member waits for the others
-	}
-	current := speedBase{percent: percent, at: s.now}
+	report := learned.Report{Share: percent / fullPercent, At: s.now}
 	if m.worker.clockReadAt.Equal(s.now) {
-		current.clockMs = m.worker.clockMs
+		report.ClockMs = m.worker.clockMs
 	}
-	if m.speedBase.at.IsZero() {
-		switch {
-		case !r.restored && m.startOrder.Checkpoint == "":
-			m.speedBase = speedBase{at: r.startedAt}
-		case m.percent > 0 && percent > m.percent && !ended:
-			m.speedBase = current // the checkpoint is restored
-			return
-		default:
-			return
-		}
-	}
-	progress := percent - m.speedBase.percent
-	if progress < 0 {
-		m.speedBase = current
-	}
-	if progress < minSampleProgress && (!ended || progress < minFinalProgress) {
+	share, elapsed, ok := m.progress.Add(report, r.startedAt, r.restored || m.startOrder.Checkpoint != "", ended)
+	if !ok {
 		return
 	}
-	elapsed := current.elapsedSince(m.speedBase)
-	m.speedBase = current
-	if assign.RunsNear(st.spec, r.racks()) {
-		slowest, workers := r.slowestWorker()
-		s.speeds.AddSample(&slowest.speed, &st.rate, &m.rate, learned.SpeedSample{
-			At: s.now, Share: progress / fullPercent, Elapsed: elapsed, Estimate: assign.Estimate(st.spec), Workers: workers,
+	speeds := make([]*learned.Speed, len(r.members))
+	for i, other := range r.members {
+		speeds[i] = &other.worker.speed
+	}
+	if slowest, workers := learned.Slowest(speeds); assign.RunsNear(st.spec, r.racks()) {
+		s.speeds.AddSample(slowest, &st.rate, &m.rate, learned.SpeedSample{
+			At: s.now, Share: share, Elapsed: elapsed, Estimate: assign.Estimate(st.spec), Workers: workers,
 		})
 	}
 }
@@ -84,18 +47,6 @@
 	return racks
 }
 
-// slowestWorker returns the worker of a run that is the slowest as far as known, and the number of its workers.
-func (r *run) slowestWorker() (*workerState, int) {
-	slowest, workers := r.members[0].worker, map[*workerState]bool{}
-	for _, m := range r.members {
-		workers[m.worker] = true
-		if m.worker.speed.Value() < slowest.speed.Value() {
-			slowest = m.worker
-		}
-	}
-	return slowest, len(workers)
-}
-
 // restoreSpeed restores the speed of a worker that an earlier owner learned.
 func (s *session) restoreSpeed(ws *workerState) {
 	if known := s.Replica.Speeds()[ws.id]; known > 0 {
--- a/internal/dispatch/urgent.go
+++ b/internal/dispatch/urgent.go
@@ -5,13 +5,9 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 )
 
-// urgentNeed is what the urgent jobs of a service need: whole workers, cores for tasks that need part of a worker, and the largest number
-// of whole workers that one unit needs in one rack.
-type urgentNeed struct{ whole, cores, rackWidth float64 }
-
 // sampleUrgentDemand samples the demand of each service's urgent jobs, which can't wait for a preemption.
 func (s *session) sampleUrgentDemand() {
-	needs := map[string]*urgentNeed{}
+	needs := map[string]*assign.UrgentNeed{}
 	capacities := s.largestCapacities()
 	for _, j := range s.jobs {
 		if j.hasEnded() || j.cancelled || len(j.occurrences) == 0 || !assign.IsUrgent(j.spec, s.expected(j), s.Options.StopDuration) {
@@ -19,12 +15,12 @@
 		}
 		service := s.serviceOf(j.spec)
 		if needs[service] == nil {
-			needs[service] = &urgentNeed{}
+			needs[service] = &assign.UrgentNeed{}
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				if !st.readyAt.IsZero() && st.remaining > 0 {
-					needs[service].add(st, capacities[service])
+					needs[service].Add(st.spec, st.remaining, capacities[service])
 				}
 			}
 		}
@@ -37,23 +33,9 @@
 	for service, demand := range s.urgentDemand {
 		need := needs[service]
 		if need == nil {
-			need = &urgentNeed{}
+			need = &assign.UrgentNeed{}
 		}
-		demand.Observe(need.whole, need.cores, need.rackWidth, tickInterval)
-	}
-}
-
-// add adds the units of a step that are not done; capacity is that of the service's largest worker.
-func (n *urgentNeed) add(st *step, capacity assign.Resources) {
-	unit := st.units[0]
-	members := float64(memberCount(unit))
-	if !assign.NeedsWholeWorker(unit.resources(), capacity) {
-		n.cores += float64(st.remaining) * members * assign.PartCores(unit.resources(), capacity)
-		return
-	}
-	n.whole += float64(st.remaining) * members
-	if st.spec.GetSameRack() {
-		n.rackWidth = max(n.rackWidth, members)
+		demand.Observe(need.Whole, need.PartCores, need.RackWidth, tickInterval)
 	}
 }
 
--- a/internal/learned/speed.go
+++ b/internal/learned/speed.go
@@ -169,6 +169,18 @@
 	step.all.add(rate-speedBefore, precision)
 }
 
+// Slowest returns the lowest of the speeds of the workers that run a task, and the number of different workers.
+func Slowest(speeds []*Speed) (*Speed, int) {
+	lowest, workers := speeds[0], map[*Speed]bool{}
+	for _, speed := range speeds {
+		workers[speed] = true
+		if speed.log < lowest.log {
+			lowest = speed
+		}
+	}
+	return lowest, len(workers)
+}
+
 // learnSpread adds an observed variance of the durations of a step's tasks.
 func (f *Speeds) learnSpread(variance float64) {
 	f.spread += spreadWeight * (min(variance, surpriseDeviations*surpriseDeviations*f.spread) - f.spread)
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -249,22 +249,13 @@
 
 // observeUrgentDemand records what urgent jobs have needed since the last decision.
 func (d *dataCentreReplay) observeUrgentDemand() {
-	whole, cores, rackWidth := 0.0, 0.0, 0.0
+	var need assign.UrgentNeed
 	for _, j := range d.openJobs {
-		if !assign.IsUrgent(j.spec, j.expect.Expected, maxStopMillis*time.Millisecond) {
-			continue
-		}
-		need, members := assign.ResourcesOf(j.step), float64(j.step.GetCount())
-		if !assign.NeedsWholeWorker(need, d.workers[0].capacity) {
-			cores += members * assign.PartCores(need, d.workers[0].capacity)
-			continue
-		}
-		whole += members
-		if j.step.GetSameRack() {
-			rackWidth = max(rackWidth, members)
+		if assign.IsUrgent(j.spec, j.expect.Expected, maxStopMillis*time.Millisecond) {
+			need.Add(j.step, 1, d.workers[0].capacity)
 		}
 	}
-	d.urgentDemand.Observe(whole, cores, rackWidth, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
+	d.urgentDemand.Observe(need.Whole, need.PartCores, need.RackWidth, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
 	d.demandObservedAt = d.now
 }
 
