--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,8 +182,6 @@
 	held map[replica.Task]assign.Reason
 	// model is what is known of the durations of tasks.
 	model *expect.Model
-	// queueStats are the statistics of each queue's jobs.
-	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
 	// all workers in it have reported what they run, or have had the time to.
 	startedAt             time.Time
@@ -227,7 +225,6 @@
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
 		losses:       map[string]workerLoss{},
-		queueStats:   map[string]*queueStats{},
 		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
--- a/internal/dispatch/expect.go
+++ b/internal/dispatch/expect.go
@@ -35,19 +35,6 @@
 		}
 	}
 	s.model.Update(open)
-	for _, j := range s.jobs {
-		if !j.hasEnded() {
-			s.updateQueueStats(j)
-		}
-	}
-}
-
-// expected returns the expected durations of a job's latest occurrence.
-func (s *session) expected(j *job) assign.Expectations {
-	if len(j.occurrences) == 0 {
-		return s.model.Occurrence(j.spec).Expected
-	}
-	return j.occurrences[len(j.occurrences)-1].expect.Expected
 }
 
 // recordDurations records what was learned of durations for the next owner.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,8 +28,8 @@
 	waitingUnit *unit
 	// occurrences are those that are due or have recorded runs, in their order.
 	occurrences []*occurrence
-	// countedWork is the work of the job that is included in the statistics of its queue.
-	countedWork  float64
+	// expect has what is known of the durations of its tasks.
+	expect       *expect.Job
 	recordedRuns map[replica.Task]*storev1.Run
 }
 
@@ -199,7 +199,7 @@
 // addJob adds a job, with its occurrences that are due or have recorded runs.
 func (s *session) addJob(j *job) {
 	s.jobs[j.spec.GetId()] = j
-	s.addToQueueStats(j)
+	j.expect = s.model.Job(j.spec)
 	if j.hasEnded() {
 		return
 	}
@@ -245,7 +245,7 @@
 
 // openOccurrence opens one occurrence and restores its recorded runs.
 func (s *session) openOccurrence(j *job, number int) {
-	o := &occurrence{number: number, dueAt: dueAt(j.spec, number), expect: s.model.Occurrence(j.spec)}
+	o := &occurrence{number: number, dueAt: dueAt(j.spec, number), expect: j.expect.Occurrence()}
 	j.occurrences = append(j.occurrences, o)
 	for index, spec := range j.spec.GetSteps() {
 		st := &step{job: j, occurrence: o, spec: spec, index: index}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -43,7 +43,7 @@
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed,
 		Due: o.dueAt, Objective: o.dueAt.Add(timeToObjective), LateUntil: o.dueAt.Add(assign.LateFactor * timeToObjective),
-		Credit: assign.Credit(j.spec, o.expect.Expected, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
+		Credit: assign.Credit(j.spec, o.expect.Expected, s.model.MeanWork(j.spec.GetQueue())), Work: o.waitingWork(),
 	}
 	for _, st := range o.steps {
 		if st.readyAt.IsZero() || st.remaining == 0 {
--- a/internal/dispatch/urgent.go
+++ b/internal/dispatch/urgent.go
@@ -9,7 +9,7 @@
 func (s *session) sampleUrgentDemand() {
 	cores := map[string]float64{}
 	for _, j := range s.jobs {
-		if j.hasEnded() || j.cancelled || len(j.occurrences) == 0 || !assign.IsUrgent(j.spec, s.expected(j), s.Options.StopDuration) {
+		if j.hasEnded() || j.cancelled || len(j.occurrences) == 0 || !assign.IsUrgent(j.spec, j.expect.Expected(), s.Options.StopDuration) {
 			continue
 		}
 		service := s.serviceOf(j.spec)
--- a/internal/expect/bench_test.go
+++ b/internal/expect/bench_test.go
@@ -12,7 +12,7 @@
 	model := trained()
 	var open []*expect.Occurrence
 	for range 300 {
-		open = append(open, model.Occurrence(job(39, 2*time.Second)))
+		open = append(open, model.Job(job(39, 2*time.Second)).Occurrence())
 	}
 	for b.Loop() {
 		for _, o := range open {
@@ -27,6 +27,6 @@
 func BenchmarkFinish(b *testing.B) {
 	model := trained()
 	for b.Loop() {
-		model.Occurrence(job(1, 2*time.Second)).Finish(0, 9*time.Second, now)
+		model.Job(job(1, 2*time.Second)).Occurrence().Finish(0, 9*time.Second, now)
 	}
 }
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -8,7 +8,6 @@
 	"math"
 	"time"
 
-	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 )
@@ -58,6 +57,7 @@
 
 // Occurrence holds the expected durations of one execution of a job's steps.
 type Occurrence struct {
+	job *Job
 	// durations is nil if the declared estimates are used.
 	durations *learned.Durations
 	declared  assign.Expectations
@@ -85,10 +85,10 @@
 	longest      time.Duration
 }
 
-// Occurrence returns the expectations of one execution of a job.
-func (m *Model) Occurrence(spec *storev1.Job) *Occurrence {
-	durations := m.durations
-	o := &Occurrence{durations: durations, declared: assign.Declared(spec), steps: make([]step, len(spec.GetSteps()))}
+// Occurrence returns the expectations of the next execution of the job.
+func (j *Job) Occurrence() *Occurrence {
+	durations, spec := j.model.durations, j.spec
+	o := &Occurrence{job: j, durations: durations, declared: assign.Declared(spec), steps: make([]step, len(spec.GetSteps()))}
 	for i, s := range spec.GetSteps() {
 		o.steps[i].tasks, o.steps[i].units = int(s.GetCount()), int(s.GetCount())
 		if s.GetGang() {
@@ -101,6 +101,7 @@
 		}
 	}
 	o.update()
+	j.latest = o
 	return o
 }
 
--- a/internal/expect/expect_test.go
+++ b/internal/expect/expect_test.go
@@ -29,7 +29,7 @@
 	model := untrained(true)
 	for i := range 30 {
 		factor := 4 * math.Exp(0.3*math.Sin(float64(i)))
-		model.Occurrence(job(1, 2*time.Second)).Finish(0, time.Duration(2*factor*float64(time.Second)), now)
+		model.Job(job(1, 2*time.Second)).Occurrence().Finish(0, time.Duration(2*factor*float64(time.Second)), now)
 	}
 	return model
 }
@@ -53,7 +53,7 @@
 // Guards against plans that change before finished runs have shown that the declared estimates are wrong, and with the setting "declared".
 func TestDeclaredEstimatesWithoutHistory(t *testing.T) {
 	for name, model := range map[string]*expect.Model{"no history": untrained(true), "declared": untrained(false)} {
-		o := model.Occurrence(job(10, 2*time.Second))
+		o := model.Job(job(10, 2*time.Second)).Occurrence()
 		o.Add(0, expect.Run{Elapsed: 30 * time.Second, Speed: 1})
 		o.Finish(0, 20*time.Second, now)
 		if got := expected(model, o); got != 2*time.Second {
@@ -70,7 +70,7 @@
 func TestObjectiveMovesWithRunsInProgress(t *testing.T) {
 	spec := job(5, 2*time.Second)
 	model := trained()
-	o := model.Occurrence(spec)
+	o := model.Job(spec).Occurrence()
 	wantAbout(t, "the expectation before the start", expected(model, o), 8*time.Second, 0.2)
 	for elapsed := time.Second; elapsed < 10*time.Minute; elapsed += elapsed / 2 {
 		o.Reset()
@@ -85,11 +85,11 @@
 // Guards against a step whose tasks are expected to differ from those that have finished or report progress.
 func TestOtherTasksOfStepAreExpectedToTakeAsLong(t *testing.T) {
 	model := trained()
-	o := model.Occurrence(job(39, 2*time.Second))
+	o := model.Job(job(39, 2*time.Second)).Occurrence()
 	o.Finish(0, 18*time.Second, now)
 	o.Finish(0, 22*time.Second, now)
 	wantAbout(t, "the expectation after two tasks of 20 s", expected(model, o), 20*time.Second, 0.25)
-	o = model.Occurrence(job(39, 2*time.Second))
+	o = model.Job(job(39, 2*time.Second)).Occurrence()
 	for range 5 {
 		// On a worker of speed 0.8, 30% are done after 7.5 s, so the task takes 25 s there.
 		o.Add(0, expect.Run{Elapsed: 8 * time.Second, Speed: 0.8, Share: 0.3, At: 7500 * time.Millisecond})
@@ -100,12 +100,12 @@
 // Guards against one large job that counts as many observations: its tasks are of one kind.
 func TestTasksOfOneStepAreOneObservation(t *testing.T) {
 	model := trained()
-	before := expected(model, model.Occurrence(job(1, 2*time.Second)))
-	large := model.Occurrence(job(39, 2*time.Second))
+	before := expected(model, model.Job(job(1, 2*time.Second)).Occurrence())
+	large := model.Job(job(39, 2*time.Second)).Occurrence()
 	for range 39 {
 		large.Finish(0, 24*time.Second, now)
 	}
-	if after := expected(model, model.Occurrence(job(1, 2*time.Second))); after > before*13/10 {
+	if after := expected(model, model.Job(job(1, 2*time.Second)).Occurrence()); after > before*13/10 {
 		t.Errorf("a job of 39 tasks of 24 s changes the expectation of the next one from %v to %v", before, after)
 	}
 	if runs := model.Queues()[0].GetFinishedRuns(); runs != 30+39 {
@@ -117,11 +117,11 @@
 // as much as a declared estimate although the objective moves with it.
 func TestMarginCoversTheSlowestTask(t *testing.T) {
 	for tasks, want := range map[uint32]float64{1: 1.1, 13: 1.4, 39: 1.5} {
-		if got := trained().Occurrence(job(tasks, 2*time.Second)).Margin(0); math.Abs(got-want) > 0.03 {
+		if got := trained().Job(job(tasks, 2*time.Second)).Occurrence().Margin(0); math.Abs(got-want) > 0.03 {
 			t.Errorf("the margin of %d tasks is %.2f, want %.2f", tasks, got, want)
 		}
 	}
-	if got := untrained(true).Occurrence(job(13, 2*time.Second)).Margin(0); got != 0 {
+	if got := untrained(true).Job(job(13, 2*time.Second)).Occurrence().Margin(0); got != 0 {
 		t.Errorf("the margin without history is %.2f, want 0 for that of declared estimates", got)
 	}
 }
@@ -129,13 +129,13 @@
 // Guards against learning from resumed runs, and from runs on unsuitable racks, as if they showed whole tasks of usual duration.
 func TestPartialRunsAreNotLearnedFrom(t *testing.T) {
 	model := trained()
-	before := expected(model, model.Occurrence(job(1, 2*time.Second)))
+	before := expected(model, model.Job(job(1, 2*time.Second)).Occurrence())
 	for range 20 {
-		o := model.Occurrence(job(1, 2*time.Second))
+		o := model.Job(job(1, 2*time.Second)).Occurrence()
 		o.Add(0, expect.Run{Elapsed: time.Minute, Speed: 1, Share: 0.5, At: time.Minute, Partial: true})
 		o.Finish(0, 0, now)
 	}
-	if after := expected(model, model.Occurrence(job(1, 2*time.Second))); after != before {
+	if after := expected(model, model.Job(job(1, 2*time.Second)).Occurrence()); after != before {
 		t.Errorf("partial runs change the expectation from %v to %v", before, after)
 	}
 }
@@ -143,7 +143,7 @@
 // Guards against a remaining time that ignores the progress since the last report, or that comes from the estimate although the run itself
 // reports how fast it is.
 func TestRemainingTimeFollowsProgress(t *testing.T) {
-	o := trained().Occurrence(job(1, 2*time.Second))
+	o := trained().Job(job(1, 2*time.Second)).Occurrence()
 	run := expect.Run{Elapsed: 12 * time.Second, Speed: 1, Share: 0.5, At: 10 * time.Second}
 	o.Add(0, run)
 	median, high := o.Remaining(0, run)
@@ -164,7 +164,7 @@
 	model, records := trained(), 0
 	for i := range 200 {
 		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
-		model.Occurrence(job(1, 2*time.Second)).Finish(0, 8*time.Second, at)
+		model.Job(job(1, 2*time.Second)).Occurrence().Finish(0, 8*time.Second, at)
 		if model.Record(at) != nil {
 			records++
 			model.Stored()
@@ -173,7 +173,7 @@
 	if records != 4 {
 		t.Errorf("%d records are made in 20 s, want 4", records)
 	}
-	model.Occurrence(job(1, 2*time.Second)).Finish(0, 8*time.Second, now)
+	model.Job(job(1, 2*time.Second)).Occurrence().Finish(0, 8*time.Second, now)
 	for i := 30; i < 90; i += 10 {
 		if record := model.Record(now.Add(time.Duration(i) * time.Second)); (record != nil) != (i == 30) {
 			t.Errorf("after %d s without an answer of the store a record is made: %v", i, record != nil)
@@ -186,10 +186,10 @@
 func TestModelContinuesFromRecord(t *testing.T) {
 	record := trained().Record(now)
 	restored := expect.NewModel(record, true, events.Discard())
-	wantAbout(t, "the restored expectation", expected(restored, restored.Occurrence(job(1, 2*time.Second))), 8*time.Second, 0.2)
+	wantAbout(t, "the restored expectation", expected(restored, restored.Job(job(1, 2*time.Second)).Occurrence()), 8*time.Second, 0.2)
 	record.Version++
 	other := expect.NewModel(record, true, events.Discard())
-	if got := expected(other, other.Occurrence(job(1, 2*time.Second))); got != 2*time.Second {
+	if got := expected(other, other.Job(job(1, 2*time.Second)).Occurrence()); got != 2*time.Second {
 		t.Errorf("with a record of another version the expectation is %v, want the estimate of 2 s", got)
 	}
 }
--- a/internal/expect/model.go
+++ b/internal/expect/model.go
@@ -23,6 +23,8 @@
 	recordedAt time.Time
 	recorded   uint64
 	pending    bool
+	// works are the jobs of each queue and their work.
+	works map[string]*queueWork
 	// inUse has the queues whose predictions were in use when the latest record was made.
 	inUse map[string]bool
 }
@@ -30,7 +32,7 @@
 // NewModel returns the model of a new owner, which continues with what the last one has recorded; nil if nothing was. Without learning, the
 // declared estimates are used.
 func NewModel(recorded *storev1.Durations, learning bool, logger *events.Logger) *Model {
-	m := &Model{events: logger, inUse: map[string]bool{}}
+	m := &Model{events: logger, works: map[string]*queueWork{}, inUse: map[string]bool{}}
 	if !learning {
 		return m
 	}
@@ -65,6 +67,7 @@
 	m.durations.SetRunning(running)
 	for _, o := range occurrences {
 		o.update()
+		o.job.count()
 	}
 }
 
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -188,7 +188,7 @@
 	spec := storedJob(due.submitted, d.trace.name, due.timeMillis)
 	added := &job{
 		trace: due.submitted, spec: spec, step: spec.GetSteps()[0], compared: due.compared, waitingSince: d.now,
-		avoid: map[string]bool{}, expect: d.model.Occurrence(spec),
+		avoid: map[string]bool{}, expect: d.model.Job(spec).Occurrence(),
 		idealMillis: int64(float64(due.submitted.GetRunMs()) / d.trace.bestSpeed(due.submitted)),
 	}
 	d.submittedCount[spec.GetPriority()]++
