--- a/internal/replay/regression_test.go
+++ b/internal/replay/regression_test.go
@@ -172,3 +172,29 @@
 		})
 	}
 }
+
+// Guards against learned durations that make the outcome worse than declared ones where these say little.
+func TestContendedWithLearnedDurations(t *testing.T) {
+	trace, err := replay.ReadFile(filepath.Join("..", "..", "testdata", "traces", "contended.jsonl.gz"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, err := replay.Run(trace, nil, replay.Options{Candidates: []replay.Candidate{replay.Scheduler(), replay.SchedulerDeclared()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	learned, declared := &all.Runs[0], &all.Runs[1]
+	for _, class := range []string{"urgent", "ordinary", replay.AllClasses} {
+		if got, want := learned.Class(class).InTime, declared.Class(class).InTime; got < want {
+			t.Errorf("%s: %.4f end in time, want at least the %.4f with declared durations", class, got, want)
+		}
+	}
+	if learned.Unfinished > 0 || learned.WronglyFailed > 0 {
+		t.Errorf("%d jobs unfinished, %d wrongly failed", learned.Unfinished, learned.WronglyFailed)
+	}
+	for _, invariant := range []replay.Invariant{replay.PartialGang, replay.Overlap, replay.InvalidDecision} {
+		if count := learned.ViolationCounts[invariant]; count > 0 {
+			t.Errorf("%d violations of %v", count, invariant)
+		}
+	}
+}
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
+	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 )
 
 // Result is the outcome of a trace with each planner.
@@ -33,6 +35,8 @@
 	MeanSlowdown float64 `json:"mean_slowdown"`
 	P95Slowdown  float64 `json:"p95_slowdown"`
 	P99Slowdown  float64 `json:"p99_slowdown"`
+	// InTime is the share of the jobs that ended by their objective, computed from their true run times at speed 1.
+	InTime float64 `json:"in_time"`
 }
 
 // SlowdownFloorMillis is the minimum run time in the slowdown; without it very short jobs would dominate the figures.
@@ -101,6 +105,7 @@
 type totals struct {
 	measured         window
 	slowdowns        map[string][]float64
+	inTime           map[string]int
 	urgentWaits      []int64
 	completionMillis int64
 	sum              PlanResult
@@ -109,7 +114,7 @@
 }
 
 func newTotals(measured window) *totals {
-	return &totals{measured: measured, slowdowns: map[string][]float64{}}
+	return &totals{measured: measured, slowdowns: map[string][]float64{}, inTime: map[string]int{}}
 }
 
 func (t *totals) addDataCentre(d *dataCentreReplay) {
@@ -168,13 +173,18 @@
 	name := classNames[target.trace.GetSpec().GetWorkClass()]
 	t.slowdowns[name] = append(t.slowdowns[name], slowdown)
 	t.slowdowns[AllClasses] = append(t.slowdowns[AllClasses], slowdown)
+	trueRun := assign.Expectations{time.Duration(target.trace.GetRunMs()) * time.Millisecond}
+	if completionMillis <= assign.TimeToObjective(target.spec, trueRun).Milliseconds() {
+		t.inTime[name]++
+		t.inTime[AllClasses]++
+	}
 }
 
 func (t *totals) result(name string) PlanResult {
 	r := t.sum
 	r.Planner = name
 	for _, class := range []string{"urgent", "ordinary", "patient", AllClasses} {
-		r.Classes = append(r.Classes, classResult(class, t.slowdowns[class]))
+		r.Classes = append(r.Classes, classResult(class, t.slowdowns[class], t.inTime[class]))
 	}
 	if count := len(t.slowdowns[AllClasses]); count > 0 {
 		r.MeanCompletionMillis = t.completionMillis / int64(count)
@@ -194,11 +204,11 @@
 	return r
 }
 
-func classResult(name string, slowdowns []float64) ClassResult {
+func classResult(name string, slowdowns []float64, inTime int) ClassResult {
 	slices.Sort(slowdowns)
 	result := ClassResult{
 		Class: name, Jobs: len(slowdowns),
-		P95Slowdown: quantile(slowdowns, 95), P99Slowdown: quantile(slowdowns, 99),
+		InTime: float64(inTime) / float64(max(1, len(slowdowns))), P95Slowdown: quantile(slowdowns, 95), P99Slowdown: quantile(slowdowns, 99),
 	}
 	for _, slowdown := range slowdowns {
 		result.MeanSlowdown += slowdown / float64(len(slowdowns))
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -19,6 +19,7 @@
 			c := run.Class(class)
 			return fmt.Sprintf("%.2f/%.2f/%.2f", c.MeanSlowdown, c.P95Slowdown, c.P99Slowdown)
 		})
+		r.writeRow(table, class+" in time", func(run *PlanResult) string { return percent(run.Class(class).InTime) })
 	}
 	for _, row := range tableRows {
 		r.writeRow(table, row.name, row.value)
--- a/internal/replay/tracegen/tracegen_test.go
+++ b/internal/replay/tracegen/tracegen_test.go
@@ -19,6 +19,7 @@
 	"lounge-day":  tracegen.LoungeSeed,
 	"gallery-day": tracegen.GallerySeed,
 	"two-year":    tracegen.TwoYearSeed,
+	"contended":   tracegen.ContendedSeed,
 }
 
 func path(name string) string {
@@ -27,7 +28,7 @@
 
 // TestCommittedTraces checks that the committed files hold the traces that their seeds generate.
 func TestCommittedTraces(t *testing.T) {
-	for _, name := range tracegen.Names() {
+	for _, name := range tracegen.AllNames() {
 		t.Run(name, func(t *testing.T) {
 			generated, err := tracegen.Generate(name, seeds[name])
 			if err != nil {
