--- a/internal/node/durations_test.go
+++ b/internal/node/durations_test.go
@@ -127,3 +127,30 @@
 		}
 	})
 }
+
+// Guards against a run that is stopped because its worker is leaving although its progress shows that it ends before that.
+func TestRunThatEndsBeforeItsWorkerLeavesIsNotStopped(t *testing.T) {
+	for name, test := range map[string]struct {
+		duration time.Duration
+		want     int
+	}{
+		"ends in time":        {5 * time.Second, 1},
+		"doesn't end in time": {12 * time.Second, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, 2, func(c *cluster) {
+				c.workers.TaskDuration = func(string) time.Duration { return test.duration }
+				step := tasks(1, 8, time.Minute)
+				step.Checkpointing = true
+				requireOK(c, c.submit(1, 2, "i0", step))
+				time.Sleep(2500 * time.Millisecond)
+				draining := busyWorkers(c)[0]
+				c.registry.Put(draining, []byte(draining+" leaves in 3s"))
+				c.await(1, 2, replica.Completed, 20*time.Second)
+				if starts := c.workers.StartCount(id(1) + ".0.0.0"); starts != test.want {
+					t.Errorf("the task started %d times, want %d", starts, test.want)
+				}
+			})
+		})
+	}
+}
