--- a/internal/dispatch/urgent.go
+++ b/internal/dispatch/urgent.go
@@ -10,7 +10,7 @@
 	needs := map[string]*assign.UrgentNeed{}
 	capacities := s.largestCapacities()
 	for _, j := range s.jobs {
-		if j.hasEnded() || j.cancelled || len(j.occurrences) == 0 || !assign.IsUrgent(j.spec, s.expected(j), s.Options.StopDuration) {
+		if j.hasEnded() || j.cancelled || len(j.occurrences) == 0 || !assign.IsUrgent(j.spec, j.expect.Expected(), s.Options.StopDuration) {
 			continue
 		}
 		service := s.serviceOf(j.spec)
