Callers refused in an outage return later the longer it lasts, and not all at once

An outage that has lasted for t is now expected to last for t again: the delay grows from 1 s to at most 4 s, in whole seconds because the header states no less, and a hash of the job's id spreads the callers over up to three seconds. Jobs of priority 0 return a second earlier, as their objectives leave less room. Weighed: one delay for all, which brings them back at once; fractions of seconds, which the header rounds up.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,12 @@
 	maxGangTasks = 4000
 )
 
+// Names of calls that store a record, in log lines and metrics.
+const (
+	callSubmit = "submit"
+	callCancel = "cancel"
+)
+
 // Result is the kind of an answer.
 type Result int
 
@@ -86,7 +92,8 @@
 	counters *Counters
 	stages   *metrics.Stages
 	// cpu is the instance's processor in millicores; 0 if unknown.
-	cpu uint32
+	cpu    uint32
+	outage outage
 }
 
 // New returns a Gateway of an instance with the given processor in millicores, 0 if unknown.
@@ -103,21 +110,21 @@
 // Submit validates a job and stores it. A repeat with the same id has no effect.
 func (g *Gateway) Submit(ctx context.Context, call AdmittedCall, job *storev1.Job) Answer {
 	if answer := validate(call, job); answer.Result != OK {
-		return g.recordAnswer(call, "submit", answer)
+		return g.recordAnswer(call, callSubmit, answer)
 	}
 	if _, known := g.replica.State(call.ID); known != nil {
 		return g.recordAnswer(call, "submit again", g.authorize(call, known))
 	}
 	if !g.health.Fresh() {
-		return g.recordAnswer(call, "submit", notRun("the store can't be reached"))
+		return g.recordAnswer(call, callSubmit, notRun("the store can't be reached"))
 	}
 	applyQueueSettings(call, job)
 	job.AcceptorCpuMillicores = g.cpu
 	record, err := replica.JobRecord(job)
 	if err != nil {
-		return g.recordAnswer(call, "submit", Answer{Result: Invalid, Detail: err.Error()})
+		return g.recordAnswer(call, callSubmit, Answer{Result: Invalid, Detail: err.Error()})
 	}
-	return g.recordAnswer(call, "submit", g.appendRecord(ctx, call, record))
+	return g.recordAnswer(call, callSubmit, g.appendRecord(ctx, call, record))
 }
 
 // State returns a job's state, or an answer that states why it can't be given.
@@ -145,26 +152,26 @@
 // Cancel stores the cancellation of a job. For a job that has ended or is cancelled it stores nothing and returns OK.
 func (g *Gateway) Cancel(ctx context.Context, call AdmittedCall) Answer {
 	if !g.health.ConfigCurrent() {
-		return g.recordAnswer(call, "cancel", notRun(obsoleteConfig))
+		return g.recordAnswer(call, callCancel, notRun(obsoleteConfig))
 	}
 	state, job := g.awaitJob(ctx, call.ID)
 	if job == nil {
 		var answer Answer
 		if state, job, answer = g.findAfterCatchUp(ctx, call.ID); job == nil {
-			return g.recordAnswer(call, "cancel", answer)
+			return g.recordAnswer(call, callCancel, answer)
 		}
 	}
 	if answer := g.authorize(call, job); answer.Result != OK {
-		return g.recordAnswer(call, "cancel", answer)
+		return g.recordAnswer(call, callCancel, answer)
 	}
 	if state.Final() {
 		return g.recordAnswer(call, "cancel again", Answer{})
 	}
 	record, err := replica.CancelRecord(call.ID, &storev1.Cancel{CancelledUnixMs: time.Now().UnixMilli()})
 	if err != nil {
-		return g.recordAnswer(call, "cancel", Answer{Result: Invalid, Detail: err.Error()})
+		return g.recordAnswer(call, callCancel, Answer{Result: Invalid, Detail: err.Error()})
 	}
-	return g.recordAnswer(call, "cancel", g.appendRecord(ctx, call, record))
+	return g.recordAnswer(call, callCancel, g.appendRecord(ctx, call, record))
 }
 
 // findAfterCatchUp looks up a job after the replica has caught up with the store. Only then is it certain that an unknown
@@ -277,10 +284,11 @@
 
 // recordAnswer logs an answer, counts it, observes its latency and returns it.
 func (g *Gateway) recordAnswer(call AdmittedCall, name string, answer Answer) Answer {
+	answer.RetryAfter = g.delayInOutage(call, name, answer)
 	g.counters.count(name, answer.Result)
 	g.stages.Answer.Observe(time.Since(call.ReceivedAt))
 	g.events.Log(events.CallAnswered, "call", name, "job", call.ID, "queue", call.Queue.Name, "result", answer.Result,
-		"detail", answer.Detail)
+		"detail", answer.Detail, "retry_after_ms", answer.RetryAfter.Milliseconds())
 	return answer
 }
 
