In a shortage, accounts below their share are served first

Once the waiting units of a service have needed more than is free for a second, what runs of one priority use and what is free for its units is divided among the accounts by weight; nobody is due more than it needs. Units that their account's share has room for come before the others of their priority. What an account is owed or owes within the shortage is made good within some 10 s. Claims stay first, a unit never gets ahead of one of a higher priority that was ahead of it, and jobs too late to earn anything get no share, so that they don't take the place of those that do. Runs of accounts above their share are marked for the choice of victims. Without a shortage nothing changes.

Weighed: serving the account with the lowest use first gives up density altogether; a decayed mean of the use as the only measure lets an account that starts from nothing hold a unit too many for a minute (found by the property test); one share over all priorities would let batch jobs delay the urgent jobs of the same account.

Bound, tested over random accounts, weights, durations and credits: an account whose units wait all the time is behind its share by at most its share of the longest run and of the delay of a shortage, and one unit of each other account for the longest run and 10 s.

--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -159,6 +159,7 @@
 // start adds the start of a unit on the workers to the plan.
 func (s *planState) start(unit *Unit, workers []string) {
 	s.allocate(unit, workers, false)
+	s.Shares.AddUse(unit, len(workers))
 	s.runningJobs[unit.Task.Job] = true
 	s.plan.Starts = append(s.plan.Starts, Start{Task: unit.Task, Workers: workers})
 }
--- a/internal/assign/rank.go
+++ b/internal/assign/rank.go
@@ -16,7 +16,8 @@
 )
 
 // rank returns the waiting units in the order in which they are served: first those with a claim, the oldest first, then the
-// others by decreasing density; those of a job that have waited for longest first. It sets their density and ahead.
+// others by decreasing density; those of a job that have waited for longest first. In a shortage, shares change that order; see
+// applyShares. It sets their density and ahead.
 func rank(snapshot *Snapshot) []*Unit {
 	units := make([]*Unit, len(snapshot.Waiting))
 	for i := range snapshot.Waiting {
@@ -24,6 +25,7 @@
 		units[i].density = Density(units[i], snapshot.Now)
 	}
 	slices.SortStableFunc(units, compareUnits)
+	units = applyShares(snapshot, units)
 	for i, unit := range units {
 		unit.ahead = i
 	}
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -161,6 +161,10 @@
 	LostWork float64
 	// Density is the result of the function Density for the unit as if it waited.
 	Density float64
+	// Service is the service whose workers it uses.
+	Service string
+	// OverShare is true if there is a shortage and the unit's account uses more than its share; the plan sets it.
+	OverShare bool
 }
 
 // Snapshot is the input of a plan.
@@ -171,9 +175,11 @@
 	UrgentCores map[string]float64
 	// NoPreemption is true while it is not known what all workers run. The plan preempts nothing then.
 	NoPreemption bool
-	Workers      []Worker
-	Waiting      []Unit
-	Running      []RunningUnit
+	// Shares is what accounts use.
+	Shares  Shares
+	Workers []Worker
+	Waiting []Unit
+	Running []RunningUnit
 }
 
 // Start is the decision to start a unit. Workers has the id of a worker for each member.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,6 +56,8 @@
 	Keys []string
 	// GuaranteedAccelerators is the number of accelerators guaranteed to the account's jobs of priority 0.
 	GuaranteedAccelerators uint32
+	// Weight is the account's weight where accounts share what is left in a shortage; 0 counts as 1.
+	Weight float64
 }
 
 // Limits holds the limits on callers' requests.
@@ -102,6 +104,17 @@
 	return name, known
 }
 
+// Weights returns the weights of the accounts that have one.
+func (c *Configuration) Weights() map[string]float64 {
+	weights := map[string]float64{}
+	for name, account := range c.Accounts {
+		if account.Weight > 0 {
+			weights[name] = account.Weight
+		}
+	}
+	return weights
+}
+
 // Holder holds the configuration in force. It is safe for concurrent use.
 type Holder struct {
 	current atomic.Pointer[Configuration]
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -193,6 +193,8 @@
 	upkeep       upkeep
 	// urgentDemand is the demand of each service's urgent jobs.
 	urgentDemand map[string]*learned.Demand
+	// accountUse is what accounts use.
+	accountUse assign.UseTracker
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
 	unrecordedLeases      []*run
 	usualLeasesRecordedAt time.Time
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -22,7 +22,9 @@
 // plan makes a plan, preempts runs and launches others.
 func (s *session) plan() {
 	startedAt := time.Now()
-	plan := s.Plan(s.snapshot())
+	snapshot := s.snapshot()
+	s.accountUse.Observe(snapshot)
+	plan := s.Plan(snapshot)
 	took := time.Since(startedAt)
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -21,6 +21,9 @@
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 		})
 	}
+	if current := s.Configs.Current(); current != nil {
+		out.Shares.Weights = current.Weights()
+	}
 	withinGuarantee := s.accountsWithinGuarantee()
 	for _, j := range s.jobs {
 		if j.hasEnded() || j.cancelled {
@@ -62,6 +65,7 @@
 	for _, u := range st.units {
 		unit := common
 		unit.Task = u.task
+		addUse(out, u, &unit)
 		switch {
 		case u.done:
 		case u.run == nil:
@@ -100,6 +104,13 @@
 	}
 }
 
+// addUse adds what the run of a unit uses, if it has one; waiting is the same unit as if it waited.
+func addUse(out *assign.Snapshot, u *unit, waiting *assign.Unit) {
+	if u.run != nil && !u.done {
+		out.Shares.AddUse(waiting, memberCount(u))
+	}
+}
+
 // holdReason returns why a waiting unit is left out of the plan; empty if it isn't. With others, the step holds units that lost no
 // workers, and exclusive is true if the unit needs workers that run nothing else.
 func (s *session) holdReason(u *unit, others, exclusive bool) string {
@@ -137,6 +148,7 @@
 	out.Running = append(out.Running, assign.RunningUnit{
 		Task: u.task, Account: waiting.Account, Priority: waiting.Priority, Claimed: waiting.Claimed, Step: u.step.spec,
 		Workers: r.workerIDs(), LostWork: s.lostWork(r), Density: assign.Density(waiting, s.now),
+		Service: waiting.Service,
 	})
 }
 
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -94,6 +94,7 @@
 	reservations                  map[replica.Task][]string
 	urgentDemand                  learned.Demand
 	demandObservedAt              int64
+	accountUse                    assign.UseTracker
 	checker                       checker
 	meter                         meter
 }
@@ -210,6 +211,7 @@
 // has them.
 func (d *dataCentreReplay) changeOwner() {
 	d.reservations, d.urgentDemand, d.demandObservedAt = nil, learned.Demand{}, d.now
+	d.accountUse = assign.UseTracker{}
 	for _, w := range d.workers {
 		w.health = learned.Health{}
 	}
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -28,6 +28,9 @@
 	for _, j := range d.openJobs {
 		unit := j.unit(mean)
 		unit.Claimed = unit.Priority == 0 && urgent[unit.Account] <= d.guaranteed.accelerators[unit.Account]
+		if j.phase != waiting {
+			out.Shares.AddUse(&unit, unit.Members())
+		}
 		switch j.phase {
 		case waiting:
 			unit.Reserved = d.reservations[unit.Task]
@@ -37,9 +40,11 @@
 			out.Running = append(out.Running, assign.RunningUnit{
 				Task: unit.Task, Account: unit.Account, Priority: unit.Priority, Claimed: unit.Claimed, Step: j.step,
 				Workers: j.workers, LostWork: d.lostCoreSeconds(j), Density: assign.Density(&unit, d.currentTime()),
+				Service: unit.Service,
 			})
 		}
 	}
+	d.accountUse.Observe(out.Snapshot)
 	return out
 }
 
