--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its estimate.
+	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its expected duration.
 	maxRackWaitShare = 1.0
 	// similarSpeedRatio is the maximum ratio of the speeds of two workers that count as similar. It is well above 1 because
 	// the error of learned speeds is some tenths.
 	similarSpeedRatio = 1.35
-	// estimateMargin is the factor by which a unit is assumed to exceed its estimate: declared estimates are often wrong by
+	// estimateMargin is the factor by which a unit is assumed to exceed its declared estimate: declared estimates are often wrong by
 	// half, and a gang ends with its slowest member.
 	estimateMargin = 2.0
 	// runOverhead is the time allowed for what happens before and after a run.
@@ -148,7 +148,7 @@
 
 // maxRackWait returns how long a unit waits for a preferred rack.
 func (s *planState) maxRackWait(unit *Unit) time.Duration {
-	return s.preferenceWait(unit, time.Duration(float64(unit.Step.GetEstimateMs())*maxRackWaitShare)*time.Millisecond)
+	return s.preferenceWait(unit, time.Duration(float64(unit.expected())*maxRackWaitShare))
 }
 
 // preferredRacks returns the racks on which a unit runs at full speed, nil if it does so on any worker.
@@ -281,7 +281,7 @@
 	if timeLeft <= 0 {
 		return math.Inf(1)
 	}
-	return estimateMargin * float64(unit.Remaining) / float64(timeLeft)
+	return cmp.Or(unit.Margin, estimateMargin) * float64(unit.Remaining) / float64(timeLeft)
 }
 
 // compareFit compares two candidates: the one with the tighter fit comes first, then the faster one.
