A waiting gang collects workers in a shortage, and small tasks fill them until it can start

In a shortage, a gang that fits nowhere now reserves the workers whose runs will first have made room for it, by their expected ends. Until it starts, units of the same or a lower priority start there only if they are expected to end before (backfill, with a margin of 1.3). Units of higher priorities and claims aren't held up. Gangs go on collecting in later plans before others may start. All gangs but the first collect at most a quarter of a service's cores, none for longer than 20 s or to start too late, and at most six searches are made in a plan.

Weighed: reservations without backfill leave half of each worker idle while it drains; preempting batch for gangs of priority 1 loses work; a record of the chosen workers isn't needed, as a worker that is collected makes room sooner than others.

Bound, tested over random fleets: a gang that is first in order starts once the runs after its first plan have ended, if no task takes more than 1.3 times what is expected.

--- a/internal/assign/feasible.go
+++ b/internal/assign/feasible.go
@@ -22,6 +22,9 @@
 	if worker.urgentOnly && !unit.mayUseUrgentOnly() {
 		return false
 	}
+	if !s.mayBackfill(unit, worker) {
+		return false
+	}
 	if worker.NearLatencyTarget && unit.Step.GetFills() {
 		return false
 	}
--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -43,6 +43,7 @@
 		lastAttempt bool
 	}
 	blocked := map[group]bool{}
+	s.resumeCollections(units)
 	for _, unit := range units {
 		key := group{replica.Task{Job: unit.Task.Job, Occurrence: unit.Task.Occurrence, Step: unit.Task.Step}, unit.LastAttempt}
 		if blocked[key] {
@@ -59,6 +60,7 @@
 		case found != nil:
 			s.start(unit, found.workers)
 		default:
+			s.collect(unit)
 			blocked[key] = len(unit.Avoid) == 0
 		}
 	}
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -17,6 +17,8 @@
 	// runs has the runs on each worker by its id, in the order of the work that stopping them loses; a run with several
 	// members on a worker appears once. It is built by the first call of runsOn.
 	runs map[string][]*RunningUnit
+	// ends has the expected ends of the runs on a worker by its id, as far as runEnds was asked for them.
+	ends map[string][]runEnd
 	// victims is the set of the runs that the plan preempts.
 	victims map[*RunningUnit]bool
 	// runningJobs has the ids of the jobs of which the snapshot or the plan has a run that isn't being stopped.
@@ -30,6 +32,10 @@
 	racks   []rack
 	// idle is true if more than idlePoolShare of the pool's cores are free.
 	idle bool
+	// collectedCores is the capacity of the workers that gangs collect, in cores.
+	collectedCores float64
+	// collections is the number of gangs for which the plan has looked for workers to collect.
+	collections int
 }
 
 // rack is the workers of a service in one rack.
@@ -160,6 +166,7 @@
 func (s *planState) start(unit *Unit, workers []string) {
 	s.allocate(unit, workers, false)
 	s.Shares.AddUse(unit, len(workers))
+	delete(s.plan.Reservations, unit.Task)
 	s.runningJobs[unit.Task.Job] = true
 	s.plan.Starts = append(s.plan.Starts, Start{Task: unit.Task, Workers: workers})
 }
--- a/internal/assign/share.go
+++ b/internal/assign/share.go
@@ -84,6 +84,9 @@
 // cores returns the cores that the unit takes.
 func (u *Unit) cores() float64 { return float64(u.Members()) * ResourcesOf(u.Step).CoreEquivalent() }
 
+// OwnWork returns the expected work of the unit itself, in core-seconds.
+func (u *Unit) OwnWork() float64 { return u.cores() * u.expected().Seconds() }
+
 // UseTracker follows what accounts use in a shortage, and how long shortages last. The zero value has observed nothing.
 type UseTracker struct {
 	observedAt time.Time
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -90,6 +90,8 @@
 	urgentOnly bool
 	// starting is true if this plan starts a unit on the worker.
 	starting bool
+	// collected is the gang that collects the worker; nil if none does.
+	collected *collection
 }
 
 // Unit is a task or a whole gang that starts together, and waits to start.
