In a shortage, new jobs that would certainly end too late are refused with a time to return

The owner records a summary of what waits (key forecast, at most once a second, only in a shortage); it counts for 3 s from when an instance has read it, and not at all if it is from before the instance's start. An instance answers 429, not run, to a new job if 0.7 of the work that is served before it leaves less time than it needs within three times its objective, with margins that favour the job, or without Retry-After if a task needs more than any worker has had. Never refused: a job within its guarantee, one of an account below its share, one that is stored (the instance catches up with the store first, as another one may have stored it), and any without a fresh forecast. Retry-After is the time until such a job would start in time and up to twice that by a hash of the id; each earlier refusal and priority 0 halve it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -199,6 +199,7 @@
 	urgentDemand map[string]*learned.Demand
 	// accountUse is what accounts use.
 	accountUse assign.UseTracker
+	published  published
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
 	unrecordedLeases      []*run
 	usualLeasesRecordedAt time.Time
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -28,6 +28,7 @@
 	took := time.Since(startedAt)
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
+	s.publishForecast(snapshot, &plan)
 	s.reservations = plan.Reservations
 	maps.Copy(plan.Reasons, s.held)
 	s.logWaits(plan.Reasons)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -79,7 +79,9 @@
 	CrashesCleared      = Event{429, log.InfoLevel, "crashes under a task cleared", "nothing; the task has lasted"}
 	LeaseFinal          = Event{430, log.WarnLevel, "lease of a silent worker is final", actionWorker}
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
-	PoolState           = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
+	ShortageChanged     = Event{440, log.InfoLevel, "shortage of workers began or ended",
+		"add workers if the line repeats; the metrics page has the accounts' shares"}
+	PoolState = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
 )
 
 // Events of calls: 5xx.
@@ -101,7 +103,7 @@
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
-		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal,
+		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal, ShortageChanged,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	NotRun
 	Undecided
 	Conflict
+	// TooBusy says that the job was not run because the workers are busy for too long, or can't hold it.
+	TooBusy
 )
 
 // Answer is the response to a call.
@@ -94,6 +96,8 @@
 	// cpu is the instance's processor in millicores; 0 if unknown.
 	cpu    uint32
 	outage outage
+	// refusals are those of jobs in shortages.
+	refusals refusals
 }
 
 // New returns a Gateway of an instance with the given processor in millicores, 0 if unknown.
@@ -119,6 +123,9 @@
 		return g.recordAnswer(call, callSubmit, notRun("the store can't be reached"))
 	}
 	applyQueueSettings(call, job)
+	if answer := g.refuseIfBusy(ctx, job); answer.Result != OK {
+		return g.recordAnswer(call, callSubmit, answer)
+	}
 	job.AcceptorCpuMillicores = g.cpu
 	record, err := replica.JobRecord(job)
 	if err != nil {
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -152,6 +152,7 @@
 	gateway.NotRun:       {http.StatusServiceUnavailable, "not run", apiv1.Outcome_OUTCOME_NOT_RUN},
 	gateway.Undecided:    {http.StatusGatewayTimeout, "unknown", apiv1.Outcome_OUTCOME_UNKNOWN},
 	gateway.Conflict:     {http.StatusConflict, "conflict", apiv1.Outcome_OUTCOME_NOT_RUN},
+	gateway.TooBusy:      {http.StatusTooManyRequests, "too busy", apiv1.Outcome_OUTCOME_NOT_RUN},
 }
 
 // refuse answers with a problem document.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -70,6 +70,8 @@
 	Start Latency
 	// End is the time from a job's acceptance to its completion.
 	End Latency
+	// Shares are those of the accounts; they have a page of their own.
+	Shares Shares
 }
 
 // String returns the summaries as a JSON object with the stages' names as keys.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,6 +293,8 @@
 // publishMetrics publishes the metrics with expvar.
 func (n *Node) publishMetrics() {
 	expvar.Publish("answers", n.gateway.AnswerCounts())
+	expvar.Publish("shares", &n.stages.Shares)
+	expvar.Publish("refusals", n.gateway.RefusalCounts())
 	expvar.Publish("latency", &n.stages)
 	expvar.Publish("owner_epoch", expvar.Func(func() any { return n.candidate.Epoch() }))
 	expvar.Publish("configuration_age_ms", expvar.Func(func() any { return n.configAge().Milliseconds() }))
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -19,6 +19,8 @@
 		return r.applyOwner(record)
 	case speedsKey:
 		return r.applySpeeds(record)
+	case forecastKey:
+		return r.applyForecast(record)
 	}
 	kind, name := record.Key[:min(2, len(record.Key))], record.Key[min(2, len(record.Key)):]
 	switch kind {
@@ -150,6 +152,20 @@
 	return nil
 }
 
+// applyForecast keeps the latest forecast. One that was stored before this instance started may be of any age.
+func (r *Replica) applyForecast(record storelog.Record) error {
+	r.forecast = nil
+	if len(record.Value) == 0 || !r.ready {
+		return nil
+	}
+	forecast := &storev1.Forecast{}
+	if err := proto.Unmarshal(record.Value, forecast); err != nil {
+		return errors.Wrap(err, "decode forecast")
+	}
+	r.forecast, r.forecastReadAt = forecast, time.Now()
+	return nil
+}
+
 func (r *Replica) applyUpkeep(name string, value []byte) error {
 	wave, err := strconv.ParseInt(name, 10, 64)
 	if err != nil {
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -41,6 +41,14 @@
 	return encode(speedsKey, &storev1.Speeds{Speed: speeds})
 }
 
+// ForecastRecord returns the record of a forecast; nil deletes it.
+func ForecastRecord(forecast *storev1.Forecast) (storelog.Record, error) {
+	if forecast == nil {
+		return storelog.Record{Key: forecastKey}, nil
+	}
+	return encode(forecastKey, forecast)
+}
+
 // UpkeepRecord returns the record of the progress of a wave of upkeep.
 func UpkeepRecord(wave int64, progress *storev1.Upkeep) (storelog.Record, error) {
 	return encode(upkeepPrefix+strconv.FormatInt(wave, 10), progress)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,6 +25,7 @@
 const (
 	ownerKey      = "owner"
 	speedsKey     = "speeds"
+	forecastKey   = "forecast"
 	jobPrefix     = "j/"
 	cancelPrefix  = "c/"
 	runPrefix     = "r/"
@@ -154,6 +155,9 @@
 	// acceptors has the time of the latest job by the CPU of the instances that accepted it, in millicores.
 	acceptors map[uint32]time.Time
 	speeds    map[string]float64
+	// forecast is the latest forecast, and forecastReadAt when it was read; nil if there is none.
+	forecast       *storev1.Forecast
+	forecastReadAt time.Time
 	// upkeep is the progress of each wave of upkeep.
 	upkeep map[int64]*storev1.Upkeep
 	// finalLeases are the final leases by the worker's id.
@@ -254,6 +258,16 @@
 	return r.speeds
 }
 
+// Forecast returns the latest forecast; nil if there is none, or it has expired.
+func (r *Replica) Forecast() *storev1.Forecast {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if time.Since(r.forecastReadAt) >= time.Duration(r.forecast.GetValidMs())*time.Millisecond {
+		return nil
+	}
+	return r.forecast
+}
+
 // Upkeep returns the progress of a wave of upkeep; nil if none is stored.
 func (r *Replica) Upkeep(wave int64) *storev1.Upkeep {
 	r.mu.RLock()
@@ -299,6 +313,22 @@
 	return r.pending[queue]
 }
 
+// OpenAccelerators returns the number of accelerators that the tasks of an account's jobs of a priority need which have not ended.
+func (r *Replica) OpenAccelerators(account string, priority uint32) uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	needed := uint64(0)
+	for _, job := range r.jobs {
+		if job.Job.GetAccount() != account || job.Job.GetPriority() != priority || job.state().Final() {
+			continue
+		}
+		for _, step := range job.Job.GetSteps() {
+			needed += uint64(step.GetCount()) * uint64(step.GetNeed().GetAccelerators())
+		}
+	}
+	return needed
+}
+
 // Watch returns all jobs of the replica and notifies the watcher of every job that is accepted or cancelled later.
 func (r *Replica) Watch(watcher Watcher) []Job {
 	r.mu.Lock()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -103,3 +103,19 @@
 		}
 	})
 }
+
+// Guards against an instance that takes a forecast from before its start, which may be of any age, for a fresh one.
+func TestForecastFromBeforeTheStartDoesNotCount(t *testing.T) {
+	record, err := replica.ForecastRecord(&storev1.Forecast{ValidMs: 3000})
+	jobs := replica.New(events.Discard())
+	jobs.Apply([]storelog.Record{must(t, record, err)})
+	jobs.Ready()
+	if jobs.Forecast() != nil {
+		t.Error("a forecast from before the start counts")
+	}
+	record.Offset = 1
+	jobs.Apply([]storelog.Record{record})
+	if jobs.Forecast() == nil {
+		t.Error("a new forecast doesn't count")
+	}
+}
--- a/internal/storelog/appender.go
+++ b/internal/storelog/appender.go
@@ -125,6 +125,16 @@
 // Done returns a channel that is closed when the outcome is known.
 func (p *PendingAppend) Done() <-chan struct{} { return p.done }
 
+// IsDone reports whether the outcome is known.
+func (p *PendingAppend) IsDone() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Err returns the outcome; it is valid once Done is closed.
 func (p *PendingAppend) Err() error { return p.err }
 
