--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -4,18 +4,15 @@
 	"cmp"
 	"math"
 	"slices"
-	"sort"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
 const (
 	// maxRackWaitShare is how long a unit waits for a preferred rack, as a multiple of its expected duration.
 	maxRackWaitShare = 1.0
-	// similarSpeedRatio is the maximum ratio of the speeds of two workers that count as similar. It is well above 1 because
-	// the error of learned speeds is some tenths.
-	similarSpeedRatio = 1.35
 	// estimateMargin is the factor by which a unit is assumed to exceed its declared estimate: declared estimates are often wrong by
 	// half, and a gang ends with its slowest member.
 	estimateMargin = 2.0
@@ -97,11 +94,17 @@
 	return p.freeAccelerators < other.freeAccelerators
 }
 
-// place returns the best placement of a unit within the resources of view, or nil. A unit that has waited for long enough gets
-// workers that it would avoid if no others hold it.
+// place returns the best placement of a unit within the resources of view, or nil. A unit whose tasks need part of a worker gets
+// workers that are kept whole only if no others hold it. A unit that has waited for long enough gets workers that it would avoid if no
+// others hold it.
 func (s *planState) place(unit *Unit, view resourceView) *placement {
-	unit.anyWorker = false
+	unit.anyWorker, unit.sparesWhole = false, s.poolOf(unit).keepsWholeFrom(unit)
 	found := s.placeNearData(unit, view)
+	if found == nil && unit.sparesWhole {
+		unit.sparesWhole = false
+		found = s.placeNearData(unit, view)
+	}
+	unit.sparesWhole = false
 	if found == nil && s.mayUseAnyWorker(unit) {
 		unit.anyWorker = true
 		found = s.placeNearData(unit, view)
@@ -115,7 +118,7 @@
 func (s *planState) placeNearData(unit *Unit, view resourceView) *placement {
 	if racks := s.preferredRacks(unit); racks != nil {
 		var best *placement
-		minSpeed := requiredSpeed(unit, s.Now)
+		minSpeed := s.preferredSpeed(unit)
 		for _, rack := range racks {
 			if found := s.placeOn(unit, view, rack.workers); found.isBetterThan(best, minSpeed) {
 				best = found
@@ -134,6 +137,11 @@
 	if s.Now.Sub(unit.WaitingSince) >= s.maxRackWait(unit) {
 		return false
 	}
+	return s.rackHolds(unit, racks)
+}
+
+// rackHolds reports whether one of the racks has the capacity for a unit on workers that it may use.
+func (s *planState) rackHolds(unit *Unit, racks []rack) bool {
 	for _, rack := range racks {
 		count := 0
 		for _, worker := range rack.workers {
@@ -170,6 +178,15 @@
 	return nil
 }
 
+// RunsNear reports whether a unit of a step that has members on the given racks runs at full speed: near its data, or on one rack if it
+// needs that.
+func RunsNear(step *storev1.Step, racks []string) bool {
+	if name := step.GetDataRack(); name != "" {
+		return !slices.ContainsFunc(racks, func(rack string) bool { return rack != name })
+	}
+	return !step.GetSameRack() || !slices.ContainsFunc(racks, func(rack string) bool { return rack != racks[0] })
+}
+
 // freeAccelerators returns how many accelerators are available on the workers, each worker counted once.
 func (s *planState) freeAccelerators(workers []string, view resourceView) int {
 	count := 0
@@ -184,23 +201,26 @@
 // candidate is a worker that can run members of a unit.
 type candidate struct {
 	worker *Worker
-	// count is the number of members that fit, and leftover what one of them leaves free.
-	count    int
-	leftover Resources
+	// count is the number of members that fit, and fit how well; placeOn sets fit.
+	count int
+	fit   fit
 }
 
 // placeOn returns a placement of a unit on some of the workers, or nil. The members of a gang wait for the slowest, so they
 // go to workers of similar speed: the slowest that are fast enough for the objective, because urgent units need the fast ones.
-// Among workers of similar speed it prefers the tightest fit.
+// Among workers of similar speed it prefers the tightest fit. The workers must be sorted by decreasing speed.
 func (s *planState) placeOn(unit *Unit, view resourceView, workers []*Worker) *placement {
 	candidates, total := s.candidates(unit, view, workers)
 	members := unit.Members()
 	if total < members {
 		return nil
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.worker.Speed, b.worker.Speed) })
-	chosen := append([]candidate(nil), chooseSpeedGroup(candidates, members, requiredSpeed(unit, s.Now))...)
-	slices.SortStableFunc(chosen, compareFit)
+	minSpeed := s.preferredSpeed(unit)
+	chosen := chooseSpeedGroup(candidates, members, minSpeed)
+	for i := range chosen {
+		chosen[i].fit = fitOf(chosen[i].worker, view(chosen[i].worker), ResourcesOf(unit.Step))
+	}
+	slices.SortFunc(chosen, compareFit(math.IsInf(minSpeed, 1) || minSpeed > chosen[0].worker.Speed))
 	found := &placement{speed: math.Inf(1), workers: make([]string, 0, members)}
 	for _, candidate := range chosen {
 		for range min(candidate.count, members-len(found.workers)) {
@@ -212,86 +232,38 @@
 	return found
 }
 
-// chooseSpeedGroup returns candidates of similar speed that hold all members. It prefers the slowest group of at least
-// minSpeed, then the fastest group. If no group holds all members, it returns the fastest candidates that do together. The
-// candidates must be sorted by increasing speed.
-func chooseSpeedGroup(candidates []candidate, members int, minSpeed float64) []candidate {
-	var chosen []candidate
-	for first := range candidates {
-		group := similarSpeed(candidates[first:])
-		if !canHold(group, members) {
-			continue
-		}
-		chosen = group
-		if candidates[first].worker.Speed >= minSpeed {
-			break
-		}
-	}
-	if chosen == nil {
-		return fastest(candidates, members)
-	}
-	return chosen
-}
-
-// candidates returns the workers that can run members of a unit, and how many members they can run together.
+// candidates returns the workers that can run members of a unit by increasing speed, and how many members they can run together. The
+// workers must be sorted by decreasing speed.
 func (s *planState) candidates(unit *Unit, view resourceView, workers []*Worker) ([]candidate, int) {
 	var candidates []candidate
 	total := 0
 	need := ResourcesOf(unit.Step)
-	for _, worker := range workers {
+	for _, worker := range slices.Backward(workers) {
 		available := view(worker)
 		if !available.Contains(need) || (unit.Exclusive && !worker.Empty) || !s.allowed(unit, worker) {
 			continue
 		}
 		if count := countFitting(unit, worker, available); count > 0 {
-			candidates = append(candidates, candidate{worker: worker, count: count, leftover: available.Sub(need)})
+			candidates = append(candidates, candidate{worker: worker, count: count})
 			total += count
 		}
 	}
 	return candidates, total
 }
 
-// similarSpeed returns the leading candidates, sorted by increasing speed, that are about as fast as the first one.
-func similarSpeed(candidates []candidate) []candidate {
-	limit := similarSpeedRatio * candidates[0].worker.Speed
-	end := sort.Search(len(candidates), func(i int) bool { return candidates[i].worker.Speed > limit })
-	return candidates[:end]
-}
-
-// fastest returns the trailing candidates, sorted by increasing speed, that hold all members.
-func fastest(candidates []candidate, members int) []candidate {
-	total := 0
-	for first := len(candidates) - 1; first > 0; first-- {
-		if total += candidates[first].count; total >= members {
-			return candidates[first:]
-		}
-	}
-	return candidates
+// requiredSpeed returns the worker speed with which the job of a unit ends by its objective, infinite if none is enough.
+func requiredSpeed(unit *Unit, now time.Time) float64 {
+	return speedToEndBy(unit, unit.margin(), unit.Objective, now)
 }
 
-// canHold reports whether the candidates hold all members together.
-func canHold(candidates []candidate, members int) bool {
-	for i := 0; i < len(candidates) && members > 0; i++ {
-		members -= candidates[i].count
-	}
-	return members <= 0
-}
+// margin returns the factor by which the unit is assumed to exceed its expected duration.
+func (u *Unit) margin() float64 { return cmp.Or(u.Margin, estimateMargin) }
 
-// requiredSpeed returns the worker speed with which the job of a unit ends by its objective, infinite if none is enough.
-func requiredSpeed(unit *Unit, now time.Time) float64 {
-	timeLeft := unit.Objective.Sub(now) - runOverhead
+// speedToEndBy returns the worker speed with which the job of a unit ends by the given time if it takes margin times as long as expected, infinite if none is enough.
+func speedToEndBy(unit *Unit, margin float64, end, now time.Time) float64 {
+	timeLeft := end.Sub(now) - runOverhead
 	if timeLeft <= 0 {
 		return math.Inf(1)
 	}
-	return cmp.Or(unit.Margin, estimateMargin) * float64(unit.Remaining) / float64(timeLeft)
-}
-
-// compareFit compares two candidates: the one with the tighter fit comes first, then the faster one.
-func compareFit(a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(a.leftover.Accelerators, b.leftover.Accelerators),
-		cmp.Compare(b.worker.Speed, a.worker.Speed),
-		cmp.Compare(a.leftover.Memory, b.leftover.Memory),
-		cmp.Compare(a.worker.ID, b.worker.ID),
-	)
+	return margin * float64(unit.Remaining) / float64(timeLeft)
 }
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -26,7 +26,7 @@
 	plan        Plan
 }
 
-// pool is the workers of a service.
+// pool is the workers of a service, sorted by decreasing speed.
 type pool struct {
 	workers []*Worker
 	racks   []rack
@@ -36,9 +36,11 @@
 	collectedCores float64
 	// collections is the number of gangs for which the plan has looked for workers to collect.
 	collections int
+	// wholeCapacity is the capacity of the workers that are kept whole, zero if there are none.
+	wholeCapacity Resources
 }
 
-// rack is the workers of a service in one rack.
+// rack is the workers of a service in one rack, sorted by decreasing speed.
 type rack struct {
 	name    string
 	workers []*Worker
@@ -48,10 +50,9 @@
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
 		victims: map[*RunningUnit]bool{}, runningJobs: map[string]bool{},
-		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
+		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}, Kept: map[string]bool{}},
 	}
-	for i := range snapshot.Workers {
-		worker := &snapshot.Workers[i]
+	for _, worker := range bySpeed(snapshot.Workers) {
 		s.workers[worker.ID] = worker
 		if s.pools[worker.Service] == nil {
 			s.pools[worker.Service] = &pool{}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,9 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
+	"github.com/dotterelgauge/dotterelgauge/internal/evacuation"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
@@ -68,6 +70,8 @@
 	// CapacityGrace is how long after a worker's capacity has shrunk tasks may still start within the capacity that it had; 0 if
 	// capacities don't shrink.
 	CapacityGrace time.Duration
+	// DeclaredDurations is true if the declared estimates are used in place of durations learned from finished runs.
+	DeclaredDurations bool
 	// Retention is how long callers can query the state of a job that has ended.
 	Retention time.Duration
 }
@@ -176,10 +180,8 @@
 	steady map[lossCause]map[string]bool
 	// held has a reason for each unit that the plan in the making leaves out, if one is asked for.
 	held map[replica.Task]assign.Reason
-	// durations is what was learned of the durations of tasks; nil if the declared estimates are used.
-	durations *learned.Durations
-	// typicalSpeed is the geometric mean of the known speeds of workers.
-	typicalSpeed float64
+	// model is what is known of the durations of tasks.
+	model *expect.Model
 	// queueStats are the statistics of each queue's jobs.
 	queueStats map[string]*queueStats
 	// startedAt is when the term started here. registryRead is true once the worker registry was read, and settled once
@@ -195,11 +197,16 @@
 	// reservations are the workers that the last plan reserved for each waiting unit.
 	reservations map[replica.Task][]string
 	upkeep       upkeep
+	evacuations  evacuations
 	// urgentDemand is the demand of each service's urgent jobs.
-	urgentDemand map[string]*learned.Demand
+	urgentDemand map[string]*learned.Shapes
+	// kept has the workers that the last plan kept for urgent units, by id; true for those that are kept whole.
+	kept map[string]bool
 	// accountUse is what accounts use.
 	accountUse assign.UseTracker
 	published  published
+	// speeds learns the speeds of the workers.
+	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
 	unrecordedLeases      []*run
 	usualLeasesRecordedAt time.Time
@@ -224,9 +231,10 @@
 		Dependencies: deps, ctx: ctx, term: term, now: time.Now(), startedAt: time.Now(),
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
-		losses:     map[string]workerLoss{},
-		queueStats: map[string]*queueStats{}, durations: learned.NewDurations(), typicalSpeed: 1,
-		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		losses:       map[string]workerLoss{},
+		queueStats:   map[string]*queueStats{},
+		urgentDemand: map[string]*learned.Shapes{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
 }
@@ -329,7 +337,9 @@
 	s.recordWaitingJobs()
 	s.sampleUrgentDemand()
 	s.recordSpeeds()
+	s.recordDurations()
 	s.advanceWaves()
+	s.followEvacuations()
 	if s.now.Sub(s.lastRetirement) > retireInterval {
 		s.lastRetirement = s.now
 		s.retireJobs()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,7 +29,7 @@
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
 	s.publishForecast(snapshot, &plan)
-	s.reservations = plan.Reservations
+	s.reservations, s.kept = plan.Reservations, plan.Kept
 	maps.Copy(plan.Reasons, s.held)
 	s.logWaits(plan.Reasons)
 	s.answerQuestions(plan.Reasons)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -12,14 +12,17 @@
 func (s *session) snapshot() *assign.Snapshot {
 	s.updateExpectations()
 	s.steady, s.held = map[lossCause]map[string]bool{}, map[replica.Task]assign.Reason{}
-	out := &assign.Snapshot{Now: s.now, UrgentCores: s.urgentCores(), NoPreemption: !s.knowsRuns()}
+	out := &assign.Snapshot{Now: s.now, NoPreemption: !s.knowsRuns()}
+	out.UrgentCores, out.UrgentWhole = s.urgentShapes()
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
+		_, kept := s.kept[ws.id]
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: s.plannedSpeed(ws), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
+			Evacuated: s.Evacuations.Requested(ws.entry.DataCentre), Kept: kept,
 		})
 	}
 	if current := s.Configs.Current(); current != nil {
@@ -40,19 +43,19 @@
 
 // addOccurrence adds the units of an occurrence that wait or run.
 func (s *session) addOccurrence(out *assign.Snapshot, j *job, o *occurrence, claimed bool) {
-	criticalPaths := assign.CriticalPaths(j.spec, o.expected)
-	timeToObjective := assign.TimeToObjective(j.spec, o.expected)
+	criticalPaths := assign.CriticalPaths(j.spec, o.expect.Expected)
+	timeToObjective := assign.TimeToObjective(j.spec, o.expect.Expected)
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed,
 		Due: o.dueAt, Objective: o.dueAt.Add(timeToObjective), LateUntil: o.dueAt.Add(assign.LateFactor * timeToObjective),
-		Credit: assign.Credit(j.spec, o.expected, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
+		Credit: assign.Credit(j.spec, o.expect.Expected, s.meanWork(j.spec.GetQueue())), Work: o.waitingWork(),
 	}
 	for _, st := range o.steps {
 		if st.readyAt.IsZero() || st.remaining == 0 {
 			continue
 		}
 		unit := common
-		unit.Step, unit.WaitingSince, unit.Remaining, unit.Expected = st.spec, st.readyAt, criticalPaths[st.index], o.expected[st.index]
+		unit.Step, unit.WaitingSince, unit.Remaining, unit.Expected = st.spec, st.readyAt, criticalPaths[st.index], o.expect.Expected[st.index]
 		unit.Margin = o.expect.Margin(st.index)
 		unit.TasksPerWorker, unit.Allowed = st.tasksPerWorker(), s.allowedWorkers(st)
 		s.addStep(out, st, unit)
@@ -136,7 +139,7 @@
 	for _, st := range o.steps {
 		for _, u := range st.units {
 			if !u.done && u.run == nil {
-				work += assign.TaskWork(st.spec, o.expected[st.index]) * float64(memberCount(u))
+				work += assign.TaskWork(st.spec, o.expect.Expected[st.index]) * float64(memberCount(u))
 			}
 		}
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -72,7 +72,10 @@
 	StepWaiting         = Event{421, log.InfoLevel, "step waiting", "read the reason in the line if jobs of its queue are late"}
 	WorkerCrashed       = Event{423, log.WarnLevel, "worker crashed under a task",
 		"check the program of the job if its task crashes several workers; the job is given up then"}
-	EvacuationChanged   = Event{427, log.InfoLevel, "evacuation of a data centre requested or ended", actionNone}
+	EvacuationChanged = Event{427, log.InfoLevel, "evacuation of a data centre requested or ended", actionNone}
+	DataCentreState   = Event{431, log.InfoLevel, "state of a data centre changed", actionNone}
+	UnknownDataCentre = Event{432, log.WarnLevel, "evacuation of an unknown data centre",
+		"compare the name with the known ones in the line, and request the evacuation of one of these"}
 	CrashWithdrawn      = Event{426, log.InfoLevel, "crash withdrawn", "nothing; the worker was only silent"}
 	ReportsAcknowledged = Event{428, log.InfoLevel, "reports acknowledged", actionNone}
 	WorkerIgnoresOrders = Event{425, log.WarnLevel, "worker ignores orders", actionWorker}
@@ -81,6 +84,11 @@
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
 	ShortageChanged     = Event{440, log.InfoLevel, "shortage of workers began or ended",
 		"add workers if the line repeats; the metrics page has the accounts' shares"}
+	DurationsRestored = Event{441, log.InfoLevel, "durations of tasks restored", actionNone}
+	DurationsIgnored  = Event{442, log.WarnLevel, "recorded durations of tasks ignored",
+		"nothing; durations are learned anew, which takes some twenty jobs of a queue"}
+	DurationsLearned = Event{443, log.InfoLevel, "predicted durations of a queue come into use or go out of use",
+		"nothing; ask the callers of the queue for better estimates if the factor of the declared ones is high"}
 	PoolState = Event{422, log.InfoLevel, "state of a service's workers", "add workers if jobs wait and none are free"}
 )
 
@@ -103,7 +111,9 @@
 		WorkerRecovered, WorkerLost,
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
-		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal, ShortageChanged,
+		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal,
+		DataCentreState, UnknownDataCentre,
+		ShortageChanged, DurationsRestored, DurationsIgnored, DurationsLearned,
 		CallRejected, ListenerFailed, CallAnswered,
 	}
 }
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -19,6 +18,8 @@
 	// task shows of its step: the speed of its worker isn't known exactly either.
 	taskSpread     = 0.15
 	observedSpread = 0.2
+	// speedMargin allows for the errors of learned speeds, some per cent, and for starts and ends that are noticed late.
+	speedMargin = 1.1
 	// minPriorSpread is the least spread of the durations of different steps that is assumed where a step's own tasks show something else.
 	minPriorSpread = 0.35
 	// minShare is the progress of a run from which on it shows how long the run takes: progress is reported in whole percent, and late.
@@ -40,15 +41,6 @@
 	Partial bool
 }
 
-// Slowed reports whether the tasks of a step run more slowly than their workers, which are in the given racks: away from their data, or as
-// a gang that needs one rack on several.
-func Slowed(step *storev1.Step, racks []string) bool {
-	if name := step.GetDataRack(); name != "" {
-		return slices.ContainsFunc(racks, func(rack string) bool { return rack != name })
-	}
-	return step.GetSameRack() && len(slices.Compact(slices.Sorted(slices.Values(racks)))) > 1
-}
-
 // total returns the duration of a run as its progress shows it; 0 if there is too little.
 func (r Run) total() time.Duration {
 	made := r.Share - r.BaseShare
@@ -69,7 +61,9 @@
 	// durations is nil if the declared estimates are used.
 	durations *learned.Durations
 	declared  assign.Expectations
-	steps     []step
+	// Expected has the expected duration of a task of each step, as of the latest update by Model.Update.
+	Expected assign.Expectations
+	steps    []step
 }
 
 // step is what is known of a step.
@@ -91,8 +85,9 @@
 	longest      time.Duration
 }
 
-// New returns the expectations of one execution of a job; durations is nil if they are the declared ones.
-func New(durations *learned.Durations, spec *storev1.Job) *Occurrence {
+// Occurrence returns the expectations of one execution of a job.
+func (m *Model) Occurrence(spec *storev1.Job) *Occurrence {
+	durations := m.durations
 	o := &Occurrence{durations: durations, declared: assign.Declared(spec), steps: make([]step, len(spec.GetSteps()))}
 	for i, s := range spec.GetSteps() {
 		o.steps[i].tasks, o.steps[i].units = int(s.GetCount()), int(s.GetCount())
@@ -105,6 +100,7 @@
 			})
 		}
 	}
+	o.update()
 	return o
 }
 
@@ -121,7 +117,7 @@
 	}
 	// The median of the largest of n values is their quantile 0.5^(1/n).
 	quantile := math.Pow(0.5, 1/float64(max(1, o.steps[index].tasks)))
-	return math.Exp(taskSpread * math.Sqrt2 * math.Erfinv(2*quantile-1))
+	return speedMargin * math.Exp(taskSpread*math.Sqrt2*math.Erfinv(2*quantile-1))
 }
 
 // Reset forgets the runs in progress; the caller then adds those that there are.
@@ -156,8 +152,8 @@
 	}
 }
 
-// Running returns what the runs in progress of the steps show that have nothing better yet, for Durations.SetRunning.
-func (o *Occurrence) Running(running []learned.Running) []learned.Running {
+// running appends what the runs in progress of the steps show that have nothing better yet, for Durations.SetRunning.
+func (o *Occurrence) running(running []learned.Running) []learned.Running {
 	for i := range o.steps {
 		if st := &o.steps[i]; st.longest > 0 && st.finished == 0 && st.inProgress == 0 {
 			running = append(running, learned.Running{Series: st.series, Declared: o.declared[i], Elapsed: st.longest})
@@ -189,20 +185,19 @@
 	}
 	st.sampled += weight
 	mean := time.Duration(math.Exp(st.sumLogs/float64(st.finished)) * float64(time.Second))
-	o.durations.Observe(st.series, learned.Sample{
+	o.durations.Observe(st.series, learned.StepDuration{
 		Declared: o.declared[index], Predicted: st.predicted, Actual: mean, Weight: weight, At: now,
 	})
 }
 
-// Expected appends the expected durations of all steps to expected, which it returns.
-func (o *Occurrence) Expected(expected assign.Expectations) assign.Expectations {
-	expected = append(expected, o.declared...)
+// update updates Expected.
+func (o *Occurrence) update() {
+	o.Expected = append(o.Expected[:0], o.declared...)
 	for i := range o.steps {
 		if o.Learned(i) {
-			expected[i] = o.distribution(i).Median
+			o.Expected[i] = o.distribution(i).Median
 		}
 	}
-	return expected
 }
 
 // distribution returns the distribution of the duration of a task of a step that isn't running, or whose run shows nothing.
--- a/internal/learned/durations.go
+++ b/internal/learned/durations.go
@@ -74,6 +74,8 @@
 	series map[Work]*Series
 	// changes is increased with each change of what is predicted.
 	changes uint64
+	// observations counts the samples.
+	observations uint64
 }
 
 // NewDurations returns a predictor without history.
@@ -84,15 +86,8 @@
 // Changes returns a number that increases with each change of what is predicted.
 func (d *Durations) Changes() uint64 { return d.changes }
 
-// InUse reports whether predictions are used for any queue.
-func (d *Durations) InUse() bool {
-	for _, q := range d.queues {
-		if q.inUse {
-			return true
-		}
-	}
-	return false
-}
+// Observations returns the number of samples that were learned from.
+func (d *Durations) Observations() uint64 { return d.observations }
 
 // Series is the history of the work with one key. It is valid as long as its Durations.
 type Series struct {
@@ -157,9 +152,9 @@
 	}
 	queue := d.queue(work.Queue)
 	s := &Series{work: work, queue: queue, offsets: [3]*offset{
-		queue.offset(offsetKey{account: work.Account}, priorAccount),
-		queue.offset(offsetKey{hasShape: true, shape: work.Shape}, priorShape),
-		queue.offset(offsetKey{account: work.Account, hasShape: true, shape: work.Shape}, priorShape),
+		queue.offset(offsetKey{account: work.Account}),
+		queue.offset(offsetKey{hasShape: true, shape: work.Shape}),
+		queue.offset(offsetKey{account: work.Account, hasShape: true, shape: work.Shape}),
 	}}
 	d.series[work] = s
 	return s
@@ -172,9 +167,12 @@
 	return d.queues[name]
 }
 
-func (q *queueDurations) offset(key offsetKey, prior float64) *offset {
+func (q *queueDurations) offset(key offsetKey) *offset {
 	if q.offsets[key] == nil {
-		q.offsets[key] = &offset{prior: prior}
+		q.offsets[key] = &offset{prior: priorAccount}
+		if key.hasShape {
+			q.offsets[key].prior = priorShape
+		}
 	}
 	return q.offsets[key]
 }
@@ -217,9 +215,9 @@
 	return Distribution{Median: fromLog(s.logMedian(toLog(declared)) + s.queue.censoredShift), Spread: spread}
 }
 
-// Sample is what finished tasks of one step show. Tasks of a step take about the same time, so all of them together count as one observation:
+// StepDuration is what finished tasks of one step show. Tasks of a step take about the same time, so all of them together count as one observation:
 // the weights of a step's samples add up to 1.
-type Sample struct {
+type StepDuration struct {
 	// Declared is the declared estimate, Predicted what was predicted before the step's first task started, and Actual the duration on
 	// a worker of speed 1.
 	Declared, Predicted, Actual time.Duration
@@ -231,11 +229,12 @@
 func (d *Durations) CountFinished(s *Series) { s.queue.finished++ }
 
 // Observe learns from a sample.
-func (d *Durations) Observe(s *Series, sample Sample) {
+func (d *Durations) Observe(s *Series, sample StepDuration) {
 	if sample.Actual <= 0 || sample.Weight <= 0 {
 		return
 	}
 	d.changes++
+	d.observations++
 	q, x, y := s.queue, toLog(sample.Declared), toLog(sample.Actual)
 	q.usedAt = sample.At
 	declaredError, predictedError := math.Abs(y-x), math.Abs(y-toLog(sample.Predicted))
--- a/internal/learned/durations_test.go
+++ b/internal/learned/durations_test.go
@@ -39,7 +39,7 @@
 	series := h.durations.Series(work(account))
 	predicted := series.Predict(seconds(declared)).Median
 	h.durations.CountFinished(series)
-	h.durations.Observe(series, learned.Sample{
+	h.durations.Observe(series, learned.StepDuration{
 		Declared: seconds(declared), Predicted: predicted, Actual: seconds(actual), Weight: 1, At: h.now,
 	})
 	return math.Log(actual / predicted.Seconds())
--- a/internal/learned/residuals.go
+++ b/internal/learned/residuals.go
@@ -14,8 +14,8 @@
 	maxFactor = 50.0
 	// PriorSpread is the spread that is assumed without history: declared estimates are often wrong by half or more.
 	PriorSpread = 0.5
-	// minSpread and maxSpread limit the spread. Below minSpread the tasks of one step differ by more than that.
-	minSpread, maxSpread = 0.1, 1.5
+	// minResidualSpread and maxResidualSpread limit the spread. Below minResidualSpread the tasks of one step differ by more than that.
+	minResidualSpread, maxResidualSpread = 0.1, 1.5
 	// priorResidualWeight is the weight of that assumption, in steps.
 	priorResidualWeight = 3.0
 )
@@ -72,7 +72,7 @@
 func (r *residuals) spread() float64 {
 	if r.cachedSpread == 0 {
 		low, high := r.quantile(1-highQuantile), r.quantile(highQuantile)
-		r.cachedSpread = min(max(math.Log(high/low)/(2*highDeviations), minSpread), maxSpread)
+		r.cachedSpread = min(max(math.Log(high/low)/(2*highDeviations), minResidualSpread), maxResidualSpread)
 	}
 	return r.cachedSpread
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,6 +26,7 @@
 	ownerKey      = "owner"
 	speedsKey     = "speeds"
 	forecastKey   = "forecast"
+	durationsKey  = "durations"
 	jobPrefix     = "j/"
 	cancelPrefix  = "c/"
 	runPrefix     = "r/"
@@ -158,6 +159,8 @@
 	// forecast is the latest forecast, and forecastReadAt when it was read; nil if there is none.
 	forecast       *storev1.Forecast
 	forecastReadAt time.Time
+	// durations is what the owners have learned of durations; nil if no record was read.
+	durations *storev1.Durations
 	// upkeep is the progress of each wave of upkeep.
 	upkeep map[int64]*storev1.Upkeep
 	// finalLeases are the final leases by the worker's id.
@@ -268,6 +271,13 @@
 	return r.forecast
 }
 
+// Durations returns what the owners have learned of the durations of tasks; nil if nothing is recorded. The caller must not modify it.
+func (r *Replica) Durations() *storev1.Durations {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.durations
+}
+
 // Upkeep returns the progress of a wave of upkeep; nil if none is stored.
 func (r *Replica) Upkeep(wave int64) *storev1.Upkeep {
 	r.mu.RLock()
