Gangs look for workers to collect without sorting all room there will be

A search kept and sorted the room for each further member on each worker; it now keeps the earliest as many as the gang has members.

TestGangStartsBesideStreamOfSmallTasks shows the whole path over instances; the gang doesn't start without the collection.

--- a/internal/assign/backfill.go
+++ b/internal/assign/backfill.go
@@ -101,27 +101,38 @@
 		}
 	}
 	members := unit.Members()
-	var best []slot
+	var best, onWorker []slot
 	for _, workers := range groups {
-		var slots []slot
+		slots := make([]slot, 0, members+1)
 		for _, worker := range workers {
-			if s.allowed(unit, worker) {
-				slots = s.appendSlots(slots, worker, unit)
+			if !s.allowed(unit, worker) {
+				continue
+			}
+			onWorker = s.appendSlots(onWorker[:0], worker, unit)
+			for _, next := range onWorker {
+				slots = insertSlot(slots, next, members)
 			}
 		}
-		if len(slots) < members {
-			continue
-		}
-		slices.SortFunc(slots, func(a, b slot) int {
-			return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.worker.ID, b.worker.ID))
-		})
-		if slots = slots[:members]; best == nil || slots[members-1].after < best[members-1].after {
+		if len(slots) == members && (best == nil || slots[members-1].after < best[members-1].after) {
 			best = slots
 		}
 	}
 	return best
 }
 
+// insertSlot adds a slot to the earliest ones, of which it keeps at most limit in their order.
+func insertSlot(slots []slot, next slot, limit int) []slot {
+	compare := func(a, b slot) int {
+		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.worker.ID, b.worker.ID))
+	}
+	if len(slots) == limit && compare(next, slots[limit-1]) >= 0 {
+		return slots
+	}
+	position, _ := slices.BinarySearchFunc(slots, next, compare)
+	slots = slices.Insert(slots, position, next)
+	return slots[:min(len(slots), limit)]
+}
+
 // runEnd is when a run is expected to make room on a worker.
 type runEnd struct {
 	after time.Duration
--- a/internal/node/shortage_test.go
+++ b/internal/node/shortage_test.go
@@ -189,3 +189,25 @@
 		}
 	})
 }
+
+// Guards against a gang that never starts beside a stream of small tasks of a lower priority, which take each accelerator that becomes free.
+func TestGangStartsBesideStreamOfSmallTasks(t *testing.T) {
+	run(t, 2, 4, func(c *cluster) {
+		const stream, single = 500 * time.Millisecond, 1000
+		submit := func(n int) {
+			// Half as much again as there is, in tasks that end at different times.
+			c.submit(n, 2, "i0", tasks(10, 1, time.Duration(2000+100*(n%10))*time.Millisecond))
+			time.Sleep(stream)
+		}
+		for n := range 16 {
+			submit(n)
+		}
+		c.submit(single, 1, "i1", gang(4, 8, 2*time.Second))
+		for n := range 30 {
+			if submit(100 + n); c.state(single, 1, "i0") == replica.Completed {
+				return
+			}
+		}
+		t.Error("the gang of 2 s isn't completed after 15 s, while no other task takes longer than 2.9 s")
+	})
+}
