--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -97,6 +97,8 @@
 	urgentOnly, keptWhole bool
 	// starting is true if this plan starts a unit on the worker.
 	starting bool
+	// collected is the gang that collects the worker; nil if none does.
+	collected *collection
 }
 
 // Unit is a task or a whole gang that starts together, and waits to start.
@@ -185,6 +187,10 @@
 	LostWork float64
 	// Density is the result of the function Density for the unit as if it waited.
 	Density float64
+	// Service is the service whose workers it uses.
+	Service string
+	// OverShare is true if there is a shortage and the unit's account uses more than its share; the plan sets it.
+	OverShare bool
 }
 
 // Snapshot is the input of a plan.
@@ -196,9 +202,11 @@
 	UrgentWhole map[string]WholeDemand
 	// NoPreemption is true while it is not known what all workers run. The plan preempts nothing then.
 	NoPreemption bool
-	Workers      []Worker
-	Waiting      []Unit
-	Running      []RunningUnit
+	// Shares is what accounts use.
+	Shares  Shares
+	Workers []Worker
+	Waiting []Unit
+	Running []RunningUnit
 }
 
 // WholeDemand is a demand for workers that run nothing else.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -200,6 +200,9 @@
 	urgentDemand map[string]*learned.Shapes
 	// kept has the workers that the last plan kept for urgent units, by id; true for those that are kept whole.
 	kept map[string]bool
+	// accountUse is what accounts use.
+	accountUse assign.UseTracker
+	published  published
 	// speeds learns the speeds of the workers.
 	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -22,10 +22,13 @@
 // plan makes a plan, preempts runs and launches others.
 func (s *session) plan() {
 	startedAt := time.Now()
-	plan := s.Plan(s.snapshot())
+	snapshot := s.snapshot()
+	s.accountUse.Observe(snapshot)
+	plan := s.Plan(snapshot)
 	took := time.Since(startedAt)
 	s.Stages.Plan.Observe(took)
 	s.planning.count, s.planning.took = s.planning.count+1, s.planning.took+took
+	s.publishForecast(snapshot, &plan)
 	s.reservations, s.kept = plan.Reservations, plan.Kept
 	maps.Copy(plan.Reasons, s.held)
 	s.logWaits(plan.Reasons)
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -25,6 +25,9 @@
 			Evacuated: s.Evacuations.Requested(ws.entry.DataCentre), Kept: kept,
 		})
 	}
+	if current := s.Configs.Current(); current != nil {
+		out.Shares.Weights = current.Weights()
+	}
 	withinGuarantee := s.accountsWithinGuarantee()
 	for _, j := range s.jobs {
 		if j.hasEnded() || j.cancelled {
@@ -64,9 +67,11 @@
 	maxAttempts, stoppable := s.maxAttempts(st.job.spec), st.stoppableCount()
 	hold := st.holdsOthers()
 	explain := st.asked || !s.now.Before(st.nextWaitReport)
+	running := 0
 	for _, u := range st.units {
 		unit := common
 		unit.Task = u.task
+		running += runningMembers(u)
 		switch {
 		case u.done:
 		case u.run == nil:
@@ -103,6 +108,15 @@
 			}
 		}
 	}
+	out.Shares.AddUse(&common, running)
+}
+
+// runningMembers returns the number of tasks of a unit's run; 0 if it has none.
+func runningMembers(u *unit) int {
+	if u.run == nil || u.done {
+		return 0
+	}
+	return memberCount(u)
 }
 
 // holdReason returns why a waiting unit is left out of the plan; empty if it isn't. With others, the step holds units that lost no
@@ -143,7 +157,7 @@
 	out.Running = append(out.Running, assign.RunningUnit{
 		Task: u.task, Account: waiting.Account, Priority: waiting.Priority, Claimed: waiting.Claimed, Step: u.step.spec,
 		Workers: r.workerIDs(), LostWork: s.lostWork(r), Density: assign.Density(waiting, s.now),
-		Remaining: left, RemainingHigh: high,
+		Service: waiting.Service, Remaining: left, RemainingHigh: high,
 	})
 }
 
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -98,6 +98,7 @@
 	kept                          map[string]bool
 	speeds                        learned.Speeds
 	demandObservedAt              int64
+	accountUse                    assign.UseTracker
 	recenteredAt                  int64
 	model                         *expect.Model
 	checker                       checker
@@ -215,6 +216,7 @@
 // has them.
 func (d *dataCentreReplay) changeOwner() {
 	d.reservations, d.kept, d.urgentDemand, d.demandObservedAt = nil, nil, learned.Shapes{}, d.now
+	d.accountUse = assign.UseTracker{}
 	for _, w := range d.workers {
 		w.health = learned.Health{}
 	}
