Objectives of jobs with learned durations count on fast workers

Callers compare a job with how long it takes on a sound worker. TimeToObjective takes the speed that counts: the 80th percentile of the workers' learned speeds, 1 while the declared estimates are used.

--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -216,3 +216,20 @@
 		}
 	}
 }
+
+// Guards against objectives that a slow worker meets by the scheduler's reckoning and misses by the caller's, who compares with good workers.
+func TestObjectivesCountOnFastWorkers(t *testing.T) {
+	var workers []assign.Worker
+	for i := range 30 {
+		workers = append(workers, assign.Worker{Service: "s", Speed: []float64{0.7, 0.7, 1.7}[i%3]})
+	}
+	workers = append(workers, assign.Worker{Service: "s", Speed: 9, Gone: true}, assign.Worker{Service: "slow", Speed: 0.5})
+	speeds := assign.ObjectiveSpeeds(workers)
+	if speeds["s"] != 1.7 || speeds["slow"] != 1 {
+		t.Errorf("objectives count on workers of speed %v, want 1.7 for s and at least 1 for slow", speeds)
+	}
+	spec := &storev1.Job{StretchFactor: 1.5, TargetDurationMs: 250, Steps: []*storev1.Step{{EstimateMs: 3400}}}
+	if got, want := assign.TimeToObjective(spec, assign.Declared(spec), speeds["s"]), 3250*time.Millisecond; got != want {
+		t.Errorf("the objective is after %v, want %v: 1.5 times 2 s on a fast worker and 250 ms", got, want)
+	}
+}
--- a/internal/assign/credit.go
+++ b/internal/assign/credit.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"slices"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -67,7 +68,7 @@
 // IsUrgent reports whether a job has the highest priority (0) and so little slack before its objective that it can't wait
 // for a preemption; stop is how long a run takes to stop.
 func IsUrgent(spec *storev1.Job, expected Expectations, stop time.Duration) bool {
-	return spec.GetPriority() == 0 && TimeToObjective(spec, expected)-criticalPath(spec, expected) < minSlackStops*stop
+	return spec.GetPriority() == 0 && TimeToObjective(spec, expected, 1)-criticalPath(spec, expected) < minSlackStops*stop
 }
 
 // criticalPath returns the sum of the expected durations on the longest path of dependent steps.
@@ -80,12 +81,32 @@
 }
 
 // TimeToObjective returns the time from when a job is due to its objective, the end of the time in which it earns its full
-// credit: its critical path times its stretch factor, plus its target duration.
-func TimeToObjective(spec *storev1.Job, expected Expectations) time.Duration {
-	return time.Duration(spec.GetStretchFactor()*float64(criticalPath(spec, expected))) +
+// credit: its critical path on a worker of the given speed times its stretch factor, plus its target duration.
+func TimeToObjective(spec *storev1.Job, expected Expectations, speed float64) time.Duration {
+	return time.Duration(spec.GetStretchFactor()*float64(criticalPath(spec, expected))/speed) +
 		time.Duration(spec.GetTargetDurationMs())*time.Millisecond
 }
 
+// objectiveQuantile is the quantile of the workers' speeds on which objectives count: callers compare a job with how long it takes on a
+// good worker, and the learned speeds of the very fastest are overestimated.
+const objectiveQuantile = 0.8
+
+// ObjectiveSpeeds returns the worker speed on which the objectives of jobs with learned durations count, by service: that of its fast workers.
+func ObjectiveSpeeds(workers []Worker) map[string]float64 {
+	byService := map[string][]float64{}
+	for _, worker := range workers {
+		if !worker.Gone {
+			byService[worker.Service] = append(byService[worker.Service], worker.Speed)
+		}
+	}
+	fast := make(map[string]float64, len(byService))
+	for service, speeds := range byService {
+		slices.Sort(speeds)
+		fast[service] = max(1, speeds[int(objectiveQuantile*float64(len(speeds)-1))])
+	}
+	return fast
+}
+
 // Credit returns what a job earns if it ends by its objective. It decreases with the priority number and grows with the work
 // of the job relative to meanWork, the mean work in its queue in core-seconds; 0 means that the mean is unknown.
 func Credit(spec *storev1.Job, expected Expectations, meanWork float64) float64 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -203,6 +203,8 @@
 	// accountUse is what accounts use.
 	accountUse assign.UseTracker
 	published  published
+	// objectiveSpeeds are the worker speeds on which objectives count, by service; see assign.ObjectiveSpeeds.
+	objectiveSpeeds map[string]float64
 	// speeds learns the speeds of the workers.
 	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
--- a/internal/dispatch/expect.go
+++ b/internal/dispatch/expect.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
@@ -37,6 +38,14 @@
 	s.model.Update(open)
 }
 
+// objectiveSpeed returns the worker speed on which the objective of an execution of a job counts: 1 while the declared estimates are used.
+func (s *session) objectiveSpeed(spec *storev1.Job, execution *expect.Occurrence) float64 {
+	if speed, known := s.objectiveSpeeds[s.serviceOf(spec)]; known && execution.Learned(0) {
+		return speed
+	}
+	return 1
+}
+
 // recordDurations records what was learned of durations for the next owner.
 func (s *session) recordDurations() {
 	if durations := s.model.Record(s.now); durations != nil {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -25,7 +25,7 @@
 		"gang", first.GetGang(), "same_rack", first.GetSameRack(), "data_rack", first.GetDataRack(),
 		"accelerators", first.GetNeed().GetAccelerators(), "checkpointing", first.GetCheckpointing(),
 		"core_s", int(assign.JobWork(spec, assign.Declared(spec))),
-		"objective_ms", assign.TimeToObjective(spec, assign.Declared(spec)).Milliseconds())
+		"objective_ms", assign.TimeToObjective(spec, assign.Declared(spec), 1).Milliseconds())
 }
 
 // logRestored logs what the store holds at the start of the term.
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -28,6 +28,7 @@
 	if current := s.Configs.Current(); current != nil {
 		out.Shares.Weights = current.Weights()
 	}
+	s.objectiveSpeeds = assign.ObjectiveSpeeds(out.Workers)
 	withinGuarantee := s.accountsWithinGuarantee()
 	for _, j := range s.jobs {
 		if j.hasEnded() || j.cancelled {
@@ -44,7 +45,7 @@
 // addOccurrence adds the units of an occurrence that wait or run.
 func (s *session) addOccurrence(out *assign.Snapshot, j *job, o *occurrence, claimed bool) {
 	criticalPaths := assign.CriticalPaths(j.spec, o.expect.Expected)
-	timeToObjective := assign.TimeToObjective(j.spec, o.expect.Expected)
+	timeToObjective := assign.TimeToObjective(j.spec, o.expect.Expected, s.objectiveSpeed(j.spec, o.expect))
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed,
 		Due: o.dueAt, Objective: o.dueAt.Add(timeToObjective), LateUntil: o.dueAt.Add(assign.LateFactor * timeToObjective),
--- a/internal/expect/expect_test.go
+++ b/internal/expect/expect_test.go
@@ -76,7 +76,7 @@
 		o.Reset()
 		o.Add(0, expect.Run{Elapsed: elapsed, Speed: 1})
 		model.Update([]*expect.Occurrence{o})
-		if objective := assign.TimeToObjective(spec, o.Expected); objective < elapsed {
+		if objective := assign.TimeToObjective(spec, o.Expected, 1); objective < elapsed {
 			t.Errorf("after %v without a pause the job's objective of %v has passed", elapsed, objective)
 		}
 	}
--- a/internal/expect/job.go
+++ b/internal/expect/job.go
@@ -40,6 +40,15 @@
 	return 0
 }
 
+// MeanWorks returns the expected mean work of the jobs of each queue in core-seconds.
+func (m *Model) MeanWorks() map[string]float64 {
+	means := make(map[string]float64, len(m.works))
+	for queue := range m.works {
+		means[queue] = m.MeanWork(queue)
+	}
+	return means
+}
+
 // count includes the work that is expected of the job now in the mean of its queue.
 func (j *Job) count() {
 	work := assign.JobWork(j.spec, j.Expected())
@@ -47,5 +56,8 @@
 	j.counted = work
 }
 
+// Latest returns the latest execution.
+func (j *Job) Latest() *Occurrence { return j.latest }
+
 // Expected returns the expected durations of the latest execution.
 func (j *Job) Expected() assign.Expectations { return j.latest.Expected }
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -139,7 +139,7 @@
 		expected[i] = time.Duration(pathMargin * float64(expected[i]))
 	}
 	path := slices.Max(append(assign.CriticalPaths(job, expected), 0))
-	useful := assign.LateFactor * assign.TimeToObjective(job, expected)
+	useful := assign.LateFactor * assign.TimeToObjective(job, expected, 1)
 	if job.GetSchedule() != nil || start+path <= useful {
 		return Verdict{Start: start}
 	}
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -174,7 +174,7 @@
 	t.slowdowns[name] = append(t.slowdowns[name], slowdown)
 	t.slowdowns[AllClasses] = append(t.slowdowns[AllClasses], slowdown)
 	trueRun := assign.Expectations{time.Duration(target.trace.GetRunMs()) * time.Millisecond}
-	if completionMillis <= assign.TimeToObjective(target.spec, trueRun).Milliseconds() {
+	if completionMillis <= assign.TimeToObjective(target.spec, trueRun, 1).Milliseconds() {
 		t.inTime[name]++
 		t.inTime[AllClasses]++
 	}
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -133,7 +133,7 @@
 func (j *job) unit(mean map[uint32]float64) assign.Unit {
 	accepted := time.UnixMilli(j.spec.GetAcceptedUnixMs())
 	remaining := 1 - float64(j.savedWork)/float64(j.trace.GetRunMs())
-	timeToObjective := assign.TimeToObjective(j.spec, j.expect.Expected)
+	timeToObjective := assign.TimeToObjective(j.spec, j.expect.Expected, 1)
 	return assign.Unit{
 		Task: j.task(), Account: j.spec.GetAccount(), Service: j.spec.GetService(), Step: j.step, Priority: j.spec.GetPriority(),
 		Due: accepted, LastAttempt: j.failures+1 >= maxFailures, WaitingSince: time.UnixMilli(j.waitingSince),
