Runs whose worker was silent show no duration

The end of a task is noticed when its worker answers again, up to a lease later. While many workers are silent, the growing time of their runs would also raise what is expected of all jobs of the queue.

--- a/internal/dispatch/expect.go
+++ b/internal/dispatch/expect.go
@@ -64,7 +64,10 @@
 // progress returns the progress of a run whose members all run.
 func (s *session) progress(r *run) expect.Run {
 	p := expect.Run{Elapsed: s.now.Sub(r.startedAt), Speed: math.Inf(1), Share: math.Inf(1), Partial: r.restored || r.unit.step.spec.GetFills()}
+	silent := false
 	for _, m := range r.members {
+		// The end of a task, or its progress, is noticed late then.
+		silent = silent || m.worker.lostAt.After(r.startedAt)
 		p.Speed = min(p.Speed, m.worker.speed.Value())
 		p.Partial = p.Partial || m.startOrder.Checkpoint != ""
 		if share := min(m.percent/fullPercent, 1); share < p.Share {
@@ -75,6 +78,6 @@
 	if !p.Partial {
 		p.BaseShare, p.BaseAt = 0, 0
 	}
-	p.Partial = p.Partial || !assign.RunsNear(r.unit.step.spec, r.racks())
+	p.Partial = p.Partial || silent || !assign.RunsNear(r.unit.step.spec, r.racks())
 	return p
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -156,7 +156,7 @@
 	return ran.Seconds() * float64(len(r.members)) * assign.ResourcesFromProto(spec.GetNeed()).CoreEquivalent()
 }
 
-// maxRestoredEstimates limits the age of a run that an earlier owner started, as a multiple of its estimate: the age is the
+// maxRestoredEstimates limits the age of a run that an earlier owner started, as a multiple of its expected duration: the age is the
 // difference of two instances' clocks.
 const maxRestoredEstimates = 3
 
@@ -170,7 +170,7 @@
 	if !r.restored {
 		return observed
 	}
-	estimate := assign.Estimate(r.unit.step.spec)
+	estimate := r.unit.step.occurrence.expect.Expected[r.unit.step.index]
 	age := estimate
 	if r.recordedAtMs > 0 {
 		age = min(time.Duration(s.now.UnixMilli()-r.recordedAtMs)*time.Millisecond, maxRestoredEstimates*estimate)
--- a/internal/node/durations_test.go
+++ b/internal/node/durations_test.go
@@ -154,3 +154,25 @@
 		})
 	}
 }
+
+// Guards against learning the time for which a worker was silent as if its task had taken that long.
+func TestSilentWorkerShowsNoDuration(t *testing.T) {
+	run(t, 1, 1, func(c *cluster) {
+		for n, silent := range []bool{true, false} {
+			requireOK(c, c.submit(n, 2, "i0", tasks(1, 1, 4*time.Second)))
+			time.Sleep(time.Second)
+			c.workers.SetUnreachable("w00", silent)
+			time.Sleep(4100 * time.Millisecond) // shorter than the lease, so that the task still completes
+			c.workers.SetUnreachable("w00", false)
+			c.await(n, 2, replica.Completed, 20*time.Second)
+			time.Sleep(time.Second)
+			recorded := false
+			for _, record := range c.store.Records() {
+				recorded = recorded || record.Key == "durations"
+			}
+			if recorded == silent {
+				t.Errorf("job %d, with a silent worker %v: its duration is recorded: %v", n, silent, recorded)
+			}
+		}
+	})
+}
