--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -197,7 +197,12 @@
 	upkeep       upkeep
 	evacuations  evacuations
 	// urgentDemand is the demand of each service's urgent jobs.
-	urgentDemand map[string]*learned.Demand
+	urgentDemand map[string]*learned.Shapes
+	// kept has the workers that the last plan kept for urgent units, by id; true for those that are kept whole.
+	kept map[string]bool
+	// accountUse is what accounts use.
+	accountUse assign.UseTracker
+	published  published
 	// speeds learns the speeds of the workers.
 	speeds learned.Speeds
 	// unrecordedLeases are the runs whose usual leases are to be recorded, and usualLeasesRecordedAt is when that was last done.
@@ -225,7 +230,7 @@
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		jobs:  map[string]*job{}, workers: map[string]*workerState{}, forgottenWorkers: map[string]bool{}, silentLosses: map[string]silentLoss{},
 		losses:       map[string]workerLoss{},
-		urgentDemand: map[string]*learned.Demand{}, upkeep: upkeep{waves: map[int64]*wave{}},
+		urgentDemand: map[string]*learned.Shapes{}, upkeep: upkeep{waves: map[int64]*wave{}},
 		evacuations:    evacuations{states: map[string]evacuation.State{}, reported: map[string]bool{}},
 		lastRetirement: time.Now(), planTimer: time.NewTimer(0),
 	}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -94,9 +94,11 @@
 	workers                       []*workerState
 	guaranteed                    dataCentreGuarantees
 	reservations                  map[replica.Task][]string
-	urgentDemand                  learned.Demand
+	urgentDemand                  learned.Shapes
+	kept                          map[string]bool
 	speeds                        learned.Speeds
 	demandObservedAt              int64
+	accountUse                    assign.UseTracker
 	recenteredAt                  int64
 	model                         *expect.Model
 	checker                       checker
@@ -213,7 +215,8 @@
 // changeOwner clears the state that an owner holds only in memory. The speeds of the workers are recorded, so a new owner
 // has them.
 func (d *dataCentreReplay) changeOwner() {
-	d.reservations, d.urgentDemand, d.demandObservedAt = nil, learned.Demand{}, d.now
+	d.reservations, d.kept, d.urgentDemand, d.demandObservedAt = nil, nil, learned.Shapes{}, d.now
+	d.accountUse = assign.UseTracker{}
 	for _, w := range d.workers {
 		w.health = learned.Health{}
 	}
@@ -229,7 +232,7 @@
 		return
 	}
 	plan := d.plan(d.view())
-	d.reservations = plan.Reservations
+	d.reservations, d.kept = plan.Reservations, plan.Kept
 	for _, preemption := range plan.Preemptions {
 		d.stopRun(d.jobs[preemption.Task.Job])
 	}
@@ -246,15 +249,15 @@
 	return slices.ContainsFunc(d.openJobs, func(j *job) bool { return j.phase == waiting })
 }
 
-// observeUrgentDemand records the cores that urgent jobs have needed since the last decision.
+// observeUrgentDemand records what urgent jobs have needed since the last decision.
 func (d *dataCentreReplay) observeUrgentDemand() {
-	cores := 0.0
+	var need assign.UrgentNeed
 	for _, j := range d.openJobs {
 		if assign.IsUrgent(j.spec, j.expect.Expected, maxStopMillis*time.Millisecond) {
-			cores += float64(j.step.GetCount()) * assign.ResourcesOf(j.step).CoreEquivalent()
+			need.Add(j.step, 1, d.workers[0].capacity)
 		}
 	}
-	d.urgentDemand.Observe(cores, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
+	d.urgentDemand.Observe(need.Whole, need.PartCores, need.RackWidth, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
 	d.demandObservedAt = d.now
 }
 
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -17,19 +17,26 @@
 	d.updateExpectations()
 	var out View
 	out.Snapshot = &assign.Snapshot{
-		Now: d.currentTime(), UrgentCores: map[string]float64{d.trace.name: d.urgentDemand.UpperEstimate()},
+		Now: d.currentTime(), UrgentCores: map[string]float64{d.trace.name: d.urgentDemand.PartCores()},
+		UrgentWhole: map[string]assign.WholeDemand{
+			d.trace.name: {Workers: d.urgentDemand.WholeWorkers(), RackWidth: d.urgentDemand.RackWidth()},
+		},
 	}
 	freeing := d.freeingResources()
 	for _, w := range d.workers {
+		_, kept := d.kept[w.GetName()]
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: w.GetName(), Service: d.trace.name, Rack: w.GetRack(), Free: w.capacity.Sub(w.used), Freeing: freeing[w.GetName()],
-			Capacity: w.capacity, Speed: w.speed.Value(), Usable: d.usable(w), OnTrial: w.health.OnTrial(),
+			Capacity: w.capacity, Speed: w.speed.Value(), Usable: d.usable(w), OnTrial: w.health.OnTrial(), Kept: kept,
 		})
 	}
 	mean, urgent := d.meanWork(), d.urgentAccelerators()
 	for _, j := range d.openJobs {
 		unit := j.unit(mean)
 		unit.Claimed = unit.Priority == 0 && urgent[unit.Account] <= d.guaranteed.accelerators[unit.Account]
+		if j.phase != waiting {
+			out.Shares.AddUse(&unit, unit.Members())
+		}
 		switch j.phase {
 		case waiting:
 			unit.Reserved = d.reservations[unit.Task]
@@ -39,9 +46,11 @@
 			out.Running = append(out.Running, assign.RunningUnit{
 				Task: unit.Task, Account: unit.Account, Priority: unit.Priority, Claimed: unit.Claimed, Step: j.step,
 				Workers: j.workers, LostWork: d.lostCoreSeconds(j), Density: assign.Density(&unit, d.currentTime()),
+				Service: unit.Service,
 			})
 		}
 	}
+	d.accountUse.Observe(out.Snapshot)
 	return out
 }
 
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -41,6 +41,14 @@
 	return encode(speedsKey, &storev1.Speeds{Speed: speeds})
 }
 
+// ForecastRecord returns the record of a forecast; nil deletes it.
+func ForecastRecord(forecast *storev1.Forecast) (storelog.Record, error) {
+	if forecast == nil {
+		return storelog.Record{Key: forecastKey}, nil
+	}
+	return encode(forecastKey, forecast)
+}
+
 // DurationsRecord returns the record of what was learned of the durations of tasks.
 func DurationsRecord(durations *storev1.Durations) (storelog.Record, error) {
 	return encode(durationsKey, durations)
