--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -48,11 +48,7 @@
 	if !s.registryRead || s.now.Sub(s.startedAt) < sizesKnownAfter {
 		largest = nil
 	}
-	meanWork := make(map[string]float64, len(s.queueStats))
-	for queue := range s.queueStats {
-		meanWork[queue] = s.meanWork(queue)
-	}
-	summary := forecast.Summarise(snapshot, plan, largest, meanWork)
+	summary := forecast.Summarise(snapshot, plan, largest, s.model.MeanWorks())
 	if summary == nil && !p.exists {
 		return
 	}
--- a/internal/expect/job.go
+++ b/internal/expect/job.go
@@ -40,6 +40,15 @@
 	return 0
 }
 
+// MeanWorks returns the result of MeanWork for each queue with jobs.
+func (m *Model) MeanWorks() map[string]float64 {
+	means := make(map[string]float64, len(m.works))
+	for queue := range m.works {
+		means[queue] = m.MeanWork(queue)
+	}
+	return means
+}
+
 // count includes the work that is expected of the job now in the mean of its queue.
 func (j *Job) count() {
 	work := assign.JobWork(j.spec, j.Expected())
