--- a/internal/learned/record.go
+++ b/internal/learned/record.go
@@ -15,8 +15,8 @@
 const (
 	// recordVersion is the version of the meaning of the record's fields.
 	recordVersion = 1
-	// maxRecordBytes limits the record. Queues and offsets that were not used for longest are left out.
-	maxRecordBytes = 60 << 10
+	// maxRecordBytes limits the record to some 500 keys, because the owner's loop stands still while it is made. Queues and offsets that were not used for longest are left out.
+	maxRecordBytes = 24 << 10
 	maxQueues      = 64
 	// maxOffsets limits the offsets in memory: those that a record can hold, and those that have been asked for since.
 	maxOffsets = 3000
@@ -37,11 +37,7 @@
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(d.queues[b].usedAt.Compare(d.queues[a].usedAt), cmp.Compare(a, b))
 	})
-	type recordedOffset struct {
-		queue  *storev1.QueueDurations
-		offset *storev1.DurationOffset
-	}
-	var offsets []recordedOffset
+	var offsets []usedOffset
 	for _, name := range names[:min(len(names), maxQueues)] {
 		q := d.queues[name]
 		queue := &storev1.QueueDurations{
@@ -52,45 +48,57 @@
 		record.Queues = append(record.Queues, queue)
 		for key, o := range q.offsets {
 			if o.weight > 0 {
-				offsets = append(offsets, recordedOffset{queue, &storev1.DurationOffset{
-					Account: key.account, HasShape: key.hasShape, Image: key.shape.Image, Need: &storev1.Resources{
-						CpuMillicores: key.shape.CPUMillicores, MemoryMb: key.shape.MemoryMB, Accelerators: key.shape.Accelerators,
-					}, Sum: o.sum, Weight: o.weight, UsedUnixMs: o.usedAt.UnixMilli(),
-				}})
+				offsets = append(offsets, usedOffset{key, o, queue})
 			}
 		}
 	}
-	slices.SortFunc(offsets, func(a, b recordedOffset) int {
-		return cmp.Or(cmp.Compare(b.offset.GetUsedUnixMs(), a.offset.GetUsedUnixMs()), cmp.Compare(b.offset.GetWeight(), a.offset.GetWeight()))
+	slices.SortFunc(offsets, func(a, b usedOffset) int {
+		return cmp.Or(b.offset.usedAt.Compare(a.offset.usedAt), cmp.Compare(b.offset.weight, a.offset.weight))
 	})
 	size := proto.Size(record)
-	for _, recorded := range offsets {
+	for _, used := range offsets {
 		const overhead = 4 // of an element of a repeated field, at most
-		if size += proto.Size(recorded.offset) + overhead; size > maxRecordBytes {
+		recorded := used.record()
+		if size += proto.Size(recorded) + overhead; size > maxRecordBytes {
 			break
 		}
-		recorded.queue.Offsets = append(recorded.queue.Offsets, recorded.offset)
+		used.queue.Offsets = append(used.queue.Offsets, recorded)
 	}
 	return record
 }
 
+// usedOffset is an offset to be recorded with its queue.
+type usedOffset struct {
+	key    offsetKey
+	offset *offset
+	queue  *storev1.QueueDurations
+}
+
+func (u usedOffset) record() *storev1.DurationOffset {
+	return &storev1.DurationOffset{
+		Account: u.key.account, HasShape: u.key.hasShape, Image: u.key.shape.Image, Need: &storev1.Resources{
+			CpuMillicores: u.key.shape.CPUMillicores, MemoryMb: u.key.shape.MemoryMB, Accelerators: u.key.shape.Accelerators,
+		}, Sum: u.offset.sum, Weight: u.offset.weight, UsedUnixMs: u.offset.usedAt.UnixMilli(),
+	}
+}
+
 // forget drops the offsets that were not used for longest if there are too many.
 func (d *Durations) forget() {
-	type usedOffset struct {
+	type keptOffset struct {
 		queue  *queueDurations
 		key    offsetKey
 		usedAt time.Time
 	}
-	var all []usedOffset
+	var all []keptOffset
 	for _, q := range d.queues {
 		for key, o := range q.offsets {
-			all = append(all, usedOffset{q, key, o.usedAt})
+			all = append(all, keptOffset{q, key, o.usedAt})
 		}
 	}
 	if len(all) <= maxOffsets {
 		return
 	}
-	slices.SortFunc(all, func(a, b usedOffset) int { return b.usedAt.Compare(a.usedAt) })
+	slices.SortFunc(all, func(a, b keptOffset) int { return b.usedAt.Compare(a.usedAt) })
 	for _, dropped := range all[maxOffsets/2:] {
 		delete(dropped.queue.offsets, dropped.key)
 	}
