--- a/internal/assign/urgent.go
+++ b/internal/assign/urgent.go
@@ -120,9 +120,6 @@
 	return p.wholeCapacity != (Resources{}) && !NeedsWholeWorker(ResourcesOf(unit.Step), p.wholeCapacity)
 }
 
-// NeedsWholeWorker reports whether no two tasks with the given need fit on a worker of the given capacity.
-func NeedsWholeWorker(need, capacity Resources) bool { return !capacity.Contains(need.Add(need)) }
-
 // isMostlyUntouched reports whether more than idlePoolShare of the pool's usable workers run nothing; then none need to be kept whole.
 func (p *pool) isMostlyUntouched() bool {
 	usable, untouched := 0, 0
--- a/internal/assign/whole_test.go
+++ b/internal/assign/whole_test.go
@@ -204,3 +204,38 @@
 		}
 	})
 }
+
+// Guards against a demand of tasks that fill a worker's accelerators, or its memory, of which the cores are only a part: too few workers
+// would be kept.
+func TestPartOfWorkerFollowsFromTheScarcestResource(t *testing.T) {
+	capacity := assign.Resources{CPU: 128000, Memory: 256 * 1024, Accelerators: 8} // 192 cores
+	for _, test := range []struct {
+		need assign.Resources
+		want float64
+	}{
+		{assign.Resources{CPU: 1000, Memory: 1024, Accelerators: 4}, 96},
+		{assign.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}, 24},
+		{assign.Resources{CPU: 16000, Memory: 1024, Accelerators: 1}, 24},
+		{assign.Resources{CPU: 52000, Memory: 110 * 1024, Accelerators: 1}, 96},
+		{assign.Resources{CPU: 1000, Memory: 64 * 1024}, 48},
+	} {
+		if got := assign.PartCores(test.need, capacity); got != test.want {
+			t.Errorf("a task that needs %+v takes %v cores, want %v", test.need, got, test.want)
+		}
+	}
+}
+
+// Guards against a demand that leaves out members of gangs, or counts a gang in any racks as one that needs a rack.
+func TestUrgentNeedCountsShapes(t *testing.T) {
+	capacity := assign.Resources{CPU: 32000, Memory: 65536, Accelerators: 8} // 96 cores
+	gang, anywhere := step(3, 8), step(5, 8)
+	gang.Gang, gang.SameRack, anywhere.Gang = true, true, true
+	var need assign.UrgentNeed
+	need.Add(gang, 1, capacity)
+	need.Add(anywhere, 1, capacity)
+	need.Add(step(4, 8), 2, capacity)
+	need.Add(step(4, 2), 3, capacity)
+	if want := (assign.UrgentNeed{Whole: 10, RackWidth: 3, PartCores: 72}); need != want {
+		t.Errorf("the need is %+v, want %+v", need, want)
+	}
+}
