Record p/NAME: how an instance is reached by the others

They need each other's address, data centre and the hashes of the valid certificates, and the store is the one thing that all share.

--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -26,6 +26,8 @@
 		return r.applyUpkeep(name, record.Value)
 	case leasePrefix:
 		return r.applyFinalLease(name, record.Value)
+	case peerPrefix:
+		return r.applyPeer(name, record.Value)
 	}
 	id, _, _ := strings.Cut(name, ".")
 	job, known := r.jobs[id]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,7 @@
 	outcomePrefix = "o/"
 	upkeepPrefix  = "u/"
 	leasePrefix   = "l/"
+	peerPrefix    = "p/"
 )
 
 // GangIndex is the index that denotes a whole gang instead of a single task.
@@ -97,11 +99,17 @@
 	Cancelled
 )
 
+// stateNames are the states' names as shown to callers.
+var stateNames = [...]string{
+	Unknown: "unknown", Queued: "queued", Running: "running", Completed: "completed", Failed: "failed", Cancelled: "cancelled",
+}
+
 // String returns the state's name as shown to callers.
-func (s State) String() string {
-	return [...]string{
-		Unknown: "unknown", Queued: "queued", Running: "running", Completed: "completed", Failed: "failed", Cancelled: "cancelled",
-	}[s]
+func (s State) String() string { return stateNames[s] }
+
+// ParseState returns the state with the name; Unknown if there is none.
+func ParseState(name string) State {
+	return State(max(int(Unknown), slices.Index(stateNames[:], name)))
 }
 
 // Final reports whether the state can no longer change.
@@ -158,9 +166,11 @@
 	upkeep map[int64]*storev1.Upkeep
 	// finalLeases are the final leases by the worker's id.
 	finalLeases map[string]FinalLease
-	ready       bool
-	watcher     Watcher
-	changed     chan struct{}
+	// peers are the instances that serve calls of others, by name.
+	peers   map[string]Peer
+	ready   bool
+	watcher Watcher
+	changed chan struct{}
 }
 
 // New returns an empty replica.
@@ -168,7 +178,7 @@
 	return &Replica{
 		events: logger, jobs: map[string]*Job{}, offsets: map[string]int64{}, pending: map[string]int{},
 		acceptors: map[uint32]time.Time{}, upkeep: map[int64]*storev1.Upkeep{},
-		finalLeases: map[string]FinalLease{}, changed: make(chan struct{}),
+		finalLeases: map[string]FinalLease{}, peers: map[string]Peer{}, changed: make(chan struct{}),
 	}
 }
 
@@ -192,7 +202,7 @@
 	r.changed = make(chan struct{})
 }
 
-// KeepOnly forgets the final leases whose records aren't among the keys: they have been deleted. It implements storelog.KeyReader.
+// KeepOnly forgets the final leases and peers whose records aren't among the keys: they have been deleted. It implements storelog.KeyReader.
 func (r *Replica) KeepOnly(keys map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -203,6 +213,7 @@
 			delete(r.offsets, key)
 		}
 	}
+	r.keepOnlyPeers(keys)
 }
 
 // Ready marks the replica as complete. It implements storelog.Reader.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -103,3 +103,39 @@
 		}
 	})
 }
+
+// Guards against calls that are sent to an instance that was shut down, or to one that presents a key of its former process.
+func TestPeersFollowTheirRecords(t *testing.T) {
+	jobs := replica.New(events.Discard())
+	offset := int64(0)
+	apply := func(record storelog.Record) {
+		offset++
+		record.Offset = offset
+		jobs.Apply([]storelog.Record{record})
+	}
+	put := func(name string, first byte) {
+		record, err := replica.PeerRecord(replica.Peer{
+			Name: name, Address: name + ":1", DataCentre: "z", Certificates: []replica.CertificateHash{{first}},
+		})
+		apply(must(t, record, err))
+	}
+	put("a", 1)
+	put("b", 2)
+	put("a", 3)
+	if peer, known := jobs.Peer("a"); !known || peer.Address != "a:1" || peer.DataCentre != "z" || len(jobs.Peers()) != 2 {
+		t.Errorf("peer a is %+v, want its record", peer)
+	}
+	if jobs.HasCertificate(replica.CertificateHash{1}) || !jobs.HasCertificate(replica.CertificateHash{3}) {
+		t.Error("want the certificate of the latest record only")
+	}
+	apply(storelog.Record{Key: "p/b", Value: []byte("x")})
+	apply(replica.PeerTombstone("a"))
+	if peers := jobs.Peers(); len(peers) > 0 {
+		t.Errorf("peers %+v after a deletion and a malformed record, want none", peers)
+	}
+	put("c", 4)
+	jobs.KeepOnly(map[string]bool{"owner": true})
+	if peers := jobs.Peers(); len(peers) > 0 {
+		t.Errorf("peers %+v after a load that doesn't have their records", peers)
+	}
+}
