gateway: both interfaces for callers hand over requests as they arrived

Handle admits a request and runs it, or has a Forwarder handle it: before admission while the configuration may be obsolete, before the store is asked while several reads in a row have failed, and otherwise after the store refused or didn't answer and the call certainly had no effect. An append that may be stored is submitted through a peer as the same job only; whatever but success that peer says, the answer is undecided. Without a Forwarder everything is as before, except that the own interface answers 413 only to a body that is too large, and 400 to one that can't be read (it said 413 for both).

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"regexp"
 	"strings"
 	"time"
@@ -31,6 +32,8 @@
 	BodyLimit int64
 	// ReceivedAt is when the call arrived; Deadline is when it must be answered.
 	ReceivedAt, Deadline time.Time
+	// elsewhere has the call handled by a peer; see forwarding.submitElsewhere. It is nil if it can't be.
+	elsewhere func(ctx context.Context, deadline time.Time) <-chan Answer
 }
 
 var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
@@ -91,10 +94,7 @@
 			Result: Unauthorized, Detail: "the key is unknown: send one of the client account's keys",
 		})
 	}
-	timeout := defaultTimeout
-	if call.Timeout > 0 {
-		timeout = time.Duration(float64(call.Timeout) * timeoutShare)
-	}
+	timeout := answerTime(call.Timeout)
 	if queue.Timeout > 0 {
 		timeout = min(timeout, queue.Timeout)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	Detail string
 	// RetryAfter is how long the caller should wait before it retries; 0 if a retry is pointless.
 	RetryAfter time.Duration
+	// StoreUnreachable is true if the call had no effect only because the store's records or answers don't reach this instance.
+	StoreUnreachable bool
 }
 
 // Health reports whether the store's records reach this instance.
@@ -87,6 +89,9 @@
 	stages   *metrics.Stages
 	// cpu is the instance's processor in millicores; 0 if unknown.
 	cpu uint32
+	// forwarder is nil if calls aren't forwarded; storeFailing is set with it.
+	forwarder    Forwarder
+	storeFailing func() bool
 }
 
 // New returns a Gateway of an instance with the given processor in millicores, 0 if unknown.
@@ -227,22 +232,38 @@
 	if g.awaitOutcome(ctx, pending, wait) {
 		return answerTo(pending)
 	}
+	var elsewhere <-chan Answer
 	for {
 		if g.appender.Withdraw(pending) {
 			return notRun("the store currently accepts no appends")
 		}
+		if elsewhere == nil && call.elsewhere != nil && g.maybeLost(pending) {
+			elsewhere = call.elsewhere(ctx, call.Deadline)
+		}
 		remaining := time.Until(call.Deadline)
 		if remaining <= 0 || ctx.Err() != nil {
 			return Answer{
 				Result: Undecided, Detail: "the store has not answered: repeat the call with the same id", RetryAfter: retryAfter,
 			}
 		}
+		select {
+		case answer := <-elsewhere:
+			if answer.Result == OK {
+				return answer
+			}
+		default:
+		}
 		if g.awaitOutcome(ctx, pending, min(remaining, refusedWait)) {
 			return answerTo(pending)
 		}
 	}
 }
 
+// maybeLost reports whether the store may have received an append without an answer, and doesn't answer others either.
+func (g *Gateway) maybeLost(pending *storelog.PendingAppend) bool {
+	return g.forwarder != nil && g.appender.MaybeStored(pending) && (g.appender.RefusedFor() > 0 || g.storeFailing())
+}
+
 // awaitOutcome reports whether the outcome of an append is known within the given time.
 func (g *Gateway) awaitOutcome(ctx context.Context, pending *storelog.PendingAppend, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -284,9 +305,11 @@
 	return answer
 }
 
-// notRun returns the answer to a call that certainly had no effect.
+// notRun returns the answer to a call that certainly had no effect because the store's records or answers don't reach this instance.
 func notRun(detail string) Answer {
-	return Answer{Result: NotRun, Detail: detail + ": the call had no effect, retry later", RetryAfter: retryAfter}
+	return Answer{
+		Result: NotRun, Detail: detail + ": the call had no effect, retry later", RetryAfter: retryAfter, StoreUnreachable: true,
+	}
 }
 
 // applyQueueSettings fills in the job's id, account and acceptance time, and the settings of its queue.
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -58,78 +57,63 @@
 	instance Instance
 }
 
-// admit checks the queue, job id and key of a request.
-func (h *handler) admit(c *echo.Context) (gateway.AdmittedCall, gateway.Answer) {
+// handle runs an operation of a request on the gateway.
+func (h *handler) handle(c *echo.Context, operation gateway.Operation) gateway.Response {
 	request := c.Request()
 	timeout, err := time.ParseDuration(request.Header.Get(headerTimeoutMs) + "ms")
 	if err != nil {
 		timeout = 0 // a missing or malformed header sets no timeout
 	}
-	return h.jobs.AdmitByName(c.Param("queue"), c.Param("id"), gateway.Call{
-		Key: strings.TrimPrefix(request.Header.Get("Authorization"), schemeBearer), Timeout: timeout,
+	return h.jobs.Handle(request.Context(), gateway.Request{
+		Call:      gateway.Call{Key: strings.TrimPrefix(request.Header.Get("Authorization"), schemeBearer), Timeout: timeout},
+		Interface: gateway.OwnInterface, Operation: operation, Queue: c.Param("queue"), ID: c.Param("id"),
+		Body: request.Body, Decode: DecodeJob,
 	})
 }
 
-func (h *handler) submit(c *echo.Context) error {
-	admitted, answer := h.admit(c)
-	if answer.Result != gateway.OK {
-		return refuse(c, answer)
-	}
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, admitted.BodyLimit+1))
-	if err != nil || int64(len(raw)) > admitted.BodyLimit {
-		return refuse(c, gateway.Answer{
-			Result: gateway.TooLarge, Detail: "the body could not be read or is too large: send a complete body within the size limit",
-		})
-	}
+// DecodeJob decodes the body of a request to submit a job.
+func DecodeJob(raw []byte) (*storev1.Job, gateway.Answer) {
 	job := &storev1.Job{}
 	if err := protojson.Unmarshal(raw, job); err != nil {
-		return refuse(c, gateway.Answer{Result: gateway.Invalid, Detail: "the body is not a valid job: " + err.Error()})
+		return nil, gateway.Answer{Result: gateway.Invalid, Detail: "the body is not a valid job: " + err.Error()}
 	}
-	if answer := h.jobs.Submit(c.Request().Context(), admitted, job); answer.Result != gateway.OK {
-		return refuse(c, answer)
+	return job, gateway.Answer{}
+}
+
+func (h *handler) submit(c *echo.Context) error {
+	if response := h.handle(c, gateway.SubmitJob); response.Result != gateway.OK {
+		return refuse(c, response.Answer)
 	}
-	return write(c, &apiv1.JobView{Id: admitted.ID, Queue: admitted.Queue.Name, State: "queued"})
+	return write(c, &apiv1.JobView{Id: c.Param("id"), Queue: c.Param("queue"), State: "queued"})
 }
 
 func (h *handler) show(c *echo.Context) error {
-	admitted, answer := h.admit(c)
-	if answer.Result != gateway.OK {
-		return refuse(c, answer)
-	}
-	state, answer := h.jobs.State(c.Request().Context(), admitted)
-	if answer.Result != gateway.OK {
-		return refuse(c, answer)
+	response := h.handle(c, gateway.ShowState)
+	if response.Result != gateway.OK {
+		return refuse(c, response.Answer)
 	}
-	view := &apiv1.JobView{Id: admitted.ID, Queue: admitted.Queue.Name, State: state.String()}
-	if !state.Final() {
+	view := &apiv1.JobView{Id: c.Param("id"), Queue: c.Param("queue"), State: response.State.String()}
+	if !response.State.Final() {
 		ctx, cancel := context.WithTimeout(c.Request().Context(), inspectTimeout)
 		defer cancel()
-		view.Waits = h.instance.Explain(ctx, admitted.ID)
+		view.Waits = h.instance.Explain(ctx, c.Param("id"))
 	}
 	return write(c, view)
 }
 
 func (h *handler) cancel(c *echo.Context) error {
-	admitted, answer := h.admit(c)
-	if answer.Result == gateway.OK {
-		answer = h.jobs.Cancel(c.Request().Context(), admitted)
-	}
-	if answer.Result != gateway.OK {
-		return refuse(c, answer)
+	if response := h.handle(c, gateway.CancelJob); response.Result != gateway.OK {
+		return refuse(c, response.Answer)
 	}
 	return c.NoContent(http.StatusNoContent)
 }
 
 func (h *handler) queue(c *echo.Context) error {
-	admitted, answer := h.admit(c)
-	if answer.Result != gateway.OK {
-		return refuse(c, answer)
-	}
-	pending, answer := h.jobs.PendingJobs(admitted)
-	if answer.Result != gateway.OK {
-		return refuse(c, answer)
+	response := h.handle(c, gateway.ShowState)
+	if response.Result != gateway.OK {
+		return refuse(c, response.Answer)
 	}
-	return write(c, &apiv1.QueueView{Name: admitted.Queue.Name, Pending: uint32(pending)}) //nolint:gosec // a count.
+	return write(c, &apiv1.QueueView{Name: c.Param("queue"), Pending: uint32(response.Pending)}) //nolint:gosec // a count.
 }
 
 func (h *handler) status(c *echo.Context) error {
--- a/internal/storelog/appender.go
+++ b/internal/storelog/appender.go
@@ -112,6 +112,13 @@
 	return false
 }
 
+// MaybeStored reports whether an attempt to append pending went unanswered, so that it may be in the store.
+func (a *Appender) MaybeStored(pending *PendingAppend) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return pending.maybeStored
+}
+
 // RefusedFor returns how long the store has refused every append; 0 if it accepts them.
 func (a *Appender) RefusedFor() time.Duration {
 	a.mu.Lock()
--- a/internal/storelog/follower.go
+++ b/internal/storelog/follower.go
@@ -212,6 +212,13 @@
 	return f.lastAnswer, f.answeringSince
 }
 
+// Failures returns the number of reads in a row that the store has refused or left without an answer; 0 while it answers.
+func (f *Follower) Failures() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures
+}
+
 // CompleteAt returns the time at which the reader last had all records that the store had; zero before the first.
 func (f *Follower) CompleteAt() time.Time {
 	f.mu.Lock()
