peer: calls are handled by another instance while the store refuses this one

internal/peer asks a peer over QUIC whether it would handle a call now, sends the call as it arrived only after an offer, and returns its answer. Peers and the hashes of their certificates come from the records p/NAME, which of them are of use from direct contact. Both sides have a budget; a call goes over one hop.

Without the question before a call, the first call over a connection to a process that is gone would be undecided.

--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -20,7 +20,9 @@
 const logCloseTimeout = 300 * time.Millisecond
 
 // serveCommand runs an instance with the settings of the platform's settings file.
-type serveCommand struct{}
+type serveCommand struct {
+	Peers string `enum:"on,off" default:"on" help:"Forward calls to other instances while the store refuses this one: on or off."`
+}
 
 // Run runs the instance until SIGTERM or SIGINT.
 func (c *serveCommand) Run() error {
@@ -28,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Peers == "off" {
+		settings.PeersAddress = ""
+	}
 	writer := events.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTimeout)
 	logger := events.New(writer, settings.Name)
@@ -51,6 +56,7 @@
 			return &platform.OperatorReader{Holder: holder, Waves: waves, Evacuations: evacuations, Events: logger}
 		},
 		CallerHandler:    platform.CallerHandler,
+		DecodeJob:        platform.DecodeJob,
 		ReadinessHandler: func(ready func() bool) http.Handler { return platform.ReadinessHandler(ready) },
 	}, logger).Run(ctx)
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -90,6 +90,17 @@
 	CallAnswered   = Event{505, log.InfoLevel, "call answered", actionNone}
 )
 
+// Events of peers: 6xx.
+var (
+	CallForwarded = Event{601, log.InfoLevel, "call forwarded", actionNone}
+	PeerLeftOut   = Event{602, log.InfoLevel, "peer left out",
+		"check the instance named in the line and the network between the instances if the line repeats while nothing else fails"}
+	NoPeerReachesStore = Event{603, log.WarnLevel, "no peer reaches the store", actionStore}
+	PeersNotServed     = Event{604, log.ErrorLevel, "calls are not forwarded",
+		"correct the error named in the line and restart the instance; it works without forwarding"}
+	PeerKeyReplaced = Event{605, log.InfoLevel, "key for peers replaced", "nothing; if the line names an error, the former key stays in use"}
+)
+
 // Catalogue returns all events, sorted by number.
 func Catalogue() []Event {
 	return []Event{
@@ -103,5 +114,6 @@
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
 		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal,
 		CallRejected, ListenerFailed, CallAnswered,
+		CallForwarded, PeerLeftOut, NoPeerReachesStore, PeersNotServed, PeerKeyReplaced,
 	}
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -60,6 +60,8 @@
 	cut  map[string]map[string]bool
 	// jobs are the submitted jobs by id.
 	jobs map[string]*storev1.Job
+	// peers, if set, connects the instances, which then forward calls.
+	peers *peerNetwork
 }
 
 // run calls test with a cluster whose instances i0, i1, ... are ready. Afterwards it checks that the scheduler broke none
@@ -93,7 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: mock.NewStore(), upkeepStatus: mock.NewStore(), registry: mock.NewStore(), operator: mock.NewStore(),
-			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, urgentAdvice: options.urgentAdvice, capacityGrace: options.capacityGrace, maxLease: options.maxLease,
+			nodes: map[string]*node.Node{}, cores: map[string]float64{}, advisor: options.advisor, urgentAdvice: options.urgentAdvice, capacityGrace: options.capacityGrace, maxLease: options.maxLease, peers: options.peers,
 			cancels: map[string]context.CancelFunc{}, down: map[string]bool{}, cut: map[string]map[string]bool{},
 			jobs: map[string]*storev1.Job{}, waveHolders: map[string]*config.Waves{},
 		}
@@ -131,17 +133,30 @@
 	holder       *config.Holder
 	evacuations  *config.Evacuations
 	urgentAdvice bool
+	// key, if set, replaces the key of the account acme.
+	key string
 }
 
-// Apply takes each key as the data centre to evacuate while the record has a value.
-func (r operatorReader) Apply(records []storelog.Record) {
+// keyRecord is the key of the record that replaces the key of the account acme.
+const keyRecord = "key of acme"
+
+// Apply takes each other key as the data centre to evacuate while the record has a value.
+func (r *operatorReader) Apply(records []storelog.Record) {
 	for _, record := range records {
+		if record.Key == keyRecord {
+			r.key = string(record.Value)
+			continue
+		}
 		r.evacuations.Set(record.Key, len(record.Value) > 0)
 	}
 }
 
-func (r operatorReader) Ready() {
+func (r *operatorReader) Ready() {
 	configuration := testConfig()
+	if r.key != "" {
+		configuration.Version++
+		configuration.Accounts["acme"] = config.Account{Name: "acme", Keys: []string{r.key}, GuaranteedAccelerators: 16}
+	}
 	if r.urgentAdvice {
 		configuration.Queues[0].Advisor = configuration.Queues[1].Advisor
 	}
@@ -175,7 +190,7 @@
 	started := node.New(node.Settings{
 		Name: name, Cores: c.cores[name], TakeoverDelay: 3 * time.Second, MaxLease: c.workers.MaxLease, ConfigApplyTime: 2 * time.Second,
 		StopDuration: time.Second, GangWait: 3 * time.Second, RestoreDuration: 250 * time.Millisecond, CapacityGrace: c.capacityGrace,
-		Retention: time.Minute, GracePeriod: 6 * time.Second,
+		Retention: time.Minute, GracePeriod: 6 * time.Second, PeersAddress: c.peers.address(name),
 	}, node.Platform{
 		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
 		Workers: reachableWorkers{c, name}, Advisor: c.advisor,
@@ -202,7 +217,7 @@
 				wave.FirstSeen = time.Now()
 				waves.Set(wave)
 			}
-			return operatorReader{holder, evacuations, c.urgentAdvice}
+			return &operatorReader{holder: holder, evacuations: evacuations, urgentAdvice: c.urgentAdvice}
 		},
 	}, events.Discard(), c.options()...)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -213,10 +228,14 @@
 
 // options returns the options of the instances.
 func (c *cluster) options() []node.Option {
-	if c.planner == nil {
-		return nil
+	var options []node.Option
+	if c.planner != nil {
+		options = append(options, node.WithPlanner(c.planner))
+	}
+	if c.peers != nil {
+		options = append(options, node.WithPeerListener(c.peers.listen))
 	}
-	return []node.Option{node.WithPlanner(c.planner)}
+	return options
 }
 
 // entry returns a worker's entry in the registry; false if there is no such worker.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/httpapi"
 	"github.com/dotterelgauge/dotterelgauge/internal/leadership"
 	"github.com/dotterelgauge/dotterelgauge/internal/metrics"
+	"github.com/dotterelgauge/dotterelgauge/internal/peer"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
@@ -82,6 +83,8 @@
 	NewOperatorReader func(*config.Holder, *config.Waves, *config.Evacuations) storelog.Reader
 	// CallerHandler returns the handler of the platform's interface for callers.
 	CallerHandler func(*gateway.Gateway) http.Handler
+	// DecodeJob decodes the body of a call to that interface that submits a job. It is needed only to serve calls of peers.
+	DecodeJob gateway.JobDecoder
 	// ReadinessHandler returns the handler of the load balancer's readiness check.
 	ReadinessHandler func(ready func() bool) http.Handler
 }
@@ -100,9 +103,12 @@
 	appender   *storelog.Appender
 	candidate  *leadership.Candidate
 	gateway    *gateway.Gateway
-	plan       func(*assign.Snapshot) assign.Plan
-	stages     metrics.Stages
-	draining   atomic.Bool
+	// peers is nil if calls aren't forwarded; listenForPeers is nil for QUIC.
+	peers          *peer.Service
+	listenForPeers func(string, *peer.Identity, peer.Directory) (peer.Listener, error)
+	plan           func(*assign.Snapshot) assign.Plan
+	stages         metrics.Stages
+	draining       atomic.Bool
 	// wasReady is the readiness that was last reported.
 	wasReady atomic.Bool
 }
@@ -151,6 +157,7 @@
 		n.dispatcher.RunTerm, logger,
 	)
 	n.gateway = gateway.New(n.configs, n.replica, n.appender, n, &n.stages, settings.cpuMillicores(), logger)
+	n.peers = n.newPeers()
 	return n
 }
 
@@ -248,6 +255,9 @@
 		}
 	})
 	group.Go(func() { n.candidate.Run(owning) })
+	if n.peers != nil {
+		group.Go(func() { n.peers.Run(owning, serving) })
+	}
 	group.Wait()
 }
 
@@ -294,6 +304,7 @@
 func (n *Node) publishMetrics() {
 	expvar.Publish("answers", n.gateway.AnswerCounts())
 	expvar.Publish("latency", &n.stages)
+	n.publishPeerMetrics()
 	expvar.Publish("owner_epoch", expvar.Func(func() any { return n.candidate.Epoch() }))
 	expvar.Publish("configuration_age_ms", expvar.Func(func() any { return n.configAge().Milliseconds() }))
 	expvar.Publish("configuration_version", expvar.Func(func() any {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -15,6 +15,8 @@
 	CallersAddress, ReadinessAddress, StoreAddress string
 	// OperationsAddress serves the instance's own interface and the metrics; empty for none.
 	OperationsAddress string
+	// PeersAddress, over UDP, serves calls that other instances forward; empty for none, and then none are forwarded.
+	PeersAddress string
 	// AdvisorAddress is empty if the platform has no advisor.
 	AdvisorAddress string
 	// MachinesAddress is empty if the platform has no machine service.
