--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -21,7 +21,8 @@
 
 // serveCommand runs an instance with the settings of the platform's settings file.
 type serveCommand struct {
-	Peers string `enum:"on,off" default:"on" help:"Forward calls to other instances while the store refuses this one: on or off."`
+	Peers     string `enum:"on,off" default:"on" help:"Forward calls to other instances while the store refuses this one: on or off."`
+	Durations string `default:"learned" enum:"learned,declared" help:"What plans use as the durations of tasks: what was learned from finished runs, where these show that the declared estimates are wrong, or the declared estimates alone (${enum})."`
 }
 
 // Run runs the instance until SIGTERM or SIGINT.
@@ -33,6 +34,7 @@
 	if c.Peers == "off" {
 		settings.PeersAddress = ""
 	}
+	settings.DeclaredDurations = c.Durations == "declared"
 	writer := events.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTimeout)
 	logger := events.New(writer, settings.Name)
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -24,15 +24,17 @@
 	plan        Plan
 }
 
-// pool is the workers of a service.
+// pool is the workers of a service, sorted by decreasing speed.
 type pool struct {
 	workers []*Worker
 	racks   []rack
 	// idle is true if more than idlePoolShare of the pool's cores are free.
 	idle bool
+	// wholeCapacity is the capacity of the workers that are kept whole, zero if there are none.
+	wholeCapacity Resources
 }
 
-// rack is the workers of a service in one rack.
+// rack is the workers of a service in one rack, sorted by decreasing speed.
 type rack struct {
 	name    string
 	workers []*Worker
@@ -42,10 +44,9 @@
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
 		victims: map[*RunningUnit]bool{}, runningJobs: map[string]bool{},
-		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
+		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}, Kept: map[string]bool{}},
 	}
-	for i := range snapshot.Workers {
-		worker := &snapshot.Workers[i]
+	for _, worker := range bySpeed(snapshot.Workers) {
 		s.workers[worker.ID] = worker
 		if s.pools[worker.Service] == nil {
 			s.pools[worker.Service] = &pool{}
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -69,7 +69,7 @@
 	// Free is known to be unused. Freeing is still used by runs that have been ordered to stop.
 	Free, Freeing Resources
 	Capacity      Resources
-	// Speed is relative to the declared estimates: 2 halves them, and 1 is the value of an unknown speed.
+	// Speed is relative to the expected durations: 2 halves them, and 1 is the value of an unknown speed.
 	Speed float64
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
 	// it then gets one unit at a time.
@@ -79,15 +79,22 @@
 	Unhealthy, Quarantined bool
 	// Gone is true if the worker doesn't answer, or isn't listed: what it may still run isn't in use for any caller.
 	Gone bool
+	// Evacuated is true if the worker isn't usable because its data centre is evacuated.
+	Evacuated bool
 	// Empty is true if nothing runs on the worker.
 	Empty bool
 	// NearLatencyTarget is true if the latency of a serving task on the worker is near its target. The worker then gets no
 	// more tasks of steps that fill.
 	NearLatencyTarget bool
+	// Kept is true if the previous plan kept the worker for urgent units.
+	Kept bool
+	// speedClass is the same for workers of similar speed, and grows with the speed.
+	speedClass int
 	// reserved is the sum of the reservations on the worker in this plan.
 	reserved Resources
-	// urgentOnly is true if the worker is kept for urgent units; see mayUseUrgentOnly.
-	urgentOnly bool
+	// urgentOnly is true if the worker is kept for urgent units; see mayUseUrgentOnly. keptWhole is true if it is kept for those that need
+	// a whole worker.
+	urgentOnly, keptWhole bool
 	// starting is true if this plan starts a unit on the worker.
 	starting bool
 }
@@ -109,7 +116,11 @@
 	WaitingSince time.Time
 	// Objective is when the job should end. Between Objective and LateUntil it earns part of its credit.
 	Objective, LateUntil time.Time
-	// Remaining is the estimated time until the job ends if the unit starts now on a worker of speed 1.
+	// Expected is the expected duration of a task of the unit's step on a worker of speed 1; 0 means that it is the declared one.
+	Expected time.Duration
+	// Margin is the factor by which the last of the step's tasks is assumed to exceed Expected; 0 means estimateMargin.
+	Margin float64
+	// Remaining is the expected time until the job ends if the unit starts now on a worker of speed 1.
 	Remaining time.Duration
 	// Credit is what the job earns if it ends by Objective. Work is the work left in it, in core-seconds.
 	Credit, Work float64
@@ -133,6 +144,8 @@
 	ahead   int
 	// needsUrgentOnly is true if the unit fits only with workers that are kept for urgent units.
 	needsUrgentOnly bool
+	// sparesWhole is true while the unit is placed without the workers that are kept whole.
+	sparesWhole bool
 	// anyWorker is true if the unit has exceeded its preferenceWait and fits only with workers that it would avoid.
 	anyWorker bool
 }
@@ -148,6 +161,14 @@
 	return 1
 }
 
+// expected returns the expected duration of a task of the unit's step on a worker of speed 1.
+func (u *Unit) expected() time.Duration {
+	if u.Expected > 0 {
+		return u.Expected
+	}
+	return Estimate(u.Step)
+}
+
 // RunningUnit is a unit that runs and has not been ordered to stop.
 type RunningUnit struct {
 	Task     replica.Task
@@ -157,6 +178,9 @@
 	Step     *storev1.Step
 	// Workers has the id of a worker for each member.
 	Workers []string
+	// Remaining is the expected time until the run ends, and RemainingHigh the time within which it ends with a probability of 90%.
+	// They are positive unless nothing is known of the duration.
+	Remaining, RemainingHigh time.Duration
 	// LostWork is the work that stopping the unit loses, in core-seconds.
 	LostWork float64
 	// Density is the result of the function Density for the unit as if it waited.
@@ -166,9 +190,10 @@
 // Snapshot is the input of a plan.
 type Snapshot struct {
 	Now time.Time
-	// UrgentCores is the number of cores that covers the demand of urgent units most of the time, by service; see
-	// Resources.CoreEquivalent.
+	// UrgentCores is the number of cores that covers the demand of urgent units that need part of a worker most of the time, by
+	// service; see Resources.CoreEquivalent. UrgentWhole is the demand of those whose tasks need a whole worker each.
 	UrgentCores map[string]float64
+	UrgentWhole map[string]WholeDemand
 	// NoPreemption is true while it is not known what all workers run. The plan preempts nothing then.
 	NoPreemption bool
 	Workers      []Worker
@@ -176,6 +201,12 @@
 	Running      []RunningUnit
 }
 
+// WholeDemand is a demand for workers that run nothing else.
+type WholeDemand struct {
+	// Workers is the number of workers, and RackWidth how many of them one unit needs in one rack.
+	Workers, RackWidth int
+}
+
 // Start is the decision to start a unit. Workers has the id of a worker for each member.
 type Start struct {
 	Task    replica.Task
@@ -197,6 +228,9 @@
 	Reservations map[replica.Task][]string
 	// Reasons has a reason for each unit with Unit.Explain set.
 	Reasons map[replica.Task]Reason
+	// Kept has the ids of the workers that are kept for urgent units; true for those kept for units that need whole workers. The caller
+	// must pass them to the next plan in Worker.Kept.
+	Kept map[string]bool
 }
 
 // Reason says why a unit waits, or where it starts.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -7,6 +7,8 @@
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
+	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
 
@@ -25,7 +27,9 @@
 	firstRunAt  time.Time
 	waitingUnit *unit
 	// occurrences are those that are due or have recorded runs, in their order.
-	occurrences  []*occurrence
+	occurrences []*occurrence
+	// countedWork is the work of the job that is included in the statistics of its queue.
+	countedWork  float64
 	recordedRuns map[replica.Task]*storev1.Run
 }
 
@@ -38,6 +42,13 @@
 	// started is true once all members of a run of it were running in this term.
 	started bool
 	steps   []*step
+	// expect has what is known of the durations of the steps.
+	expect *expect.Occurrence
+}
+
+// done reports whether all steps are done.
+func (o *occurrence) done() bool {
+	return !slices.ContainsFunc(o.steps, func(st *step) bool { return st.remaining > 0 })
 }
 
 // step is one step of an occurrence.
@@ -51,6 +62,8 @@
 	remaining int
 	// readyAt is when the step became ready to run; zero before. nextWaitReport is when the log states again why it waits.
 	readyAt, nextWaitReport time.Time
+	// rate is the rate at which the step's tasks progress, as far as known.
+	rate learned.StepRate
 	// asked is true while a question asks why the step waits.
 	asked bool
 	// tickets allow the step to run on workers, by their id, if its queue needs advice. denied has the workers on which it may not run,
@@ -113,7 +126,7 @@
 func (j *job) openOccurrences() int {
 	open := 0
 	for _, o := range j.occurrences {
-		if slices.ContainsFunc(o.steps, func(st *step) bool { return st.remaining > 0 }) {
+		if !o.done() {
 			open++
 		}
 	}
@@ -171,6 +184,7 @@
 // restore adds the jobs that the store holds at the start of the term.
 func (s *session) restore(stored []replica.Job) {
 	s.restoreFinalLeases()
+	s.model = expect.NewModel(s.Replica.Durations(), !s.Options.DeclaredDurations, s.Events)
 	for _, j := range stored {
 		restored := &job{spec: j.Job, cancelled: j.Cancelled, recordedRuns: j.Runs}
 		if outcome := j.Outcome; outcome != nil {
@@ -185,7 +199,7 @@
 // addJob adds a job, with its occurrences that are due or have recorded runs.
 func (s *session) addJob(j *job) {
 	s.jobs[j.spec.GetId()] = j
-	s.addToQueueStats(j.spec)
+	s.addToQueueStats(j)
 	if j.hasEnded() {
 		return
 	}
@@ -231,7 +245,7 @@
 
 // openOccurrence opens one occurrence and restores its recorded runs.
 func (s *session) openOccurrence(j *job, number int) {
-	o := &occurrence{number: number, dueAt: dueAt(j.spec, number)}
+	o := &occurrence{number: number, dueAt: dueAt(j.spec, number), expect: s.model.Occurrence(j.spec)}
 	j.occurrences = append(j.occurrences, o)
 	for index, spec := range j.spec.GetSteps() {
 		st := &step{job: j, occurrence: o, spec: spec, index: index}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -9,6 +9,8 @@
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
+	"github.com/dotterelgauge/dotterelgauge/internal/events"
+	"github.com/dotterelgauge/dotterelgauge/internal/expect"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
@@ -52,9 +54,9 @@
 	firstStart, endedAt int64
 	failures            uint32
 	// avoid holds the workers on which the job failed.
-	avoid           map[string]bool
-	timeToObjective time.Duration
-	// coreSeconds is the work of the whole job in core-seconds.
+	avoid map[string]bool
+	// expect has what is known of the job's duration. coreSeconds is the work that is expected of the whole job, in core-seconds.
+	expect      *expect.Occurrence
 	coreSeconds float64
 	// savesOnStop is true if the stop in progress saves all work done so far.
 	savesOnStop bool
@@ -92,15 +94,19 @@
 	workers                       []*workerState
 	guaranteed                    dataCentreGuarantees
 	reservations                  map[replica.Task][]string
-	urgentDemand                  learned.Demand
+	urgentDemand                  learned.Shapes
+	kept                          map[string]bool
+	speeds                        learned.Speeds
 	demandObservedAt              int64
+	recenteredAt                  int64
+	model                         *expect.Model
 	checker                       checker
 	meter                         meter
 }
 
-func newDataCentreReplay(trace *dataCentreTrace, plan Planner, options Options, measured window) *dataCentreReplay {
+func newDataCentreReplay(trace *dataCentreTrace, candidate Candidate, options Options, measured window) *dataCentreReplay {
 	d := &dataCentreReplay{
-		trace: trace, plan: plan, options: options, jobs: map[string]*job{},
+		trace: trace, plan: candidate.Plan, model: expect.NewModel(nil, candidate.Learns, events.Discard()), options: options, jobs: map[string]*job{},
 		submittedCount: map[uint32]float64{}, submittedWork: map[uint32]float64{},
 		workersByName: map[string]*workerState{}, guaranteed: trace.guaranteed,
 		meter: meter{measured: measured},
@@ -183,12 +189,11 @@
 	spec := storedJob(due.submitted, d.trace.name, due.timeMillis)
 	added := &job{
 		trace: due.submitted, spec: spec, step: spec.GetSteps()[0], compared: due.compared, waitingSince: d.now,
-		avoid: map[string]bool{}, timeToObjective: assign.TimeToObjective(spec),
-		coreSeconds: assign.JobWork(spec),
+		avoid: map[string]bool{}, expect: d.model.Occurrence(spec),
 		idealMillis: int64(float64(due.submitted.GetRunMs()) / d.trace.bestSpeed(due.submitted)),
 	}
 	d.submittedCount[spec.GetPriority()]++
-	d.submittedWork[spec.GetPriority()] += added.coreSeconds
+	d.updateWork(added)
 	d.jobs[spec.GetId()] = added
 	d.allJobs, d.openJobs = append(d.allJobs, added), append(d.openJobs, added)
 }
@@ -209,7 +214,7 @@
 // changeOwner clears the state that an owner holds only in memory. The speeds of the workers are recorded, so a new owner
 // has them.
 func (d *dataCentreReplay) changeOwner() {
-	d.reservations, d.urgentDemand, d.demandObservedAt = nil, learned.Demand{}, d.now
+	d.reservations, d.kept, d.urgentDemand, d.demandObservedAt = nil, nil, learned.Shapes{}, d.now
 	for _, w := range d.workers {
 		w.health = learned.Health{}
 	}
@@ -225,7 +230,7 @@
 		return
 	}
 	plan := d.plan(d.view())
-	d.reservations = plan.Reservations
+	d.reservations, d.kept = plan.Reservations, plan.Kept
 	for _, preemption := range plan.Preemptions {
 		d.stopRun(d.jobs[preemption.Task.Job])
 	}
@@ -242,15 +247,24 @@
 	return slices.ContainsFunc(d.openJobs, func(j *job) bool { return j.phase == waiting })
 }
 
-// observeUrgentDemand records the cores that urgent jobs have needed since the last decision.
+// observeUrgentDemand records what urgent jobs have needed since the last decision.
 func (d *dataCentreReplay) observeUrgentDemand() {
-	cores := 0.0
+	whole, cores, rackWidth := 0.0, 0.0, 0.0
 	for _, j := range d.openJobs {
-		if assign.IsUrgent(j.spec, maxStopMillis*time.Millisecond) {
-			cores += float64(j.step.GetCount()) * assign.ResourcesOf(j.step).CoreEquivalent()
+		if !assign.IsUrgent(j.spec, j.expect.Expected, maxStopMillis*time.Millisecond) {
+			continue
+		}
+		need, members := assign.ResourcesOf(j.step), float64(j.step.GetCount())
+		if !assign.NeedsWholeWorker(need, d.workers[0].capacity) {
+			cores += members * need.CoreEquivalent()
+			continue
+		}
+		whole += members
+		if j.step.GetSameRack() {
+			rackWidth = max(rackWidth, members)
 		}
 	}
-	d.urgentDemand.Observe(cores, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
+	d.urgentDemand.Observe(whole, cores, rackWidth, time.Duration(d.now-d.demandObservedAt)*time.Millisecond)
 	d.demandObservedAt = d.now
 }
 
