--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -21,6 +21,7 @@
 
 // serveCommand runs an instance with the settings of the platform's settings file.
 type serveCommand struct {
+	Peers     string `enum:"on,off" default:"on" help:"Forward calls to other instances while the store refuses this one: on or off."`
 	Durations string `default:"learned" enum:"learned,declared" help:"What plans use as the durations of tasks: what was learned from finished runs, where these show that the declared estimates are wrong, or the declared estimates alone (${enum})."`
 }
 
@@ -30,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Peers == "off" {
+		settings.PeersAddress = ""
+	}
 	settings.DeclaredDurations = c.Durations == "declared"
 	writer := events.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTimeout)
@@ -54,6 +58,7 @@
 			return &platform.OperatorReader{Holder: holder, Waves: waves, Evacuations: evacuations, Events: logger}
 		},
 		CallerHandler:    platform.CallerHandler,
+		DecodeJob:        platform.DecodeJob,
 		ReadinessHandler: func(ready func() bool) http.Handler { return platform.ReadinessHandler(ready) },
 	}, logger).Run(ctx)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	Detail string
 	// RetryAfter is how long the caller should wait before it retries; 0 if a retry is pointless.
 	RetryAfter time.Duration
+	// StoreUnreachable is true if the call had no effect only because the store's records or answers don't reach this instance.
+	StoreUnreachable bool
 }
 
 // Health reports whether the store's records reach this instance.
@@ -98,6 +100,9 @@
 	outage outage
 	// refusals are those of jobs in shortages.
 	refusals refusals
+	// forwarder is nil if calls aren't forwarded; storeFailing is set with it.
+	forwarder    Forwarder
+	storeFailing func() bool
 }
 
 // New returns a Gateway of an instance with the given processor in millicores, 0 if unknown.
@@ -242,22 +247,38 @@
 	if g.awaitOutcome(ctx, pending, wait) {
 		return answerTo(pending)
 	}
+	var elsewhere <-chan Answer
 	for {
 		if g.appender.Withdraw(pending) {
 			return notRun("the store currently accepts no appends")
 		}
+		if elsewhere == nil && call.elsewhere != nil && g.maybeLost(pending) {
+			elsewhere = call.elsewhere(ctx, call.Deadline)
+		}
 		remaining := time.Until(call.Deadline)
 		if remaining <= 0 || ctx.Err() != nil {
 			return Answer{
 				Result: Undecided, Detail: "the store has not answered: repeat the call with the same id", RetryAfter: retryAfter,
 			}
 		}
+		select {
+		case answer := <-elsewhere:
+			if answer.Result == OK {
+				return answer
+			}
+		default:
+		}
 		if g.awaitOutcome(ctx, pending, min(remaining, refusedWait)) {
 			return answerTo(pending)
 		}
 	}
 }
 
+// maybeLost reports whether the store may have received an append without an answer, and doesn't answer others either.
+func (g *Gateway) maybeLost(pending *storelog.PendingAppend) bool {
+	return g.forwarder != nil && g.appender.MaybeStored(pending) && (g.appender.RefusedFor() > 0 || g.storeFailing())
+}
+
 // awaitOutcome reports whether the outcome of an append is known within the given time.
 func (g *Gateway) awaitOutcome(ctx context.Context, pending *storelog.PendingAppend, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -290,8 +311,12 @@
 	return Answer{}
 }
 
-// recordAnswer logs an answer, counts it, observes its latency and returns it.
+// recordAnswer logs an answer, counts it, observes its latency and returns it. It does none of this for an answer that a peer may yet
+// replace.
 func (g *Gateway) recordAnswer(call AdmittedCall, name string, answer Answer) Answer {
+	if call.mayBeForwarded && answer.StoreUnreachable {
+		return answer
+	}
 	answer.RetryAfter = g.delayInOutage(call, name, answer)
 	g.counters.count(name, answer.Result)
 	g.stages.Answer.Observe(time.Since(call.ReceivedAt))
@@ -300,9 +325,11 @@
 	return answer
 }
 
-// notRun returns the answer to a call that certainly had no effect.
+// notRun returns the answer to a call that certainly had no effect because the store's records or answers don't reach this instance.
 func notRun(detail string) Answer {
-	return Answer{Result: NotRun, Detail: detail + ": the call had no effect, retry later", RetryAfter: retryAfter}
+	return Answer{
+		Result: NotRun, Detail: detail + ": the call had no effect, retry later", RetryAfter: retryAfter, StoreUnreachable: true,
+	}
 }
 
 // applyQueueSettings fills in the job's id, account and acceptance time, and the settings of its queue.
