assign: victims by cost, with the credit that their jobs lose

The condition is gone: a victim is always of lower priority, and the reservation keeps its resources from it. Instead the cost of a stop has the credit that the victim's job is expected to lose by the delay, so that runs with slack are stopped. Gain and cost use one exchange rate in a plan, the mean credit per core-second of the waiting urgent units.

--- a/internal/assign/gain.go
+++ b/internal/assign/gain.go
@@ -39,10 +39,8 @@
 	if delay == never {
 		return 0
 	}
-	start, duration := s.Now.Add(delay), durationAt(unit, speed)
-	inTime := endsBy(unit.Objective.Sub(start), duration)
-	late := endsBy(unit.LateUntil.Sub(start), duration)
-	return inTime + lateCreditShare*max(0, late-inTime)
+	start := s.Now.Add(delay)
+	return shareBy(unit.Objective.Sub(start), unit.LateUntil.Sub(start), durationAt(unit, speed))
 }
 
 // endsBy returns the probability that what is expected to take a duration takes no longer than limit.
@@ -53,3 +51,26 @@
 	deviation := math.Log(float64(limit)/float64(max(duration, time.Millisecond))) / durationSpread
 	return math.Erfc(-deviation/math.Sqrt2) / 2
 }
+
+// stopCost returns what it costs to stop a run, in core-seconds: the work that is lost, and the credit that the job of the run is expected to
+// lose by the delay, at urgentDensity. A run that is stopped for an urgent unit starts again once that has ended, and repeats the work that it
+// loses.
+func (s *planState) stopCost(run *RunningUnit) float64 {
+	cost := run.LostWork
+	if run.Credit == 0 || run.Remaining == 0 {
+		return cost
+	}
+	cores := float64(len(run.Workers)) * ResourcesFromProto(run.Step.GetNeed()).CoreEquivalent()
+	repeated := time.Duration(run.LostWork / max(cores, minWork) * float64(time.Second))
+	delay := s.StopDuration + startDuration + s.urgentDuration + repeated
+	lost := shareBy(run.Objective.Sub(s.Now), run.LateUntil.Sub(s.Now), run.Remaining) -
+		shareBy(run.Objective.Sub(s.Now)-delay, run.LateUntil.Sub(s.Now)-delay, run.Remaining)
+	return cost + run.Credit*max(0, lost)/s.urgentDensity
+}
+
+// shareBy returns the part of its credit that a job is expected to earn whose objective and LateUntil are that far away if it takes a
+// duration.
+func shareBy(objective, lateUntil, duration time.Duration) float64 {
+	inTime := endsBy(objective, duration)
+	return inTime + lateCreditShare*max(0, endsBy(lateUntil, duration)-inTime)
+}
--- a/internal/assign/loss_test.go
+++ b/internal/assign/loss_test.go
@@ -47,3 +47,21 @@
 		t.Errorf("a gang of 3 that ran for a second loses %v core-seconds", got)
 	}
 }
+
+// Guards against preempted units that start at the end of the line again, and against lost or failed ones that count as preempted.
+func TestWaitOfPreemptedUnitCountsFromFirstPlacement(t *testing.T) {
+	at := func(seconds int) time.Time { return snapshotTime.Add(time.Duration(seconds) * time.Second) }
+	var history assign.History
+	if got := history.WaitingSince(at(1)); got != at(1) {
+		t.Errorf("a unit that was never placed has waited since %v", got)
+	}
+	history.Place(at(2))
+	history.Preempt()
+	if got := history.WaitingSince(at(3)); got != at(2) || history.Preemptions != 1 {
+		t.Errorf("a preempted unit has waited since %v, want %v", got, at(2))
+	}
+	history.Place(at(4))
+	if got := history.WaitingSince(at(5)); got != at(5) {
+		t.Errorf("a unit whose second run failed has waited since %v, want %v", got, at(5))
+	}
+}
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
@@ -18,8 +19,12 @@
 	hasRuns bool
 	// searches counts the searches for victims.
 	searches int
-	// lost is the work that the plan's preemptions lose, by the job that they are for, in core-seconds.
-	lost map[string]float64
+	// urgentDensity is the mean credit per core-second of the jobs of the urgent units that wait, before any loss of credit, and
+	// urgentDuration the mean duration of these units at speed 1.
+	urgentDensity  float64
+	urgentDuration time.Duration
+	// spent is the cost of the plan's preemptions by the job that they are for; see RunningUnit.cost.
+	spent map[string]float64
 	// runningJobs has the ids of the jobs of which the snapshot or the plan has a run that isn't being stopped.
 	runningJobs map[string]bool
 	plan        Plan
@@ -44,7 +49,7 @@
 func newPlanState(snapshot *Snapshot) *planState {
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
-		lost: map[string]float64{}, runningJobs: map[string]bool{},
+		spent: map[string]float64{}, runningJobs: map[string]bool{},
 		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}},
 	}
 	for i := range snapshot.Workers {
@@ -59,9 +64,7 @@
 		slices.SortFunc(pool.racks, func(a, b rack) int { return cmp.Compare(a.name, b.name) })
 		pool.idle = pool.isIdle()
 	}
-	for i := range snapshot.Waiting {
-		snapshot.Waiting[i].need = ResourcesOf(snapshot.Waiting[i].Step)
-	}
+	s.prepareUnits()
 	for i := range snapshot.Running {
 		run := &snapshot.Running[i]
 		run.victim, run.search = false, 0
@@ -78,6 +81,25 @@
 	return s
 }
 
+// prepareUnits sets the needs of the waiting units and the means over the urgent ones.
+func (s *planState) prepareUnits() {
+	urgent, density, duration := 0, 0.0, time.Duration(0)
+	for i := range s.Waiting {
+		unit := &s.Waiting[i]
+		unit.need = ResourcesOf(unit.Step)
+		if unit.Priority == 0 {
+			urgent++
+			density += unit.Credit / max(unit.Work, minWork)
+			duration += Estimate(unit.Step)
+		}
+	}
+	s.urgentDensity = max(density/float64(max(1, urgent)), minDensity)
+	s.urgentDuration = duration / time.Duration(max(1, urgent))
+}
+
+// minDensity is the minimum of planState.urgentDensity.
+const minDensity = 1e-9
+
 // add adds a worker to the pool and to its rack.
 func (p *pool) add(worker *Worker) {
 	p.workers = append(p.workers, worker)
@@ -104,13 +126,13 @@
 	uses Resources
 }
 
-// runsOn returns the runs on a worker, in the order of the work that stopping them loses; a run with several members there appears
-// once.
+// runsOn returns the runs on a worker, in the order of the cost of stopping them; a run with several members there appears once.
 func (s *planState) runsOn(worker *Worker) []workerRun {
 	if !s.hasRuns {
 		s.hasRuns = true
 		for i := range s.Running {
 			run := &s.Running[i]
+			run.cost = s.stopCost(run)
 			need := ResourcesOf(run.Step)
 			for _, id := range run.Workers {
 				target, known := s.workers[id]
@@ -125,7 +147,7 @@
 			}
 		}
 		for _, target := range s.workers {
-			slices.SortStableFunc(target.runs, func(a, b workerRun) int { return cmp.Compare(a.LostWork, b.LostWork) })
+			slices.SortStableFunc(target.runs, func(a, b workerRun) int { return cmp.Compare(a.cost, b.cost) })
 		}
 	}
 	return worker.runs
--- a/internal/assign/preempt.go
+++ b/internal/assign/preempt.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// minDensityRatio is the minimum ratio of the density of a unit without a claim to that of a run that it preempts. It
-	// exceeds 1 because the preempted run then waits, and must not rank before the unit in the next plan.
-	minDensityRatio = 1.5
 	// settleDuration is how long a run isn't preempted for units that waited already when it was placed: the plan that placed it decided
 	// on them. It is well above the time between two plans.
 	settleDuration = time.Second
@@ -105,9 +102,9 @@
 	if choice == nil {
 		return false
 	}
-	s.lost[unit.Task.Job] += choice.loss
+	s.spent[unit.Task.Job] += choice.cost
 	for _, victim := range choice.order {
-		s.preempt(victim, unit, gain, choice.loss)
+		s.preempt(victim, unit, gain, choice.cost)
 	}
 	if later := s.place(unit, choice.view); later != nil {
 		s.reserve(unit, later.workers)
@@ -116,7 +113,7 @@
 }
 
 // preempt stops a run so that a unit can use its resources.
-func (s *planState) preempt(victim *RunningUnit, unit *Unit, gain, loss float64) {
+func (s *planState) preempt(victim *RunningUnit, unit *Unit, gain, cost float64) {
 	victim.victim = true
 	need := ResourcesOf(victim.Step)
 	for _, id := range victim.Workers {
@@ -124,11 +121,11 @@
 			worker.Freeing = worker.Freeing.Add(need)
 		}
 	}
-	s.plan.Preemptions = append(s.plan.Preemptions, Preemption{Task: victim.Task, For: unit.Task, Gain: gain, Loss: loss})
+	s.plan.Preemptions = append(s.plan.Preemptions, Preemption{Task: victim.Task, For: unit.Task, Gain: gain, Cost: cost})
 }
 
 // chooseVictims returns the runs to preempt for an urgent unit, and what the unit gains by it in core-seconds; nil if there are none
-// or they lose more than it gains. found is the unit's best placement now, or nil. A claim doesn't depend on the gain unless it only
+// or they cost more than it gains. found is the unit's best placement now, or nil. A claim doesn't depend on the gain unless it only
 // needs faster workers or a rack, and also preempts runs of its own priority and protected ones if the others don't suffice.
 func (s *planState) chooseVictims(unit *Unit, found *placement) (*victimSearch, float64) {
 	racks := s.preferredRacks(unit)
@@ -160,16 +157,17 @@
 	return nil, 0
 }
 
-// searchForGain returns the runs of lower priority to preempt for a unit, and its gain; nil if they lose as much as it gains. With
+// searchForGain returns the runs of lower priority to preempt for a unit, and its gain; nil if they cost as much as it gains. With
 // away the unit runs on workers that make it slower. The gain is the credit that its job is expected to earn more than without
-// preemption, at the job's own credit per core-second of the work that it needs, and the work saved if it runs on a rack instead of away.
+// preemption, in core-seconds at urgentDensity, and the work saved if it runs on a rack instead of away.
 func (s *planState) searchForGain(unit *Unit, found *placement, places []rack, away bool) (*victimSearch, float64) {
-	otherwise := s.expectedShare(unit, s.timeToFit(unit, places), 1) * unit.Work
+	credit := unit.Credit / s.urgentDensity
+	otherwise := s.expectedShare(unit, s.timeToFit(unit, places), 1) * credit
 	if found != nil {
 		if !found.away && s.meetsObjective(unit, 0, found.speed) {
 			return nil, 0
 		}
-		value := s.expectedShare(unit, 0, found.effectiveSpeed()) * unit.Work
+		value := s.expectedShare(unit, 0, found.effectiveSpeed()) * credit
 		if found.away {
 			value -= (awayFactor - 1) * float64(unit.Members()) * TaskWork(unit.Step)
 		}
@@ -179,7 +177,7 @@
 		if away {
 			speed /= awayFactor
 		}
-		return s.expectedShare(unit, s.StopDuration, speed)*unit.Work - otherwise - s.lost[unit.Task.Job]
+		return s.expectedShare(unit, s.StopDuration, speed)*credit - otherwise - s.spent[unit.Task.Job]
 	}
 	fastest := s.poolOf(unit).fastestSpeed()
 	limit := gainAt(fastest)
@@ -195,7 +193,7 @@
 			continue
 		}
 		gain := gainAt(choice.slowest)
-		if gain <= choice.loss {
+		if gain <= choice.cost {
 			continue
 		}
 		if found == nil || found.away || s.meetsObjective(unit, s.StopDuration, choice.slowest) {
@@ -309,10 +307,7 @@
 	if kind == anyUnclaimed {
 		return true
 	}
-	if run.Priority <= unit.Priority || s.isProtected(run, unit) {
-		return false
-	}
-	return unit.Claimed || unit.density > minDensityRatio*run.Density
+	return run.Priority > unit.Priority && !s.isProtected(run, unit)
 }
 
 // isProtected reports whether a run isn't preempted for a unit, except for a claim that needs it: the run ends soon, its unit has been
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -173,13 +173,16 @@
 	LostWork float64
 	// Remaining is the expected time until the run ends by itself; 0 if that isn't known.
 	Remaining time.Duration
+	// Objective and LateUntil are when the run must end so that its job ends by those of Unit, and Credit is the job's; if it is 0 they
+	// aren't known.
+	Objective, LateUntil time.Time
+	Credit               float64
 	// PlacedAt is when the run was planned; zero if that isn't known.
 	PlacedAt time.Time
 	// Preemptions is how often the unit was preempted before this run.
 	Preemptions int
-	// Density is the result of the function Density for the unit as if it waited.
-	Density float64
-	// victim is true if the plan preempts the run, and search the number of the latest victimSearch that has chosen it.
+	// cost is the result of planState.stopCost, victim is true if the plan preempts the run, and search is the number of the latest victimSearch that has chosen it.
+	cost   float64
 	victim bool
 	search int
 }
@@ -209,9 +212,9 @@
 type Preemption struct {
 	Task replica.Task
 	For  replica.Task
-	// Gain is what For gains, and Loss what stopping all runs that are preempted for it loses, in core-seconds. Gain is 0 for a claim,
-	// which doesn't depend on it.
-	Gain, Loss float64
+	// Gain is what For gains, and Cost that of stopping all runs that are preempted for it, both in core-seconds. Gain is 0 for a claim, which
+	// doesn't depend on it.
+	Gain, Cost float64
 }
 
 // Plan is a set of decisions.
--- a/internal/assign/victims.go
+++ b/internal/assign/victims.go
@@ -17,9 +17,9 @@
 	// number identifies the search in RunningUnit.search. order has the chosen runs in the order of their choice.
 	number int
 	order  []*RunningUnit
-	// loss is the work that preempting them loses, in core-seconds, and slowest the speed of the slowest worker that the unit needs.
-	loss, slowest float64
-	// shared is true if the loss of a run counts only in part on each of the workers that it frees.
+	// cost is the sum of RunningUnit.cost over them, and slowest the speed of the slowest worker that the unit needs.
+	cost, slowest float64
+	// shared is true if the cost of a run counts only in part on each of the workers that it frees.
 	shared bool
 	buffer []workerRun
 }
@@ -29,17 +29,17 @@
 	worker *Worker
 	// members is the number of members that fit without further preemptions.
 	members int
-	// cost is the loss by the preemptions after which at least one more member fits, infinite if none does; more is how many do.
+	// cost is that of the preemptions after which at least one more member fits, infinite if none does; more is how many do.
 	cost float64
 	more int
 }
 
-// costOfMember returns the loss for each of the missing members that then fits.
+// costOfMember returns the cost for each of the missing members that then fits.
 func (o *victimOption) costOfMember(missing int) float64 {
 	return o.cost / float64(min(o.more, missing))
 }
 
-// search returns the choice of runs with the least loss found so that a unit fits on one of the places, nil if that loses more than
+// search returns the choice of runs with the least cost found so that a unit fits on one of the places, nil if that costs more than
 // limit.
 func (s *planState) search(unit *Unit, places []rack, speed, limit float64, kind victimKind) *victimSearch {
 	var best *victimSearch
@@ -57,8 +57,8 @@
 				attempt = s.newSearch(unit, place.workers, speed, kind)
 				attempt.shared = true
 			}
-			if attempt.choose(limit) && (best == nil || attempt.loss < best.loss) {
-				best, limit = attempt, attempt.loss
+			if attempt.choose(limit) && (best == nil || attempt.cost < best.cost) {
+				best, limit = attempt, attempt.cost
 			}
 		}
 	}
@@ -98,8 +98,8 @@
 	return false
 }
 
-// choose chooses runs until all members of the unit fit, and reports whether they do at a loss of at most limit. It uses the workers
-// in the order of the loss for each member.
+// choose chooses runs until all members of the unit fit, and reports whether they do at a cost of at most limit. It uses the workers
+// in the order of the cost for each member.
 func (c *victimSearch) choose(limit float64) bool {
 	total := 0
 	for i := range c.options {
@@ -121,19 +121,19 @@
 		for _, run := range runs {
 			run.search = c.number
 			c.order = append(c.order, run.RunningUnit)
-			c.loss += run.LostWork
+			c.cost += run.cost
 		}
-		if c.loss > maxOvershoot*limit {
+		if c.cost > maxOvershoot*limit {
 			return false
 		}
 		total = c.updateAround(&c.options[best], total)
 	}
 	c.dropUnneeded(total)
 	c.slowest = c.slowestNeeded()
-	return c.loss <= limit
+	return c.cost <= limit
 }
 
-// maxOvershoot limits the loss of the runs chosen, relative to the limit, before the ones that aren't needed are dropped.
+// maxOvershoot limits the cost of the runs chosen, relative to the limit, before the ones that aren't needed are dropped.
 const maxOvershoot = 2.0
 
 // updateAround updates the options on the workers of the runs chosen last for an option, and returns the new total of members.
@@ -180,12 +180,12 @@
 	return gangs
 }
 
-// costOf returns the loss that an option counts for a run.
+// costOf returns the cost that an option counts for a run.
 func (c *victimSearch) costOf(run *RunningUnit) float64 {
 	if c.shared {
-		return run.LostWork / float64(min(len(run.Workers), c.unit.Members()))
+		return run.cost / float64(min(len(run.Workers), c.unit.Members()))
 	}
-	return run.LostWork
+	return run.cost
 }
 
 // runsToStop returns the runs on a worker to preempt, beside those already chosen, so that one more member fits, and how many then
@@ -226,9 +226,9 @@
 			runs = slices.Delete(runs, i, i+1)
 			continue
 		}
-		loss += runs[i].LostWork
+		loss += runs[i].cost
 	}
-	if single >= 0 && onWorker[single].LostWork < loss {
+	if single >= 0 && onWorker[single].cost < loss {
 		runs = append(runs[:0], onWorker[single])
 		target = free.Add(onWorker[single].uses)
 	}
@@ -249,12 +249,12 @@
 	return free
 }
 
-// dropUnneeded drops chosen runs without which the unit still fits, those that lose the most first; total is the number of members that
+// dropUnneeded drops chosen runs without which the unit still fits, those that cost the most first; total is the number of members that
 // fit with all of them.
 func (c *victimSearch) dropUnneeded(total int) {
-	byLoss := slices.Clone(c.order)
-	slices.SortStableFunc(byLoss, func(a, b *RunningUnit) int { return cmp.Compare(b.LostWork, a.LostWork) })
-	for _, run := range byLoss {
+	byCost := slices.Clone(c.order)
+	slices.SortStableFunc(byCost, func(a, b *RunningUnit) int { return cmp.Compare(b.cost, a.cost) })
+	for _, run := range byCost {
 		run.search = 0
 		fits := total
 		for i := range c.options {
@@ -267,7 +267,7 @@
 			continue
 		}
 		total = fits
-		c.loss -= run.LostWork
+		c.cost -= run.cost
 		c.order = slices.DeleteFunc(c.order, func(other *RunningUnit) bool { return other == run })
 		for i := range c.options {
 			if option := &c.options[i]; slices.Contains(run.Workers, option.worker.ID) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -87,8 +87,8 @@
 	awaySince time.Time
 	// run is the run that may be on workers; nil if there is none.
 	run *run
-	// preempted is the history of its preemptions in this term.
-	preempted preemptions
+	// history is that of this term.
+	history assign.History
 	// avoid are the workers on which the unit failed.
 	avoid map[string]bool
 	// lostAt is when a worker was last lost under the unit at each address, as far as this owner has counted it.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -56,7 +56,7 @@
 		job.firstRunAt = s.now
 	}
 	r := s.newRun(u, u.runNumber, workers, recording)
-	u.preempted.place(s.now)
+	u.history.Place(s.now)
 	for _, m := range r.members {
 		m.inQuarantine = m.worker.health.Quarantined(s.now)
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -65,7 +65,10 @@
 		switch {
 		case u.done:
 		case u.run == nil:
-			unit.WaitingSince, unit.Preemptions = u.waitingSince(), u.preempted.count
+			if u.awaySince.After(unit.WaitingSince) {
+				unit.WaitingSince = u.awaySince
+			}
+			unit.WaitingSince, unit.Preemptions = u.history.WaitingSince(unit.WaitingSince), u.history.Preemptions
 			waited := s.now.Sub(st.readyAt)
 			if u.lastRunEndedAt.After(st.readyAt) {
 				waited = s.now.Sub(u.lastRunEndedAt)
@@ -132,10 +135,13 @@
 	if r.stopReason != "" || !r.reported() {
 		return
 	}
+	after := waiting.Remaining - assign.Estimate(u.step.spec) // the steps after it
 	out.Running = append(out.Running, assign.RunningUnit{
 		Task: u.task, Account: waiting.Account, Priority: waiting.Priority, Claimed: waiting.Claimed, Step: u.step.spec,
 		Workers: r.workerIDs(), LostWork: s.lostWork(r),
-		Remaining: s.remainingTime(r), PlacedAt: r.openedAt, Preemptions: u.preempted.count, Density: assign.Density(waiting, s.now),
+		Remaining: s.remainingTime(r), Objective: waiting.Objective.Add(-after), LateUntil: waiting.LateUntil.Add(-after),
+		Credit:   waiting.Credit,
+		PlacedAt: r.openedAt, Preemptions: u.history.Preemptions,
 	})
 }
 
--- a/internal/replay/snapshot.go
+++ b/internal/replay/snapshot.go
@@ -37,7 +37,8 @@
 			out.Running = append(out.Running, assign.RunningUnit{
 				Task: unit.Task, Account: unit.Account, Priority: unit.Priority, Claimed: unit.Claimed, Step: j.step,
 				Workers: j.workers, LostWork: d.lostCoreSeconds(j), Remaining: d.expectedRemaining(j), Preemptions: j.preemptions,
-				PlacedAt: time.UnixMilli(j.placedAt), Density: assign.Density(&unit, d.currentTime()),
+				Objective: unit.Objective, LateUntil: unit.LateUntil, Credit: unit.Credit,
+				PlacedAt: time.UnixMilli(j.placedAt),
 			})
 		}
 	}
