--- a/internal/assign/backfill.go
+++ b/internal/assign/backfill.go
@@ -145,9 +145,9 @@
 	ends, known := s.ends[worker.ID]
 	unknown := worker.Capacity.Sub(worker.Free).Sub(worker.Freeing)
 	for _, run := range s.runsOn(worker) {
-		freed := run.resourcesOn(worker.ID)
+		freed := run.uses
 		unknown = unknown.Sub(freed)
-		if !known && run.Remaining > 0 && !run.Step.GetLongRunning() && !s.victims[run] {
+		if !known && run.Remaining > 0 && !run.Step.GetLongRunning() && !run.victim {
 			ends = append(ends, runEnd{run.Remaining, freed})
 		}
 	}
--- a/internal/assign/planstate.go
+++ b/internal/assign/planstate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 )
@@ -14,13 +15,18 @@
 	workers map[string]*Worker
 	// pools has the workers of each service, by its name.
 	pools map[string]*pool
-	// runs has the runs on each worker by its id, in the order of the work that stopping them loses; a run with several
-	// members on a worker appears once. It is built by the first call of runsOn.
-	runs map[string][]*RunningUnit
 	// ends has the expected ends of the runs on a worker by its id, as far as runEnds was asked for them.
 	ends map[string][]runEnd
-	// victims is the set of the runs that the plan preempts.
-	victims map[*RunningUnit]bool
+	// hasRuns is true once the workers' runs have been set by the first call of runsOn.
+	hasRuns bool
+	// searches counts the searches for victims.
+	searches int
+	// urgentDensity is the mean credit per core-second of the jobs of the urgent units that wait, before any loss of credit, and
+	// urgentDuration the mean duration of these units at speed 1.
+	urgentDensity  float64
+	urgentDuration time.Duration
+	// spent is the cost of the plan's preemptions by the job that they are for; see RunningUnit.cost.
+	spent map[string]float64
 	// runningJobs has the ids of the jobs of which the snapshot or the plan has a run that isn't being stopped.
 	runningJobs map[string]bool
 	plan        Plan
@@ -38,6 +44,8 @@
 	collections int
 	// wholeCapacity is the capacity of the workers that are kept whole, zero if there are none.
 	wholeCapacity Resources
+	// unserved is what urgent units need that the plan has left waiting without a reservation, in cores.
+	unserved float64
 }
 
 // rack is the workers of a service in one rack, sorted by decreasing speed.
@@ -49,7 +57,7 @@
 func newPlanState(snapshot *Snapshot) *planState {
 	s := &planState{
 		Snapshot: snapshot, workers: make(map[string]*Worker, len(snapshot.Workers)), pools: map[string]*pool{},
-		victims: map[*RunningUnit]bool{}, runningJobs: map[string]bool{},
+		spent: map[string]float64{}, runningJobs: map[string]bool{},
 		plan: Plan{Reservations: map[replica.Task][]string{}, Reasons: map[replica.Task]Reason{}, Kept: map[string]bool{}},
 	}
 	for _, worker := range bySpeed(snapshot.Workers) {
@@ -63,12 +71,42 @@
 		slices.SortFunc(pool.racks, func(a, b rack) int { return cmp.Compare(a.name, b.name) })
 		pool.idle = pool.isIdle()
 	}
+	s.prepareUnits()
 	for i := range snapshot.Running {
-		s.runningJobs[snapshot.Running[i].Task.Job] = true
+		run := &snapshot.Running[i]
+		run.victim, run.search = false, 0
+		s.runningJobs[run.Task.Job] = true
+		if s.endsSoon(run) {
+			need := ResourcesOf(run.Step)
+			for _, id := range run.Workers {
+				if worker, known := s.workers[id]; known {
+					worker.ending = worker.ending.Add(need)
+				}
+			}
+		}
 	}
 	return s
 }
 
+// prepareUnits sets the needs of the waiting units and the means over the urgent ones.
+func (s *planState) prepareUnits() {
+	urgent, density, duration := 0, 0.0, time.Duration(0)
+	for i := range s.Waiting {
+		unit := &s.Waiting[i]
+		unit.need = ResourcesOf(unit.Step)
+		if unit.Priority == 0 {
+			urgent++
+			density += unit.Credit / max(unit.Work, minWork)
+			duration += unit.expected()
+		}
+	}
+	s.urgentDensity = max(density/float64(max(1, urgent)), minDensity)
+	s.urgentDuration = duration / time.Duration(max(1, urgent))
+}
+
+// minDensity is the minimum of planState.urgentDensity.
+const minDensity = 1e-9
+
 // add adds a worker to the pool and to its rack.
 func (p *pool) add(worker *Worker) {
 	p.workers = append(p.workers, worker)
@@ -89,23 +127,51 @@
 	return &pool{}
 }
 
-// runsOn returns the runs on a worker, in the order of the work that stopping them loses.
-func (s *planState) runsOn(worker *Worker) []*RunningUnit {
-	if s.runs == nil {
-		s.runs = make(map[string][]*RunningUnit, len(s.workers))
+// workerRun is a run on a worker, and the resources that all its members there use.
+type workerRun struct {
+	*RunningUnit
+	uses Resources
+}
+
+// runsOn returns the runs on a worker, in the order of the cost of stopping them; a run with several members there appears once.
+func (s *planState) runsOn(worker *Worker) []workerRun {
+	if !s.hasRuns {
+		s.hasRuns = true
 		for i := range s.Running {
 			run := &s.Running[i]
-			for member, id := range run.Workers {
-				if !slices.Contains(run.Workers[:member], id) {
-					s.runs[id] = append(s.runs[id], run)
+			run.cost = s.stopCost(run)
+			need := ResourcesOf(run.Step)
+			for _, id := range run.Workers {
+				target, known := s.workers[id]
+				if !known {
+					continue
+				}
+				if last := len(target.runs) - 1; last >= 0 && target.runs[last].RunningUnit == run {
+					target.runs[last].uses = target.runs[last].uses.Add(need)
+					continue
 				}
+				target.runs = append(target.runs, workerRun{run, need})
 			}
 		}
-		for _, runs := range s.runs {
-			slices.SortStableFunc(runs, func(a, b *RunningUnit) int { return cmp.Compare(a.LostWork, b.LostWork) })
+		for _, target := range s.workers {
+			slices.SortStableFunc(target.runs, func(a, b workerRun) int { return cmp.Compare(a.cost, b.cost) })
 		}
 	}
-	return s.runs[worker.ID]
+	return worker.runs
+}
+
+// runsByEnd returns the runs on a worker of which the end is known, in the order of their ends.
+func (s *planState) runsByEnd(worker *Worker) []workerRun {
+	if !worker.hasByEnd {
+		worker.hasByEnd = true
+		for _, run := range s.runsOn(worker) {
+			if run.Remaining > 0 {
+				worker.byEnd = append(worker.byEnd, run)
+			}
+		}
+		slices.SortFunc(worker.byEnd, func(a, b workerRun) int { return cmp.Compare(a.Remaining, b.Remaining) })
+	}
+	return worker.byEnd
 }
 
 // resourceView returns the resources of a worker that count as available.
@@ -121,6 +187,12 @@
 	return worker.Free.Add(worker.Freeing).Sub(worker.reserved)
 }
 
+// freeSoon returns the resources that are unused once stopping runs, and those that end sooner than they could be stopped, have ended,
+// minus reservations.
+func freeSoon(worker *Worker) Resources {
+	return freeAfterStops(worker).Add(worker.ending)
+}
+
 // nonNegative returns r with negative amounts replaced by 0.
 func (r Resources) nonNegative() Resources {
 	return Resources{CPU: max(0, r.CPU), Memory: max(0, r.Memory), Accelerators: max(0, r.Accelerators)}
--- a/internal/assign/share.go
+++ b/internal/assign/share.go
@@ -160,7 +160,7 @@
 	needed := map[string]Resources{}
 	for i := range snapshot.Waiting {
 		unit := &snapshot.Waiting[i]
-		if need := unit.need(); capacity[unit.Service].Contains(need) {
+		if need := unit.total(); capacity[unit.Service].Contains(need) {
 			needed[unit.Service] = needed[unit.Service].Add(need)
 		}
 	}
@@ -173,8 +173,8 @@
 	return short
 }
 
-// need returns the resources that all members of the unit take.
-func (u *Unit) need() Resources {
+// total returns the resources that all members of the unit take.
+func (u *Unit) total() Resources {
 	need, members := ResourcesOf(u.Step), u.Members()
 	return Resources{CPU: need.CPU * members, Memory: need.Memory * members, Accelerators: need.Accelerators * members}
 }
@@ -276,7 +276,7 @@
 	}
 	cores := 0.0
 	for _, unit := range group.units {
-		need, cores = need.Add(unit.need()), cores+unit.cores()
+		need, cores = need.Add(unit.total()), cores+unit.cores()
 	}
 	share := 1.0
 	for _, part := range [][2]int{{free.CPU, need.CPU}, {free.Memory, need.Memory}, {free.Accelerators, need.Accelerators}} {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -92,6 +92,13 @@
 	speedClass int
 	// reserved is the sum of the reservations on the worker in this plan.
 	reserved Resources
+	// ending is used by runs that end sooner than they could be stopped; see planState.endsSoon.
+	ending Resources
+	// runs is what planState.runsOn returns.
+	runs []workerRun
+	// byEnd is what planState.runsByEnd returns; hasByEnd is true once it is known.
+	byEnd    []workerRun
+	hasByEnd bool
 	// urgentOnly is true if the worker is kept for urgent units; see mayUseUrgentOnly. keptWhole is true if it is kept for those that need
 	// a whole worker.
 	urgentOnly, keptWhole bool
@@ -115,7 +122,10 @@
 	// LastAttempt is true if another failure of the unit fails its job.
 	LastAttempt bool
 	// WaitingSince is since when the unit could run and hasn't: it became ready, its last run ended, or the worker of that run was lost.
+	// For a preempted unit it is when the unit was first placed.
 	WaitingSince time.Time
+	// Preemptions is how often the unit has been preempted.
+	Preemptions int
 	// Objective is when the job should end. Between Objective and LateUntil it earns part of its credit.
 	Objective, LateUntil time.Time
 	// Expected is the expected duration of a task of the unit's step on a worker of speed 1; 0 means that it is the declared one.
@@ -141,6 +151,8 @@
 	OnProbation, Exclusive bool
 	// Explain is true if the plan should have a reason for what it does with the unit.
 	Explain bool
+	// need is what one of its tasks takes on a worker; newPlanState sets it.
+	need Resources
 	// density is the result of Density, and ahead the number of units that are served before this one; rank sets them.
 	density float64
 	ahead   int
@@ -180,17 +192,28 @@
 	Step     *storev1.Step
 	// Workers has the id of a worker for each member.
 	Workers []string
-	// Remaining is the expected time until the run ends, and RemainingHigh the time within which it ends with a probability of 90%.
-	// They are positive unless nothing is known of the duration.
-	Remaining, RemainingHigh time.Duration
-	// LostWork is the work that stopping the unit loses, in core-seconds.
-	LostWork float64
-	// Density is the result of the function Density for the unit as if it waited.
-	Density float64
+	// RemainingHigh is the time within which the run ends with a probability of 90%; 0 if nothing is known of the duration.
+	RemainingHigh time.Duration
 	// Service is the service whose workers it uses.
 	Service string
 	// OverShare is true if there is a shortage and the unit's account uses more than its share; the plan sets it.
 	OverShare bool
+	// LostWork is the work that stopping the unit loses, in core-seconds; see the function LostWork.
+	LostWork float64
+	// Remaining is the expected time until the run ends by itself; 0 if that isn't known.
+	Remaining time.Duration
+	// Objective and LateUntil are when the run must end so that its job ends by those of Unit, and Credit is the job's; if it is 0 they
+	// aren't known.
+	Objective, LateUntil time.Time
+	Credit               float64
+	// PlacedAt is when the run was planned; zero if that isn't known.
+	PlacedAt time.Time
+	// Preemptions is how often the unit was preempted before this run.
+	Preemptions int
+	// cost is the result of planState.stopCost, victim is true if the plan preempts the run, and search is the number of the latest victimSearch that has chosen it.
+	cost   float64
+	victim bool
+	search int
 }
 
 // Snapshot is the input of a plan.
@@ -200,6 +223,8 @@
 	// service; see Resources.CoreEquivalent. UrgentWhole is the demand of those whose tasks need a whole worker each.
 	UrgentCores map[string]float64
 	UrgentWhole map[string]WholeDemand
+	// StopDuration is the longest time that a worker takes to stop a task.
+	StopDuration time.Duration
 	// NoPreemption is true while it is not known what all workers run. The plan preempts nothing then.
 	NoPreemption bool
 	// Shares is what accounts use.
@@ -225,6 +250,9 @@
 type Preemption struct {
 	Task replica.Task
 	For  replica.Task
+	// Gain is what For gains, and Cost that of stopping all runs that are preempted for it, both in core-seconds. Gain is 0 for a claim, which
+	// doesn't depend on it.
+	Gain, Cost float64
 }
 
 // Plan is a set of decisions.
--- a/internal/dispatch/datacentre.go
+++ b/internal/dispatch/datacentre.go
@@ -7,7 +7,6 @@
 	"time"
 
 	apiv1 "github.com/dotterelgauge/dotterelgauge/api/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/evacuation"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 )
@@ -101,9 +100,10 @@
 				missable[st] = st.stoppableCount()
 			}
 			missable[st]--
+			remaining, _ := s.remainingTime(r)
 			runs = append(runs, evacuation.Run{
 				Task: r.unit.task, Service: s.serviceOf(st.job.spec), Need: r.unit.resources(), Members: len(r.members),
-				Remaining: s.expectedRemaining(r), Checkpointing: st.spec.GetCheckpointing(), LongRunning: st.spec.GetLongRunning(),
+				Remaining: remaining, Checkpointing: st.spec.GetCheckpointing(), LongRunning: st.spec.GetLongRunning(),
 				Stoppable: missable[st] >= 0,
 			})
 		}
@@ -123,11 +123,6 @@
 	return workers
 }
 
-// expectedRemaining returns the expected time until a run ends by itself.
-func (s *session) expectedRemaining(r *run) time.Duration {
-	return time.Duration((1 - r.maxPercent/fullPercent) * float64(assign.Estimate(r.unit.step.spec)))
-}
-
 // DataCentres returns the owner's view of each data centre, sorted by name. It returns none on an instance that isn't the owner.
 func (d *Dispatcher) DataCentres(ctx context.Context) []*apiv1.DataCentreStatus {
 	var dataCentres []*apiv1.DataCentreStatus
@@ -154,9 +149,8 @@
 	last := map[string]time.Duration{}
 	for _, ws := range s.workers {
 		for _, m := range ws.members {
-			if !m.run.unit.step.spec.GetLongRunning() {
-				last[ws.entry.DataCentre] = max(last[ws.entry.DataCentre], s.expectedRemaining(m.run))
-			}
+			remaining, _ := s.remainingTime(m.run)
+			last[ws.entry.DataCentre] = max(last[ws.entry.DataCentre], remaining)
 		}
 	}
 	return last
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -12,7 +12,7 @@
 func (s *session) snapshot() *assign.Snapshot {
 	s.updateExpectations()
 	s.steady, s.held = map[lossCause]map[string]bool{}, map[replica.Task]assign.Reason{}
-	out := &assign.Snapshot{Now: s.now, NoPreemption: !s.knowsRuns()}
+	out := &assign.Snapshot{Now: s.now, StopDuration: s.Options.StopDuration, NoPreemption: !s.knowsRuns()}
 	out.UrgentCores, out.UrgentWhole = s.urgentShapes()
 	for _, ws := range s.workers {
 		free, freeing := ws.free()
@@ -79,6 +79,7 @@
 			if u.awaySince.After(unit.WaitingSince) {
 				unit.WaitingSince = u.awaySince
 			}
+			unit.WaitingSince, unit.Preemptions = u.history.WaitingSince(unit.WaitingSince), u.history.Preemptions
 			waited := s.now.Sub(st.readyAt)
 			if u.lastRunEndedAt.After(st.readyAt) {
 				waited = s.now.Sub(u.lastRunEndedAt)
@@ -154,25 +155,17 @@
 	if r.stopReason != "" || !r.reported() {
 		return
 	}
-	left, high := u.step.occurrence.expect.Remaining(u.step.index, s.progress(r))
+	left, high := s.remainingTime(r)
+	after := waiting.Remaining - waiting.Expected // the steps after it
 	out.Running = append(out.Running, assign.RunningUnit{
 		Task: u.task, Account: waiting.Account, Priority: waiting.Priority, Claimed: waiting.Claimed, Step: u.step.spec,
-		Workers: r.workerIDs(), LostWork: s.lostWork(r), Density: assign.Density(waiting, s.now),
-		Service: waiting.Service, Remaining: left, RemainingHigh: high,
+		Workers: r.workerIDs(), LostWork: s.lostWork(r), Service: waiting.Service,
+		Remaining: left, RemainingHigh: high, Objective: waiting.Objective.Add(-after), LateUntil: waiting.LateUntil.Add(-after),
+		Credit:   waiting.Credit,
+		PlacedAt: r.openedAt, Preemptions: u.history.Preemptions,
 	})
 }
 
-// lostWork returns the work that stopping a run loses, in core-seconds: everything since its start, but at most the time to
-// stop and restore if its step is long-running or takes checkpoints.
-func (s *session) lostWork(r *run) float64 {
-	spec := r.unit.step.spec
-	ran := s.ranFor(r)
-	if spec.GetCheckpointing() || spec.GetLongRunning() {
-		ran = min(ran, s.Options.StopDuration+s.Options.RestoreDuration)
-	}
-	return ran.Seconds() * float64(len(r.members)) * assign.ResourcesFromProto(spec.GetNeed()).CoreEquivalent()
-}
-
 // maxRestoredEstimates limits the age of a run that an earlier owner started, as a multiple of its expected duration: the age is the
 // difference of two instances' clocks.
 const maxRestoredEstimates = 3
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"expvar"
 	"sync"
 	"time"
 
@@ -72,6 +73,8 @@
 	End Latency
 	// Shares are those of the accounts; they have a page of their own.
 	Shares Shares
+	// LostToPreemption is the work that preemptions have lost, in core-seconds. It has a metric of its own.
+	LostToPreemption expvar.Float
 }
 
 // String returns the summaries as a JSON object with the stages' names as keys.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -317,6 +317,7 @@
 	expvar.Publish("refusals", n.gateway.RefusalCounts())
 	expvar.Publish("latency", &n.stages)
 	n.publishPeerMetrics()
+	expvar.Publish("preemption_lost_core_s", &n.stages.LostToPreemption)
 	expvar.Publish("owner_epoch", expvar.Func(func() any { return n.candidate.Epoch() }))
 	expvar.Publish("configuration_age_ms", expvar.Func(func() any { return n.configAge().Milliseconds() }))
 	expvar.Publish("durations", expvar.Func(func() any {
