assign: hold resources for an urgent unit that a claim has stopped

They rank first, but a unit that needs a whole worker doesn't fit, and units of lower rank start on each part that becomes free.

Such a unit now holds the resources that runs are expected to free within 3 s. Weighed: counting its whole credit as the gain, so that it may preempt more; its job doesn't earn that any more.

TestResourcesAreHeldForPreemptedUrgentUnit checks both cases.

--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -34,6 +34,11 @@
 	return s.plan
 }
 
+// startsAgainFirst reports whether a unit is urgent, was preempted, and its job still earns credit.
+func startsAgainFirst(unit *Unit, now time.Time) bool {
+	return unit.Priority == 0 && unit.Preemptions > 0 && now.Before(unit.LateUntil)
+}
+
 // preemptedFirst returns the ranked units with urgent ones that were preempted before all others without a claim, as long as their job
 // earns credit: they lose the time that they ran, and would rank last once they can't meet their objective any more.
 func preemptedFirst(ranked []*Unit, now time.Time) []*Unit {
@@ -41,7 +46,7 @@
 		switch {
 		case unit.Claimed:
 			return 0
-		case unit.Priority == 0 && unit.Preemptions > 0 && now.Before(unit.LateUntil):
+		case startsAgainFirst(unit, now):
 			return 1
 		}
 		return 2
--- a/internal/assign/preempt.go
+++ b/internal/assign/preempt.go
@@ -14,6 +14,9 @@
 	maxPreemptions = 2
 	// maxHold limits the wait for runs that end soon for which a plan holds resources: other units can't use what is free of them.
 	maxHold = 1500 * time.Millisecond
+	// maxPreemptedHold is the same limit for an urgent unit that was preempted. Urgent units take 2 to 2.5 s: a longer hold would leave
+	// more unused than the unit then uses.
+	maxPreemptedHold = 3 * time.Second
 )
 
 // waitOrPreempt serves a unit that fits nowhere now, or only on workers that are too slow for its objective or away from the racks
@@ -82,12 +85,16 @@
 	return run.Remaining > 0 && run.Remaining <= s.StopDuration+startDuration
 }
 
-// holdSoon reserves for an unclaimed urgent unit resources that runs free soon by themselves; found is its best placement now, or nil.
+// holdSoon reserves for an unclaimed urgent unit resources that runs free soon by themselves; found is its best placement now, or nil. A
+// unit that was preempted waits longer for them, as units of lower rank would start on each part that becomes free.
 func (s *planState) holdSoon(unit *Unit, found *placement) bool {
 	if unit.Claimed || s.StopDuration+startDuration > maxHold {
 		return false
 	}
 	soon := s.place(unit, freeSoon)
+	if soon == nil && startsAgainFirst(unit, s.Now) {
+		soon = s.place(unit, s.freeWithin(maxPreemptedHold))
+	}
 	if soon == nil || soon.away || !s.isWorthTheStop(unit, found, soon.speed) {
 		return false
 	}
@@ -95,6 +102,22 @@
 	return true
 }
 
+// freeWithin returns a view of the resources that are unused once all runs have ended that are expected to within a time.
+func (s *planState) freeWithin(limit time.Duration) resourceView {
+	return func(worker *Worker) Resources {
+		free := freeAfterStops(worker)
+		for _, run := range s.runsByEnd(worker) {
+			if run.Remaining > limit {
+				break
+			}
+			if !run.victim {
+				free = free.Add(run.uses)
+			}
+		}
+		return free
+	}
+}
+
 // preemptFor preempts runs for an urgent unit, or holds resources for it if runs that end soon are enough, and returns whether it did;
 // found is the unit's best placement now, or nil.
 func (s *planState) preemptFor(unit *Unit, found *placement) bool {
--- a/internal/assign/preempt_test.go
+++ b/internal/assign/preempt_test.go
@@ -324,6 +324,18 @@
 	}
 }
 
+// Guards against a preempted urgent unit for which no worker ever becomes whole, because others start on each part that becomes free.
+func TestResourcesAreHeldForPreemptedUrgentUnit(t *testing.T) {
+	for preemptions, want := range map[int]int{0: 1, 1: 0} {
+		build := newScene().workers(1, 1).running("old", 2, step(1, 4), 1000, "w00").waiting("small", 2, step(1, 2))
+		build.waiting("stopped", 0, step(1, 8), func(unit *assign.Unit) { unit.Preemptions, unit.Credit = preemptions, 3 })
+		build.snapshot.StopDuration, build.snapshot.Running[0].Remaining = stopDuration, 2*time.Second
+		if plan := assign.MakePlan(&build.snapshot); len(plan.Starts) != want || len(plan.Preemptions) != 0 {
+			t.Errorf("after %d preemptions the plan is %+v, want %d starts", preemptions, plan, want)
+		}
+	}
+}
+
 // Guards against runs that are stopped right after the plan that placed them beside the same waiting unit, and against units that are
 // preempted again and again. A claim may stop both.
 func TestProtectedRunsAreOnlyStoppedForClaims(t *testing.T) {
