Unknown workers count as slow, gangs with slack run on slow workers, first samples of speeds count fully

Causes: unknown workers ranked before known slow ones; the margin of a gang counted its slowest task, which the objective counts as well; a sample of a task's first eighth counted an eighth, though the rate of a task shows from its start; the prior of speeds was narrower than the fleet; gangs with a claim started across racks at once.

--- a/internal/assign/credit.go
+++ b/internal/assign/credit.go
@@ -91,11 +91,34 @@
 // good worker, and the learned speeds of the very fastest are overestimated.
 const objectiveQuantile = 0.8
 
+// slowQuantile is the quantile of the known speeds that a worker of unknown speed counts as.
+const slowQuantile = 0.25
+
+// CountUnknownAsSlow gives the workers of unknown speed the speed of the slow workers of their service. So urgent units avoid them, as
+// a third of a fleet may be too slow for these, and units with slack start there first, which shows their speeds soon.
+func CountUnknownAsSlow(workers []Worker) {
+	byService := map[string][]float64{}
+	for _, worker := range workers {
+		if !worker.Gone && !worker.SpeedUnknown {
+			byService[worker.Service] = append(byService[worker.Service], worker.Speed)
+		}
+	}
+	for _, speeds := range byService {
+		slices.Sort(speeds)
+	}
+	for i := range workers {
+		if worker := &workers[i]; worker.SpeedUnknown && len(byService[worker.Service]) > 0 {
+			speeds := byService[worker.Service]
+			worker.Speed = min(1, speeds[int(slowQuantile*float64(len(speeds)-1))])
+		}
+	}
+}
+
 // ObjectiveSpeeds returns the worker speed on which the objectives of jobs with learned durations count, by service: that of its fast workers.
 func ObjectiveSpeeds(workers []Worker) map[string]float64 {
 	byService := map[string][]float64{}
 	for _, worker := range workers {
-		if !worker.Gone {
+		if !worker.Gone && !worker.SpeedUnknown {
 			byService[worker.Service] = append(byService[worker.Service], worker.Speed)
 		}
 	}
--- a/internal/assign/preempt.go
+++ b/internal/assign/preempt.go
@@ -12,6 +12,9 @@
 	settleDuration = time.Second
 	// maxPreemptions is how often a unit is preempted, except for claims.
 	maxPreemptions = 2
+	// maxClaimRackWait is how long after its job was due a unit with a claim waits for a rack: it has to begin within 2.9 s, and away from a
+	// rack it takes three times as long.
+	maxClaimRackWait = 1200 * time.Millisecond
 	// maxHold limits the wait for runs that end soon for which a plan holds resources: other units can't use what is free of them.
 	maxHold = 1500 * time.Millisecond
 	// maxPreemptedHold is the same limit for an urgent unit that was preempted. Urgent units take 2 to 2.5 s: a longer hold would leave
@@ -64,7 +67,7 @@
 // awaitsRack reports whether an urgent unit that fits on other workers should still wait for one of the racks: it is expected to end
 // sooner so, or it isn't known when a rack has room and the unit hasn't waited for too long.
 func (s *planState) awaitsRack(unit *Unit, racks []rack) bool {
-	if unit.Claimed {
+	if unit.Claimed && s.Now.Sub(unit.Due) >= maxClaimRackWait {
 		return false
 	}
 	wait := s.timeToFit(unit, racks)
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -71,6 +71,8 @@
 	Capacity      Resources
 	// Speed is relative to the expected durations: 2 halves them, and 1 is the value of an unknown speed.
 	Speed float64
+	// SpeedUnknown is true if nothing is known of the worker's speed; see CountUnknownAsSlow.
+	SpeedUnknown bool
 	// Usable is true if the worker takes new tasks. OnTrial is true if it has failed since the last task that it completed;
 	// it then gets one unit at a time.
 	Usable, OnTrial bool
--- a/internal/assign/speedgroup_test.go
+++ b/internal/assign/speedgroup_test.go
@@ -181,3 +181,24 @@
 		}
 	}
 }
+
+// Guards against urgent units that start on workers of which nothing is known while others are known to be fast, and against workers whose
+// speed nobody learns because all units prefer known ones.
+func TestWorkersOfUnknownSpeedCountAsSlow(t *testing.T) {
+	build := newScene().workers(8, 8).speeds(0.7, 1.7)
+	for _, i := range []int{2, 3} {
+		build.snapshot.Workers[i].Speed, build.snapshot.Workers[i].SpeedUnknown = 1, true
+	}
+	assign.CountUnknownAsSlow(build.snapshot.Workers)
+	for _, i := range []int{2, 3} {
+		if speed := build.snapshot.Workers[i].Speed; speed != 0.7 {
+			t.Errorf("a worker of unknown speed counts as %v, want 0.7", speed)
+		}
+	}
+	unknown := newScene().workers(2, 2)
+	unknown.snapshot.Workers[0].SpeedUnknown, unknown.snapshot.Workers[1].SpeedUnknown = true, true
+	assign.CountUnknownAsSlow(unknown.snapshot.Workers)
+	if speed := unknown.snapshot.Workers[0].Speed; speed != 1 {
+		t.Errorf("a worker counts as %v while no speed is known, want 1", speed)
+	}
+}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -19,7 +19,7 @@
 		_, kept := s.kept[ws.id]
 		out.Workers = append(out.Workers, assign.Worker{
 			ID: ws.id, Service: ws.entry.Service, Rack: ws.entry.Rack, Labels: ws.entry.Labels, Free: free, Freeing: freeing,
-			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
+			Capacity: assign.ResourcesFromProto(ws.entry.Capacity), Speed: ws.speed.Value(), SpeedUnknown: ws.speed.Samples() == 0, Usable: s.usable(ws), Unhealthy: s.unhealthy(ws),
 			Quarantined: ws.health.Quarantined(s.now), OnTrial: ws.health.OnTrial(), Gone: ws.unresponsive || !ws.listed,
 			Empty: len(ws.members) == 0 && ws.unknownRuns == (assign.Resources{}), NearLatencyTarget: ws.latencyRatio() > highLatencyShare,
 			Evacuated: s.Evacuations.Requested(ws.entry.DataCentre), Kept: kept,
@@ -28,6 +28,7 @@
 	if current := s.Configs.Current(); current != nil {
 		out.Shares.Weights = current.Weights()
 	}
+	assign.CountUnknownAsSlow(out.Workers)
 	s.objectiveSpeeds = assign.ObjectiveSpeeds(out.Workers)
 	withinGuarantee := s.accountsWithinGuarantee()
 	for _, j := range s.jobs {
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -110,15 +110,13 @@
 	return o.steps[index].series != nil && o.steps[index].series.Learned()
 }
 
-// Margin returns the factor by which the last of a step's tasks to end is expected to exceed the expected duration; 0 if that is the declared
-// estimate. It doesn't contain the error of the expectation: where a job takes longer than expected, its objective is later as well.
+// Margin returns the factor by which a step is assumed to exceed its expected duration; 0 if that is the declared estimate. It contains neither
+// the error of the expectation nor the slowest of the step's tasks: where these make a job take longer, its objective is later as well.
 func (o *Occurrence) Margin(index int) float64 {
 	if !o.Learned(index) {
 		return 0
 	}
-	// The median of the largest of n values is their quantile 0.5^(1/n).
-	quantile := math.Pow(0.5, 1/float64(max(1, o.steps[index].tasks)))
-	return speedMargin * math.Exp(taskSpread*math.Sqrt2*math.Erfinv(2*quantile-1))
+	return speedMargin
 }
 
 // Reset forgets the runs in progress; the caller then adds those that there are.
--- a/internal/learned/speed.go
+++ b/internal/learned/speed.go
@@ -10,9 +10,9 @@
 
 // All speeds, rates and factors of estimates are natural logarithms in this file, unless said otherwise.
 const (
-	// speedVariance is the variance of the speeds of workers of which nothing is known: a standard deviation of 0.25, as of speeds from
-	// 0.6 to 1.6.
-	speedVariance = 0.25 * 0.25
+	// speedVariance is the variance of the speeds of workers of which nothing is known: a standard deviation of 0.4, as of speeds from
+	// 0.45 to 2.2.
+	speedVariance = 0.4 * 0.4
 	// restoredVariance is the variance of a speed that an earlier owner recorded.
 	restoredVariance = 0.1 * 0.1
 	// speedDrift is the variance by which a speed becomes more uncertain in a second, so that old samples lose their weight: a standard
@@ -27,6 +27,11 @@
 	// minSpeed and maxSpeed limit speeds.
 	minSpeed = 0.05
 	maxSpeed = 8.0
+	// laterSampleWeight is the weight of a task's samples after the first one, for a whole task. The first one counts as a whole task: the
+	// deviation of a task shows from its start. The later ones show a worker that becomes slow.
+	laterSampleWeight = 0.25
+	// progressError is the standard deviation of a reported progress, which is in whole percent.
+	progressError = 0.004
 	// timingError is the standard deviation of the observed time that a part of a task took, in seconds.
 	timingError = 0.03
 	// defaultSpread is the variance of the durations of a step's tasks at the same speed, and spreadWeight the weight of a task in the
@@ -139,7 +144,11 @@
 	f.init()
 	speed.age(sample.At)
 	rate := math.Log(sample.Share / sample.Elapsed.Seconds())
-	timing := math.Pow(timingError/sample.Elapsed.Seconds(), 2)
+	timing := math.Pow(timingError/sample.Elapsed.Seconds(), 2) + math.Pow(progressError/sample.Share, 2)
+	weight := 1.0
+	if task.own.precision > 0 {
+		weight = laterSampleWeight * sample.Share
+	}
 	spread := f.spread * float64(max(1, sample.Workers))
 	speedBefore := speed.log
 	others := information{step.all.precision - task.own.precision, step.all.sum - task.own.sum}
@@ -156,12 +165,12 @@
 		} else if task.own.precision == 0 && uncertainty < f.spread/2 && speed.variance < f.spread/2 && sample.Workers <= 1 {
 			f.learnSpread(innovation*innovation - uncertainty - speed.variance - timing)
 		}
-		gain := speed.variance / (speed.variance + (spread+uncertainty)/sample.Share + timing)
+		gain := speed.variance / (speed.variance + (spread+uncertainty)/weight + timing)
 		speed.log = min(max(speed.log+gain*innovation, math.Log(minSpeed)), math.Log(maxSpeed))
 		speed.variance *= 1 - gain
 		speed.samples++
 	}
-	precision := sample.Share / (spread + timing + speed.variance)
+	precision := weight / (spread + timing + speed.variance)
 	if sample.Estimate > 0 {
 		f.learnEstimates(rate-speedBefore+math.Log(sample.Estimate.Seconds()), sample.Share/(1+step.all.precision*f.spread))
 	}
