Gangs that collect workers hold up lower priorities only

Run: go test ./internal/assign; the six tests of shortage_test.go over instances; TestContendedWithLearnedDurations.

--- a/internal/assign/backfill.go
+++ b/internal/assign/backfill.go
@@ -45,8 +45,8 @@
 }
 
 // collect reserves workers for a gang that fits nowhere in a shortage: those on which the runs will first have made room. Until then,
-// other units of the same or a lower priority start there only if they are expected to end before. Without that, smaller units would
-// take all that becomes free.
+// units of lower priorities start there only if they are expected to end before. Without that, smaller units would take all that becomes
+// free. Those of the same priority aren't held up: with that, fewer gangs ended in time.
 func (s *planState) collect(unit *Unit) {
 	if unit.Members() < 2 || unit.Exclusive || !s.Shares.Short[unit.Service] || s.collects(unit) {
 		return
@@ -187,11 +187,11 @@
 	return slots
 }
 
-// mayBackfill reports whether a unit may start on a worker that a gang collects: the gang itself, units of higher priorities and those
-// with a claim may, and others if they are expected to end before the gang can start.
+// mayBackfill reports whether a unit may start on a worker that a gang collects: units of lower priorities without a claim only if they are
+// expected to end before the gang can start.
 func (s *planState) mayBackfill(unit *Unit, worker *Worker) bool {
 	gathered := worker.collected
-	if gathered == nil || gathered.unit == unit || unit.Claimed || unit.Priority < gathered.unit.Priority {
+	if gathered == nil || gathered.unit == unit || unit.Claimed || unit.Priority <= gathered.unit.Priority {
 		return true
 	}
 	expected := backfillMargin * float64(unit.expected()) / max(worker.Speed, minBackfillSpeed)
