Gangs collect no workers while the ends of runs are unknown

Run: go test ./internal/assign, TestContendedWithLearnedDurations, the six tests of shortage_test.go over instances twice.

--- a/internal/assign/backfill.go
+++ b/internal/assign/backfill.go
@@ -48,7 +48,7 @@
 // units of lower priorities start there only if they are expected to end before. Without that, smaller units would take all that becomes
 // free. Those of the same priority aren't held up: with that, fewer gangs ended in time.
 func (s *planState) collect(unit *Unit) {
-	if unit.Members() < 2 || unit.Exclusive || !s.Shares.Short[unit.Service] || s.collects(unit) {
+	if unit.Members() < 2 || unit.Exclusive || !s.knowsEnds() || !s.Shares.Short[unit.Service] || s.collects(unit) {
 		return
 	}
 	pool := s.poolOf(unit)
@@ -85,6 +85,11 @@
 	s.plan.Reservations[unit.Task] = workers
 }
 
+// knowsEnds reports whether the snapshot has the expected ends of runs. Without them, there is nothing to collect workers by.
+func (s *planState) knowsEnds() bool {
+	return slices.ContainsFunc(s.Running, func(run RunningUnit) bool { return run.Remaining > 0 })
+}
+
 // collects reports whether the plan has a reservation for the unit already.
 func (s *planState) collects(unit *Unit) bool {
 	_, known := s.plan.Reservations[unit.Task]
