--- a/internal/learned/speed.go
+++ b/internal/learned/speed.go
@@ -144,7 +144,8 @@
 	f.init()
 	speed.age(sample.At)
 	rate := math.Log(sample.Share / sample.Elapsed.Seconds())
-	timing := math.Pow(timingError/sample.Elapsed.Seconds(), 2) + math.Pow(progressError/sample.Share, 2)
+	late, rounded := timingError/sample.Elapsed.Seconds(), progressError/sample.Share
+	timing := late*late + rounded*rounded
 	weight := 1.0
 	if task.own.precision > 0 {
 		weight = laterSampleWeight * sample.Share
