--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -8,9 +8,12 @@
 # On x86-64 one thread at a time prevents that. On arm64 it runs without the detector.
 bubbles=github.com/dotterelgauge/dotterelgauge/internal/node
 
+# timeout limits the tests of one package: with the race detector, the replays take seven minutes beside other load.
+timeout=20m
+
 # run_tests runs the tests of all packages, with the given flags of go test.
 run_tests() {
-  go list ./... ./api/... | grep -vx "$bubbles" | xargs go test -race "$@"
+  go list ./... ./api/... | grep -vx "$bubbles" | xargs go test -race -timeout "$timeout" "$@"
   if [ "$(go env GOHOSTARCH)" = arm64 ]; then
     go test "$@" "$bubbles"
   else
