--- a/internal/assign/place.go
+++ b/internal/assign/place.go
@@ -304,7 +304,8 @@
 // margin returns the factor by which the unit is assumed to exceed its expected duration.
 func (u *Unit) margin() float64 { return cmp.Or(u.Margin, estimateMargin) }
 
-// speedToEndBy returns the worker speed with which the job of a unit ends by the given time if it takes margin times as long as expected, infinite if none is enough.
+// speedToEndBy returns the worker speed with which the job of a unit ends by the given time if it takes margin times as long as expected,
+// infinite if none is enough.
 func speedToEndBy(unit *Unit, margin float64, end, now time.Time) float64 {
 	timeLeft := end.Sub(now) - runOverhead
 	if timeLeft <= 0 {
--- a/internal/assign/snapshot.go
+++ b/internal/assign/snapshot.go
@@ -212,7 +212,8 @@
 	PlacedAt time.Time
 	// Preemptions is how often the unit was preempted before this run.
 	Preemptions int
-	// cost is the result of planState.stopCost, victim is true if the plan preempts the run, and search is the number of the latest victimSearch that has chosen it.
+	// cost is the result of planState.stopCost, victim is true if the plan preempts the run, and search is the number of the latest
+	// victimSearch that has chosen it.
 	cost   float64
 	victim bool
 	search int
--- a/internal/dispatch/expect.go
+++ b/internal/dispatch/expect.go
@@ -38,12 +38,14 @@
 	s.model.Update(open)
 }
 
-// objectiveSpeed returns the worker speed on which the objective of an execution of a job counts: 1 while the declared estimates are used.
-func (s *session) objectiveSpeed(spec *storev1.Job, execution *expect.Occurrence) float64 {
-	if speed, known := s.objectiveSpeeds[s.serviceOf(spec)]; known && execution.Learned(0) {
-		return speed
+// timeToObjective returns the time to the objective of an execution of a job. It counts on a worker of speed 1 while the declared estimates
+// are used, and on fast workers otherwise.
+func (s *session) timeToObjective(spec *storev1.Job, execution *expect.Occurrence) time.Duration {
+	speed := 1.0
+	if fast, known := s.objectiveSpeeds[s.serviceOf(spec)]; known && execution.Learned(0) {
+		speed = fast
 	}
-	return 1
+	return assign.TimeToObjective(spec, execution.Expected, speed)
 }
 
 // recordDurations records what was learned of durations for the next owner.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -5,7 +5,6 @@
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
-	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/storelog"
@@ -121,7 +120,7 @@
 		s.stopRun(unit, "job ended")
 	}
 	s.Events.Log(events.JobFinished, "job", j.spec.GetId(), "state", state, "reason", reason,
-		"age_ms", s.now.UnixMilli()-j.spec.GetAcceptedUnixMs(), "objective_ms", assign.TimeToObjective(j.spec, j.expect.Expected(), s.objectiveSpeed(j.spec, j.expect.Latest())).Milliseconds())
+		"age_ms", s.now.UnixMilli()-j.spec.GetAcceptedUnixMs(), "objective_ms", s.timeToObjective(j.spec, j.expect.Latest()).Milliseconds())
 	if state == storev1.JobState_JOB_STATE_COMPLETED {
 		s.Stages.End.Observe(s.now.Sub(time.UnixMilli(j.spec.GetAcceptedUnixMs())))
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -46,7 +46,7 @@
 // addOccurrence adds the units of an occurrence that wait or run.
 func (s *session) addOccurrence(out *assign.Snapshot, j *job, o *occurrence, claimed bool) {
 	criticalPaths := assign.CriticalPaths(j.spec, o.expect.Expected)
-	timeToObjective := assign.TimeToObjective(j.spec, o.expect.Expected, s.objectiveSpeed(j.spec, o.expect))
+	timeToObjective := s.timeToObjective(j.spec, o.expect)
 	common := assign.Unit{
 		Account: j.spec.GetAccount(), Service: s.serviceOf(j.spec), Priority: j.spec.GetPriority(), Claimed: claimed,
 		Due: o.dueAt, Objective: o.dueAt.Add(timeToObjective), LateUntil: o.dueAt.Add(assign.LateFactor * timeToObjective),
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -70,7 +70,8 @@
 type step struct {
 	// series is nil if the duration of the step isn't learned.
 	series *learned.Series
-	// tasks is the number of its tasks, units that of its tasks or gangs, finished the number of those that have finished, and sumLogs the sum of the logarithms of
+	// tasks is the number of its tasks, units that of its tasks or gangs, finished the number of those that have finished, and sumLogs
+	// the sum of the logarithms of
 	// their durations in seconds.
 	tasks, units, finished int
 	sumLogs                float64
