A figure that is a fraction, or can't be used, stops no instance at its next start

Cause: the settings file was decoded into whole numbers, so one fraction made the whole file invalid: an error line at SIGHUP, exit status 1 at a start.

Fix: settings are read value by value. Fractions count; a value that can't be used gives event 110 with key, value, what is used and the remedy, at SIGHUP and at a start alike; the bounds without which nothing started have defaults. The operators' listener is no longer needed to serve callers.

--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dotterelgauge/dotterelgauge/internal/config"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
 	"github.com/dotterelgauge/dotterelgauge/internal/node"
@@ -27,7 +29,7 @@
 
 // Run runs the instance until SIGTERM or SIGINT.
 func (c *serveCommand) Run() error {
-	path, settings, err := loadSettings()
+	path, settings, problems, err := loadSettings()
 	if err != nil {
 		return err
 	}
@@ -38,6 +40,7 @@
 	writer := events.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTimeout)
 	logger := events.New(writer, settings.Name)
+	logProblems(logger, problems)
 	ctx, stop := signals.UntilTerminated(context.Background())
 	defer stop()
 	go checkOnHangup(ctx, path, logger)
@@ -63,31 +66,39 @@
 	}, logger).Run(ctx)
 }
 
-// checkOnHangup checks the settings file at each SIGHUP and logs the result. A running process keeps its settings; a changed
-// file takes effect at the next start.
+// checkOnHangup checks the settings file at each SIGHUP and logs the result, with the same problems as at a start. A running process
+// keeps its settings; a changed file takes effect at the next start.
 func checkOnHangup(ctx context.Context, path string, logger *events.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-signals.Hangups():
-			_, _, err := loadSettings()
-			logger.Log(events.SettingsChecked, "path", path, "error", err)
+			_, _, problems, err := loadSettings()
+			logProblems(logger, problems)
+			logger.Log(events.SettingsChecked, "path", path, "problems", len(problems), "error", err)
 		}
 	}
 }
 
-// loadSettings reads and checks the settings file that the environment names. It returns the file's path and the settings.
-func loadSettings() (string, node.Settings, error) {
+func logProblems(logger *events.Logger, problems []*platform.SettingError) {
+	for _, problem := range problems {
+		logger.Log(events.SettingNotUsable, "key", problem.Key, "value", problem.Value, "used", problem.Used, "error", problem)
+	}
+}
+
+// loadSettings reads and checks the settings file that the environment names. It returns the file's path, the settings and the values
+// that can't be used. The error is what keeps an instance from running.
+func loadSettings() (string, node.Settings, []*platform.SettingError, error) {
 	path, err := platform.SettingsPath()
 	if err != nil {
-		return "", node.Settings{}, err
+		return "", node.Settings{}, nil, err
 	}
-	settings, err := platform.LoadSettings(path)
+	settings, problems, err := platform.LoadSettings(path)
 	if err != nil {
-		return path, settings, err
+		return path, settings, problems, err
 	}
-	return path, settings, settings.Check()
+	return path, settings, problems, settings.Check()
 }
 
 // checkCommand checks the settings file without running an instance.
@@ -95,7 +106,10 @@
 
 // Run returns every problem of the settings as one error.
 func (c *checkCommand) Run() error {
-	path, _, err := loadSettings()
+	path, _, problems, err := loadSettings()
+	for _, problem := range problems {
+		err = errors.Join(err, problem)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -22,8 +22,10 @@
 		"read the address in the line; a call there took longer than the grace period allows"}
 	LinesDropped = Event{109, log.WarnLevel, "log lines dropped",
 		"check the reader of the log, or the preceding lines for a repeated event"}
-	SettingsChecked = Event{108, log.InfoLevel, "settings file checked", "correct the file if the line names an error"}
-	InstanceFailed  = Event{107, log.ErrorLevel, "instance failed",
+	SettingsChecked  = Event{108, log.InfoLevel, "settings file checked", "correct the file if the line names an error"}
+	SettingNotUsable = Event{110, log.WarnLevel, "setting is not usable",
+		"correct the setting named in the line; the instance works with the value in the line"}
+	InstanceFailed = Event{107, log.ErrorLevel, "instance failed",
 		"read the reason in the line; the platform replaces the instance"}
 )
 
@@ -115,7 +117,7 @@
 func Catalogue() []Event {
 	return []Event{
 		InstanceStarted, InstanceReady, InstanceNotReady, DrainStarted, DrainEnded, DrainCutShort,
-		InstanceFailed, SettingsChecked, LinesDropped,
+		InstanceFailed, SettingsChecked, LinesDropped, SettingNotUsable,
 		StoreUnreachable, StoreReachable, RecordNotDecoded,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, TakeoverRefused, OwnerPaused, OwnerFailed, OwnerIsolated, JobsRestored,
 		ConfigurationApplied, ConfigurationRejected, JobPlaced, JobFinished, JobPreempted, WorkerQuarantined,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,10 +208,12 @@
 	return jobsReadInterval
 }
 
-// Run serves until ctx ends, and then drains the instance within the grace period. It returns an error if a listener or
-// server fails.
+// Run serves until ctx ends, and then drains the instance within the grace period. It returns an error if a listener for callers or
+// readiness checks, or a server, fails.
 func (n *Node) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(n.settings.MemoryBytes)))
+	if n.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(n.settings.MemoryBytes)))
+	}
 	debug.SetGCPercent(gcPercent)
 	n.events.Log(events.InstanceStarted, "data_centre", n.settings.DataCentre, "callers", n.settings.CallersAddress,
 		"store", n.settings.StoreAddress)
@@ -223,16 +225,15 @@
 	if n.settings.OperationsAddress != "" {
 		servers = append(servers, newServer(n.settings.OperationsAddress, httpapi.Handler(n.gateway, n)))
 	}
+	listeners, err := n.listen(servers)
+	if err != nil {
+		return err
+	}
 	// Callers are still answered after ctx has ended, until the instance is drained.
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
-	for _, server := range servers {
-		listener, err := net.Listen("tcp", server.Addr)
-		if err != nil {
-			n.events.Log(events.ListenerFailed, "address", server.Addr, "error", err)
-			return errors.Wrap(err, "listen")
-		}
+	for server, listener := range listeners {
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return errors.Wrap(err, "serve")
@@ -253,6 +254,26 @@
 	return group.Wait()
 }
 
+// listen opens the listeners of the servers. The one for operators may be missing: callers are served without it.
+func (n *Node) listen(servers []*http.Server) (map[*http.Server]net.Listener, error) {
+	listeners := map[*http.Server]net.Listener{}
+	for _, server := range servers {
+		listener, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			n.events.Log(events.ListenerFailed, "address", server.Addr, "error", err)
+			if server.Addr == n.settings.OperationsAddress {
+				continue
+			}
+			for _, opened := range listeners {
+				_ = opened.Close() // nothing was accepted
+			}
+			return nil, errors.Wrap(err, "listen")
+		}
+		listeners[server] = listener
+	}
+	return listeners, nil
+}
+
 // RunBackground reads the store and appends the gateway's records until serving ends, and takes part in the election of
 // the owner until owning ends.
 func (n *Node) RunBackground(owning, serving context.Context) {
