A worker that starts again gets no tasks until its entry of that life is read

Cause: a report with another start time made the worker usable again at once, with the registry entry of its former incarnation, which is up to 400 ms old. Entries say of which incarnation they are, but that was not decoded.

Fix: entries carry the start of their incarnation, and a worker gets tasks only while its entry is that of the incarnation that has answered. A sign of another one, by an entry or by the answer to an order, has the worker polled at once. Starts are sent only to the incarnation for which they were planned. To read the registry at once on a restart was ruled out: it makes the window smaller and doesn't close it.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -28,10 +28,11 @@
 	ticketExpiryMargin = 400 * time.Millisecond
 )
 
-// ticket allows one step to run on one worker.
+// ticket allows one step to run on the incarnation of a worker that started at workerStartMs.
 type ticket struct {
-	value     string
-	expiresAt time.Time
+	value         string
+	workerStartMs int64
+	expiresAt     time.Time
 }
 
 // advisorTiming returns the timing of the advisor of the step's queue; nil if the step needs no advice.
@@ -47,14 +48,15 @@
 	return queue.Advisor
 }
 
-// allowedWorkers returns the workers for which a step has a ticket that doesn't expire soon; nil if it needs none.
+// allowedWorkers returns the workers for which a step has a ticket that is valid and doesn't expire soon; nil if it needs none.
 func (s *session) allowedWorkers(st *step) map[string]bool {
 	if s.advisorTiming(st) == nil {
 		return nil
 	}
 	allowed := map[string]bool{}
 	for id, ticket := range st.tickets {
-		if ticket.expiresAt.Sub(s.now) > ticketExpiryMargin {
+		ws, known := s.workers[id]
+		if known && ws.startedAtMs == ticket.workerStartMs && ticket.expiresAt.Sub(s.now) > ticketExpiryMargin {
 			allowed[id] = true
 		}
 	}
@@ -224,7 +226,7 @@
 	}
 	for id, life := range lives {
 		if value, allowed := advice.Tickets[id]; allowed {
-			st.tickets[id] = ticket{value: value, expiresAt: s.now.Add(advice.ValidFor)}
+			st.tickets[id] = ticket{value: value, workerStartMs: life, expiresAt: s.now.Add(advice.ValidFor)}
 		} else {
 			st.denied[id] = life
 		}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -140,6 +140,8 @@
 		return "draining"
 	case ws.unresponsive || !ws.confirmed:
 		return "silent"
+	case !ws.knowsIncarnation():
+		return "restarted"
 	case ws.reserved:
 		return "reserved"
 	case ws.health.Quarantined(s.now):
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -7,7 +7,6 @@
 
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/events"
-	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
@@ -40,7 +39,7 @@
 	if ws.hasProbation() {
 		poll.Wait = min(poll.Wait, promptCrashTime)
 	}
-	if ws.probe {
+	if ws.probe || !ws.doubtedAt.IsZero() {
 		poll.Wait, ws.probe = 0, false
 	}
 	if missing := ws.earliestMissing(); !missing.IsZero() {
@@ -89,20 +88,7 @@
 		s.handleLostPoll(ws)
 		return
 	}
-	if report.StartedAtMs != 0 && ws.startedAtMs != report.StartedAtMs {
-		if ws.startedAtMs != 0 {
-			ws.lastProcessed, ws.lastStored, ws.lastAcked, ws.restarted = 0, 0, 0, true
-			ws.speed = learned.Speed{}            // it may be another machine
-			s.expectLease(ws, s.Options.MaxLease) // by an order with the clock of its former life
-			if !ws.unresponsive {
-				s.recordLoss(ws)
-			}
-			s.countCrash(ws, signReport, s.lostMembers(ws, func(m *member) bool { return mayHaveStarted(m) && !isReported(m, report) }))
-		} else {
-			s.countMissedCrash(ws, report)
-		}
-		ws.startedAtMs = report.StartedAtMs
-	}
+	restarted := s.noteIncarnation(ws, sentAt, report)
 	s.resolveSilentLoss(ws, report.StartedAtMs)
 	s.withdrawLoss(ws)
 	if !ws.confirmed {
@@ -115,7 +101,7 @@
 	if report.ClockMs > 0 {
 		ws.clockMs, ws.clockReadAt = report.ClockMs, s.now
 	}
-	if poll.Acknowledged > ws.lastAcked {
+	if poll.Acknowledged > ws.lastAcked && !restarted {
 		ws.lastAcked = poll.Acknowledged
 		s.Events.Log(events.ReportsAcknowledged, "worker", ws.id, "worker_start_ms", ws.startedAtMs, "epoch", s.term.Epoch,
 			"number", ws.lastAcked)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -22,7 +22,7 @@
 	r.s.post(func() {
 		for id, ws := range r.s.workers {
 			if ws.listed && !keys[id] {
-				ws.listed, ws.newAddress, r.s.dirty = false, nil, true
+				ws.listed, ws.newAddress, ws.nextEntry, r.s.dirty = false, nil, nil, true
 			}
 		}
 	})
@@ -41,7 +41,7 @@
 	entry, ok := s.DecodeWorker(record)
 	if !ok {
 		if known, listed := s.workers[record.Key]; listed && len(record.Value) == 0 {
-			known.listed, known.newAddress = false, nil
+			known.listed, known.newAddress, known.nextEntry = false, nil, nil
 			s.dirty = true
 		}
 		return
@@ -51,6 +51,10 @@
 		s.recordNewAddress(ws, entry)
 		return
 	}
+	if ws.confirmed && isOfAnother(entry, ws.startedAtMs) {
+		s.expectIncarnation(ws, entry)
+		return
+	}
 	if !s.mayServe(ws, entry.Service) {
 		return
 	}
@@ -59,12 +63,17 @@
 
 // applyEntry makes an entry of the registry that of a worker.
 func (s *session) applyEntry(ws *workerState, entry worker.RegistryEntry) {
-	if !ws.listed || ws.entry.Draining != entry.Draining || !s.knowsCapacity(ws) {
+	s.setEntry(ws, entry)
+	s.checkWorker(ws)
+}
+
+func (s *session) setEntry(ws *workerState, entry worker.RegistryEntry) {
+	if !ws.listed || ws.entry.Draining != entry.Draining || !s.knowsCapacity(ws) || ws.staleEntry {
 		s.dirty = true
 	}
-	if entry.Draining && (!ws.entry.Draining || !ws.listed) {
+	if entry.Draining && (!ws.entry.Draining || !ws.listed || isOfAnother(entry, ws.entry.StartedAtMs)) {
 		ws.leavesAt = s.now.Add(entry.Remaining)
 	}
 	ws.entry, ws.heardAt, ws.newAddress, ws.listed, ws.replaced = entry, s.now, nil, true, false
-	s.checkWorker(ws)
+	ws.staleEntry, ws.nextEntry = isOfAnother(entry, ws.startedAtMs), nil
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -61,12 +61,14 @@
 
 // member is one task of a run on its worker.
 type member struct {
-	run       *run
-	name      string
-	index     int
-	worker    *workerState
-	resources assign.Resources
-	phase     phase
+	run    *run
+	name   string
+	index  int
+	worker *workerState
+	// workerStartMs is the start of the worker's incarnation for which the run was planned; 0 if unknown.
+	workerStartMs int64
+	resources     assign.Resources
+	phase         phase
 	// inQuarantine is true if the worker was in quarantine when the run was planned.
 	inQuarantine bool
 	// confirmedAt is when the worker first confirmed that it has the task.
@@ -167,6 +169,9 @@
 			continue
 		}
 		m.worker = s.worker(id)
+		if initial == recording {
+			m.workerStartMs = m.worker.startedAtMs
+		}
 		m.worker.members[memberKey{m.name, number}] = m
 	}
 	u.run = r
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
 	"github.com/dotterelgauge/dotterelgauge/internal/assign"
 	"github.com/dotterelgauge/dotterelgauge/internal/learned"
 	"github.com/dotterelgauge/dotterelgauge/internal/replica"
@@ -49,8 +50,9 @@
 
 // restoreSpeed restores the speed of a worker that an earlier owner learned.
 func (s *session) restoreSpeed(ws *workerState) {
-	if known := s.Replica.Speeds()[ws.id]; known > 0 {
-		ws.speed = learned.RestoredSpeed(known)
+	recorded := s.Replica.Speeds()
+	if known := recorded.GetSpeed()[ws.id]; known > 0 {
+		ws.speed, ws.speedStartMs = learned.RestoredSpeed(known), recorded.GetWorkerStartMs()[ws.id]
 	}
 }
 
@@ -65,10 +67,13 @@
 		all = append(all, &ws.speed)
 	}
 	s.speeds.Recenter(all)
-	speeds, samples := map[string]float64{}, 0
+	speeds, samples := &storev1.Speeds{Speed: map[string]float64{}, WorkerStartMs: map[string]int64{}}, 0
 	for _, ws := range s.workers {
 		if ws.speed.Samples() > 0 {
-			speeds[ws.id] = ws.speed.Value()
+			speeds.Speed[ws.id] = ws.speed.Value()
+			if ws.speedStartMs != 0 {
+				speeds.WorkerStartMs[ws.id] = ws.speedStartMs
+			}
 			samples += ws.speed.Samples()
 		}
 	}
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -26,7 +26,7 @@
 	if m.phase != starting {
 		return false
 	}
-	if reason := s.forbidsStart(m.worker); reason != "" && m.unansweredStarts > 0 {
+	if reason := s.forbidsStart(m); reason != "" && m.unansweredStarts > 0 {
 		// An order without an answer may still take effect.
 		s.stopRun(m.run.unit, reason)
 		return false
@@ -49,9 +49,12 @@
 	return true
 }
 
-// forbidsStart returns why no start order may be sent to a worker, also not another time; empty if it may.
-func (s *session) forbidsStart(ws *workerState) string {
+// forbidsStart returns why no start order for a member may be sent to its worker, also not another time; empty if it may.
+func (s *session) forbidsStart(m *member) string {
+	ws := m.worker
 	switch {
+	case !ws.knowsIncarnation(), m.workerStartMs != 0 && m.workerStartMs != ws.startedAtMs:
+		return "its worker has started again"
 	case !s.mayStartIn(ws.entry.DataCentre):
 		return "its data centre is evacuated"
 	case ws.lease != renewable:
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -78,6 +78,12 @@
 	clockMs     int64
 	clockReadAt time.Time
 	startedAtMs int64
+	// staleEntry is true if the entry is not that of the incarnation that has answered. nextEntry is a later one of another incarnation,
+	// which has not answered yet; nil if there is none.
+	staleEntry bool
+	nextEntry  *worker.RegistryEntry
+	// doubtedAt is since when another incarnation than the one that has answered seems to be there; zero if none does.
+	doubtedAt time.Time
 	// restarted is true once another incarnation has answered under the same id in this term, or may do so: orders that carry the clock
 	// of the former one may still be carried out there.
 	restarted bool
@@ -118,7 +124,9 @@
 	// ordersInFlight is the number of orders without an answer yet, polls excluded.
 	ordersInFlight int
 	health         learned.Health
-	speed          learned.Speed
+	// speed is that of the incarnation that started at speedStartMs; 0 if unknown.
+	speed        learned.Speed
+	speedStartMs int64
 }
 
 // worker returns the state of a worker, which it creates if needed. A worker that isn't listed can't be reached: what it
@@ -145,7 +153,7 @@
 
 // accepting reports whether tasks may start on a worker, regardless of failures there.
 func (s *session) accepting(ws *workerState) bool {
-	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.clockMs > 0 && ws.lease == renewable && !ws.reserved &&
+	return ws.listed && s.knowsCapacity(ws) && ws.confirmed && ws.knowsIncarnation() && ws.clockMs > 0 && ws.lease == renewable && !ws.reserved &&
 		!ws.entry.Draining && !ws.unresponsive && ws.lostPolls == 0 && !ws.ignoresOrders(s.now) && s.mayStartIn(ws.entry.DataCentre)
 }
 
@@ -271,7 +279,7 @@
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
-		(ws.listed && (!ws.confirmed || ws.unresponsive || ws.lostPolls > 0 || ws.clockMs == 0 || s.storeRefuses || s.watchesIdleWorkers()))
+		(ws.listed && (!ws.confirmed || !ws.doubtedAt.IsZero() || ws.unresponsive || ws.lostPolls > 0 || ws.clockMs == 0 || s.storeRefuses || s.watchesIdleWorkers()))
 }
 
 // earliestMissing returns since when a member has been missing from the worker's reports; zero if none is.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -84,7 +84,9 @@
 	CrashesCleared      = Event{429, log.InfoLevel, "crashes under a task cleared", "nothing; the task has lasted"}
 	LeaseFinal          = Event{430, log.WarnLevel, "lease of a silent worker is final", actionWorker}
 	ProbationPassed     = Event{424, log.InfoLevel, "task on probation lasted", actionNone}
-	ShortageChanged     = Event{440, log.InfoLevel, "shortage of workers began or ended",
+	WorkerRestarted     = Event{433, log.InfoLevel, "worker started again",
+		"nothing; it gets tasks once its registry entry is read, check the worker if the line says stale and no later one follows"}
+	ShortageChanged = Event{440, log.InfoLevel, "shortage of workers began or ended",
 		"add workers if the line repeats; the metrics page has the accounts' shares"}
 	DurationsRestored = Event{441, log.InfoLevel, "durations of tasks restored", actionNone}
 	DurationsIgnored  = Event{442, log.WarnLevel, "recorded durations of tasks ignored",
@@ -125,7 +127,7 @@
 		StartRefused, WorkerUnresponsive, TaskFinished, AdviceReceived,
 		UpkeepOrdered, WaveStateChanged, MachinesUnreachable, JobQueued, StepWaiting, PoolState, WorkerCrashed, ProbationPassed,
 		WorkerIgnoresOrders, CrashWithdrawn, EvacuationChanged, ReportsAcknowledged, CrashesCleared, LeaseFinal,
-		DataCentreState, UnknownDataCentre,
+		DataCentreState, UnknownDataCentre, WorkerRestarted,
 		ShortageChanged, DurationsRestored, DurationsIgnored, DurationsLearned,
 		CallRejected, ListenerFailed, CallAnswered,
 		CallForwarded, PeerLeftOut, NoPeerReachesStore, PeersNotServed, PeerKeyReplaced,
--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
 // defaultCrashDuration is the default of Workers.CrashDuration.
@@ -39,6 +41,13 @@
 	w.crash(fake, returned)
 }
 
+// ChangeOnReturn makes a worker return as another kind after its next crash.
+func (w *Workers) ChangeOnReturn(id string, change func(*worker.RegistryEntry)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].change = change
+}
+
 // Replace ends the incarnation of a worker and starts the next one at once, under a new id, which it returns.
 func (w *Workers) Replace(id string) (next string) {
 	w.mu.Lock()
@@ -76,11 +85,17 @@
 func (w *Workers) restart(fake *fakeWorker, returned func(old, id string)) {
 	w.mu.Lock()
 	next := newWorker(fake.entry)
-	next.clockAhead = fake.clockAhead
+	next.limit, next.clockAhead = fake.limit, fake.clockAhead
+	next.entry.StartedAtMs = next.startedAt.Add(next.clockAhead).UnixMilli()
+	if fake.change != nil {
+		fake.change(&next.entry)
+		next.limit = next.entry.Capacity.GetAccelerators()
+	}
 	if returned != nil {
 		next.entry.ID += idSuffix
+	} else if w.Register != nil {
+		time.AfterFunc(w.RegisterDelay, func() { w.Register(next.entry.ID) })
 	}
-	next.limit = fake.limit
 	fake.down, fake.replaced = false, true
 	w.byID[next.entry.ID] = next
 	w.mu.Unlock()
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -38,6 +38,9 @@
 	StopDuration time.Duration
 	// CrashDuration is how long a crashed worker is down.
 	CrashDuration time.Duration
+	// Register, if set, is called when a worker that has returned under its id writes its first registry entry, RegisterDelay later.
+	Register      func(id string)
+	RegisterDelay time.Duration
 	// TaskDuration, if set, returns how long a task runs in place of the estimate of its step.
 	TaskDuration func(task string) time.Duration
 	// MaxLease, if set, is the longest lease; longer ones are shortened to it.
@@ -76,6 +79,8 @@
 	downSince      time.Time
 	// limit is the capacity that starts must not exceed, which follows entry.Capacity with a delay.
 	limit uint32
+	// change is the argument of ChangeOnReturn; nil if the next incarnation is of the same kind.
+	change func(*worker.RegistryEntry)
 	// misdirectedCalls is the number of calls since it returned under another id.
 	misdirectedCalls int
 	startDelay       time.Duration
@@ -142,6 +147,7 @@
 }
 
 func newWorker(entry worker.RegistryEntry) *fakeWorker {
+	entry.StartedAtMs = time.Now().UnixMilli()
 	return &fakeWorker{
 		entry: entry, limit: entry.Capacity.GetAccelerators(), startedAt: time.Now(), running: map[string]*fakeTask{}, endedRuns: map[string]uint32{},
 		changed: make(chan struct{}),
@@ -310,6 +316,7 @@
 	defer w.mu.Unlock()
 	for _, fake := range w.byID {
 		fake.clockAhead = ahead
+		fake.entry.StartedAtMs = fake.startedAt.Add(ahead).UnixMilli()
 	}
 }
 
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -60,6 +60,8 @@
 	// down are the instances that get no answer from the store, and cut the workers that an instance can't reach.
 	down map[string]bool
 	cut  map[string]map[string]bool
+	// entries are the registry entries that register has written.
+	entries []worker.RegistryEntry
 	// jobs are the submitted jobs by id.
 	jobs map[string]*storev1.Job
 	// peers, if set, connects the instances, which then forward calls.
@@ -107,6 +109,7 @@
 			return c.jobs[id]
 		})
 		c.workers.MaxLease = cmp.Or(c.maxLease, lease)
+		c.workers.Register = c.register
 		for _, entry := range c.workers.Entries() {
 			c.registry.Put(entry.ID, []byte(entry.ID))
 		}
@@ -130,6 +133,30 @@
 	})
 }
 
+// register writes the registry entry that a worker has now. A value that is only an id stands for the entry when it is read.
+func (c *cluster) register(id string) {
+	entry, known := c.entry(id)
+	if !known {
+		return
+	}
+	c.mu.Lock()
+	c.entries = append(c.entries, entry)
+	value := fmt.Sprintf("entry %d", len(c.entries)-1)
+	c.mu.Unlock()
+	c.registry.Put(id, []byte(value))
+}
+
+// recordedEntry returns the entry that register has written as the value.
+func (c *cluster) recordedEntry(value string) (worker.RegistryEntry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var index int
+	if _, err := fmt.Sscanf(value, "entry %d", &index); err != nil {
+		return worker.RegistryEntry{}, false
+	}
+	return c.entries[index], true
+}
+
 // operatorReader puts testConfig into force.
 type operatorReader struct {
 	holder       *config.Holder
@@ -197,6 +224,9 @@
 		Jobs: c.store.ForInstance(name), Operator: c.operator.ForInstance(name), Registry: c.registry.ForInstance(name),
 		Workers: reachableWorkers{c, name}, Advisor: c.advisor,
 		DecodeWorker: func(record storelog.Record) (worker.RegistryEntry, bool) {
+			if entry, ok := c.recordedEntry(string(record.Value)); ok {
+				return entry, true
+			}
 			id, address, foreign := strings.Cut(string(record.Value), " at ")
 			id, remaining, draining := strings.Cut(id, " leaves in ")
 			entry, known := c.entry(id)
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -44,7 +44,7 @@
 // longest lease, and the owner, which had read the clock of its former life just before, took it for expired too early.
 func TestQuicklyRestartedIdleWorkerHoldsLongestLease(t *testing.T) {
 	runCluster(t, make([]float64, 1), 2, &cluster{maxLease: longLease}, func(c *cluster) {
-		c.workers.CrashDuration = time.Second
+		c.workers.CrashDuration, c.workers.RegisterDelay = time.Second, heartbeat // the start comes before the entry
 		time.Sleep(20 * time.Second)
 		requireOK(c, c.submit(1, 2, "i0", tasks(2, 8, time.Second)))
 		c.await(1, 2, replica.Completed, 5*time.Second)
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -152,7 +152,7 @@
 	if err := proto.Unmarshal(record.Value, speeds); err != nil {
 		return errors.Wrap(err, "decode speeds")
 	}
-	r.speeds = speeds.GetSpeed()
+	r.speeds = speeds
 	return nil
 }
 
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -37,8 +37,8 @@
 }
 
 // SpeedsRecord returns the record of the workers' learned speeds.
-func SpeedsRecord(speeds map[string]float64) (storelog.Record, error) {
-	return encode(speedsKey, &storev1.Speeds{Speed: speeds})
+func SpeedsRecord(speeds *storev1.Speeds) (storelog.Record, error) {
+	return encode(speedsKey, speeds)
 }
 
 // ForecastRecord returns the record of a forecast; nil deletes it.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -163,7 +163,7 @@
 	owner   Ownership
 	// acceptors has the time of the latest job by the CPU of the instances that accepted it, in millicores.
 	acceptors map[uint32]time.Time
-	speeds    map[string]float64
+	speeds    *storev1.Speeds
 	// forecast is the latest forecast, and forecastReadAt when it was read; nil if there is none.
 	forecast       *storev1.Forecast
 	forecastReadAt time.Time
@@ -265,8 +265,8 @@
 	return strongest
 }
 
-// Speeds returns the workers' speeds that the owners have learned.
-func (r *Replica) Speeds() map[string]float64 {
+// Speeds returns the workers' speeds that the owners have learned; nil if nothing is recorded. The caller must not modify it.
+func (r *Replica) Speeds() *storev1.Speeds {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.speeds
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -61,14 +61,16 @@
 
 // RegistryEntry describes a worker in the platform's registry.
 type RegistryEntry struct {
-	ID         string
-	Service    string
-	Address    string
-	DataCentre string
-	Rack       string
-	Labels     []string
-	Capacity   *storev1.Resources
-	Draining   bool
+	ID string
+	// StartedAtMs is the start time of the incarnation that wrote the entry, as in Reply; 0 if the entry doesn't contain it.
+	StartedAtMs int64
+	Service     string
+	Address     string
+	DataCentre  string
+	Rack        string
+	Labels      []string
+	Capacity    *storev1.Resources
+	Draining    bool
 	// Remaining is the minimum time until a draining worker leaves.
 	Remaining time.Duration
 }
