--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -31,7 +31,7 @@
 func (c *serveCommand) Run() error {
 	path, settings, problems, err := loadSettings()
 	if err != nil {
-		return err
+		return joinProblems(err, problems)
 	}
 	if c.Peers == "off" {
 		settings.PeersAddress = ""
@@ -87,6 +87,14 @@
 	}
 }
 
+// joinProblems returns an error with all problems; nil if there are none.
+func joinProblems(err error, problems []*platform.SettingError) error {
+	for _, problem := range problems {
+		err = errors.Join(err, problem)
+	}
+	return err
+}
+
 // loadSettings reads and checks the settings file that the environment names. It returns the file's path, the settings and the values
 // that can't be used. The error is what keeps an instance from running.
 func loadSettings() (string, node.Settings, []*platform.SettingError, error) {
@@ -107,10 +115,7 @@
 // Run returns every problem of the settings as one error.
 func (c *checkCommand) Run() error {
 	path, _, problems, err := loadSettings()
-	for _, problem := range problems {
-		err = errors.Join(err, problem)
-	}
-	if err != nil {
+	if err := joinProblems(err, problems); err != nil {
 		return err
 	}
 	fmt.Println(path + ": no problems")
