--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -8,9 +8,9 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
-// isOfAnother reports whether an entry is not that of the incarnation which started at startedAtMs; false if either is unknown.
-func isOfAnother(entry worker.RegistryEntry, startedAtMs int64) bool {
-	return entry.StartedAtMs != 0 && startedAtMs != 0 && entry.StartedAtMs != startedAtMs
+// areDifferent reports whether two start times are those of different incarnations; false if either is unknown.
+func areDifferent(startedAtMs, otherMs int64) bool {
+	return startedAtMs != 0 && otherMs != 0 && startedAtMs != otherMs
 }
 
 // knowsIncarnation reports whether a worker's entry is that of the incarnation that has answered, and no other one seems to be there.
@@ -52,7 +52,7 @@
 				"entry_start_ms", ws.entry.StartedAtMs, "stale", ws.staleEntry, "members", len(ws.members))
 		}
 	}
-	if ws.speedStartMs != 0 && ws.speedStartMs != ws.startedAtMs {
+	if areDifferent(ws.speedStartMs, ws.startedAtMs) {
 		ws.speed = learned.Speed{}
 	}
 	ws.speedStartMs = ws.startedAtMs
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -103,7 +103,7 @@
 					answer.err = worker.ErrNoAnswer // from the former address
 				}
 				s.recordOrderReply(next.worker, answer.took, answer.err)
-				if isOfAnother(worker.RegistryEntry{StartedAtMs: answer.value.StartedAtMs}, next.worker.startedAtMs) {
+				if areDifferent(answer.value.StartedAtMs, next.worker.startedAtMs) {
 					s.doubtIncarnation(next.worker)
 				}
 				next.onReply(answer.err, answer.copies)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -51,7 +51,7 @@
 		s.recordNewAddress(ws, entry)
 		return
 	}
-	if ws.confirmed && isOfAnother(entry, ws.startedAtMs) {
+	if ws.confirmed && areDifferent(entry.StartedAtMs, ws.startedAtMs) {
 		s.expectIncarnation(ws, entry)
 		return
 	}
@@ -67,13 +67,14 @@
 	s.checkWorker(ws)
 }
 
+// setEntry makes an entry that of a worker, without a check of what follows for the worker.
 func (s *session) setEntry(ws *workerState, entry worker.RegistryEntry) {
 	if !ws.listed || ws.entry.Draining != entry.Draining || !s.knowsCapacity(ws) || ws.staleEntry {
 		s.dirty = true
 	}
-	if entry.Draining && (!ws.entry.Draining || !ws.listed || isOfAnother(entry, ws.entry.StartedAtMs)) {
+	if entry.Draining && (!ws.entry.Draining || !ws.listed || areDifferent(entry.StartedAtMs, ws.entry.StartedAtMs)) {
 		ws.leavesAt = s.now.Add(entry.Remaining)
 	}
 	ws.entry, ws.heardAt, ws.newAddress, ws.listed, ws.replaced = entry, s.now, nil, true, false
-	ws.staleEntry, ws.nextEntry = isOfAnother(entry, ws.startedAtMs), nil
+	ws.staleEntry, ws.nextEntry = areDifferent(entry.StartedAtMs, ws.startedAtMs), nil
 }
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -53,7 +53,7 @@
 func (s *session) forbidsStart(m *member) string {
 	ws := m.worker
 	switch {
-	case !ws.knowsIncarnation(), m.workerStartMs != 0 && m.workerStartMs != ws.startedAtMs:
+	case !ws.knowsIncarnation(), areDifferent(m.workerStartMs, ws.startedAtMs):
 		return "its worker has started again"
 	case !s.mayStartIn(ws.entry.DataCentre):
 		return "its data centre is evacuated"
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -279,7 +279,8 @@
 		return false
 	}
 	return len(ws.members) > 0 || ws.lastAcked < ws.lastStored || ws.unknownRuns != (assign.Resources{}) ||
-		(ws.listed && (!ws.confirmed || !ws.doubtedAt.IsZero() || ws.unresponsive || ws.lostPolls > 0 || ws.clockMs == 0 || s.storeRefuses || s.watchesIdleWorkers()))
+		(ws.listed && (!ws.confirmed || !ws.doubtedAt.IsZero() || ws.unresponsive || ws.lostPolls > 0 || ws.clockMs == 0 || s.storeRefuses ||
+			s.watchesIdleWorkers()))
 }
 
 // earliestMissing returns since when a member has been missing from the worker's reports; zero if none is.
