--- a/internal/mock/crash.go
+++ b/internal/mock/crash.go
@@ -7,8 +7,8 @@
 	"github.com/dotterelgauge/dotterelgauge/internal/worker"
 )
 
-// defaultCrashDuration is the default of Workers.CrashDuration.
-const defaultCrashDuration = 3 * time.Second
+// CrashDuration is the default of Workers.CrashDuration.
+const CrashDuration = 3 * time.Second
 
 // idSuffix is appended to the id of a worker that returns under a new one.
 const idSuffix = "'"
--- a/internal/mock/workers.go
+++ b/internal/mock/workers.go
@@ -130,7 +130,7 @@
 func NewWorkers(count int, findJob func(id string) *storev1.Job) *Workers {
 	w := &Workers{
 		byID: map[string]*fakeWorker{}, findJob: findJob, startCounts: map[string]int{}, done: map[string]bool{},
-		latestRuns: map[string]uint32{}, StopDuration: defaultStopDuration, CrashDuration: defaultCrashDuration,
+		latestRuns: map[string]uint32{}, StopDuration: defaultStopDuration, CrashDuration: CrashDuration,
 	}
 	for i := range count {
 		w.add(fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/4))
--- a/test/soak/instance.go
+++ b/test/soak/instance.go
@@ -34,11 +34,13 @@
 type instance struct {
 	name                                             string
 	callersAddress, readinessAddress, metricsAddress string
-	settingsPath, logPath                            string
-	program                                          string
-	storeLink                                        *link
-	process                                          *exec.Cmd
-	exited                                           chan error
+	// stopMs is the value of a bound in the settings file; see changeSettings.
+	stopMs                string
+	settingsPath, logPath string
+	program               string
+	storeLink             *link
+	process               *exec.Cmd
+	exited                chan error
 	// ctx ends the process and prevents others. processes counts those of all instances.
 	ctx       context.Context //nolint:containedctx // the run's, for each launch.
 	processes *sync.WaitGroup
@@ -51,7 +53,7 @@
 	i := &instance{
 		name: fmt.Sprintf("i%d", index), program: program,
 		callersAddress: fmt.Sprintf("127.0.0.1:%d", port), readinessAddress: fmt.Sprintf("127.0.0.1:%d", port+1),
-		metricsAddress: fmt.Sprintf("127.0.0.1:%d", port+2),
+		metricsAddress: fmt.Sprintf("127.0.0.1:%d", port+2), stopMs: "400",
 	}
 	i.settingsPath, i.logPath = filepath.Join(directory, i.name+".toml"), filepath.Join(directory, i.name+".log")
 	storeAddress, err := platform.Serve(i.name)
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -40,6 +40,7 @@
 	Partition bool          `help:"Also cut the owner off together with some workers."`
 	Crashes   bool          `help:"Also crash a third of the workers at once, or by turns, again and again."`
 	LongTasks bool          `help:"Also submit tasks that run for longer than a takeover and the leases last."`
+	Changes   bool          `help:"Also change the settings files, and return crashed workers as another kind."`
 	Calm      bool          `help:"Inject no faults, or only those of --crashes."`
 	BasePort  int           `help:"First port; each instance uses three." default:"29000"`
 	MaxLease  time.Duration `help:"Longest lease of a worker." default:"10s"`
@@ -186,6 +187,10 @@
 		crashRandom := rand.New(rand.NewPCG(opts.Seed, 4))
 		crashing.Go(func() { s.injectAll(faultPhase, slices.Clone(crashFaults), 1, crashRandom) })
 	}
+	if opts.Changes {
+		changeRandom := rand.New(rand.NewPCG(opts.Seed, 5))
+		crashing.Go(func() { s.injectAll(faultPhase, slices.Clone(changeFaults), 1, changeRandom) })
+	}
 	if opts.Calm {
 		<-faultPhase.Done()
 	} else {
--- a/test/standin/standin.go
+++ b/test/standin/standin.go
@@ -58,6 +58,7 @@
 func New(workers int) (*Platform, error) {
 	p := &Platform{topics: map[string]*mock.Store{}, addresses: map[string]map[string]string{}, draining: map[string]bool{}}
 	p.Workers = mock.NewWorkers(workers, p.findJob)
+	p.Workers.Register = func(string) { p.writeEntries() }
 	ctx, stop := context.WithCancel(context.Background())
 	p.cleanups = append(p.cleanups, stop)
 	go p.heartbeat(ctx)
@@ -247,7 +248,7 @@
 			"Cpu": entry.Capacity.GetCpuMillicores(), "MemMb": entry.Capacity.GetMemoryMb(), "Gpu": entry.Capacity.GetAccelerators(),
 		}
 		body, err := json.Marshal(map[string]any{
-			"Service": Service, "Address": entry.Address, "Zone": "z", "State": state, "RemainingMs": 2000,
+			"born": entry.StartedAtMs, "Service": Service, "Address": entry.Address, "Zone": "z", "State": state, "RemainingMs": 2000,
 			"Capacity": capacity, "Labels": entry.Labels,
 		})
 		if err == nil {
