soak: a process that SIGHUP ends before its runtime handles signals is launched again

Cause: "settings change" sends SIGHUP right after another fault has launched the process. No program can handle a signal by then, and the platform starts the process again, so the soak does too, as it already allows this for SIGTERM. A new property says that a process runs on after any later SIGHUP.

--- a/test/soak/changes.go
+++ b/test/soak/changes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"syscall"
 	"time"
 
 	storev1 "github.com/dotterelgauge/dotterelgauge/api/store/v1"
@@ -35,7 +34,8 @@
 		}
 		s.properties.check("settings files can be written", err == nil, "%v", err)
 		inst.stopMs = value
-		inst.signal(syscall.SIGHUP)
+		err = inst.hangUp()
+		s.properties.check("a process runs on after SIGHUP", err == nil, "%v", err)
 	}
 }
 
--- a/test/soak/instance.go
+++ b/test/soak/instance.go
@@ -24,6 +24,8 @@
 	// readyTimeout is the maximum time for an instance to become ready; it is checked every readyPollInterval.
 	readyTimeout      = 20 * time.Second
 	readyPollInterval = 50 * time.Millisecond
+	// hangUpTimeout is how long a process is watched after SIGHUP, which must not end it.
+	hangUpTimeout = 200 * time.Millisecond
 	// exitTimeout is the maximum time for an instance to exit after SIGTERM: the grace period in its settings.
 	exitTimeout = 6 * time.Second
 	// queryTimeout is the timeout of one request for readiness or metrics.
@@ -122,8 +124,7 @@
 	i.signal(syscall.SIGTERM)
 	select {
 	case err := <-i.exited:
-		var exit *exec.ExitError
-		if errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signal() == syscall.SIGTERM && !i.hasLogged() {
+		if i.endedAtStart(err, syscall.SIGTERM) {
 			return nil
 		}
 		return err
@@ -133,6 +134,27 @@
 	}
 }
 
+// hangUp sends SIGHUP and returns an error if the process ends. One that the signal ends before it has written its first log line is
+// launched again, as the platform does.
+func (i *instance) hangUp() error {
+	i.signal(syscall.SIGHUP)
+	select {
+	case err := <-i.exited:
+		if i.endedAtStart(err, syscall.SIGHUP) {
+			return i.launch()
+		}
+		return errors.Errorf("%s has ended: %v", i.name, err)
+	case <-time.After(hangUpTimeout):
+		return nil
+	}
+}
+
+// endedAtStart reports whether a process that has exited with the error was ended by a signal before it had written its first log line.
+func (i *instance) endedAtStart(err error, signal syscall.Signal) bool {
+	var exit *exec.ExitError
+	return errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signal() == signal && !i.hasLogged()
+}
+
 // hasLogged reports whether the process has written to its log since its launch.
 func (i *instance) hasLogged() bool {
 	info, err := os.Stat(i.logPath)
