A start waits up to 2 s for a settings file that is just being written

Cause: a start reads the file once, and a file that is read in part lacks addresses or is no valid TOML. One that runs isn't affected.

Fix: while no instance can run with the file, it is read again for 2 s.

The soak hung after this failure, as the exit of the process was read twice; it is kept for the next reader now.

--- a/cmd/dotterelgauge/serve.go
+++ b/cmd/dotterelgauge/serve.go
@@ -18,8 +18,14 @@
 	"github.com/dotterelgauge/dotterelgauge/platform"
 )
 
-// logCloseTimeout is the maximum time to write the last log lines.
-const logCloseTimeout = 300 * time.Millisecond
+const (
+	// logCloseTimeout is the maximum time to write the last log lines.
+	logCloseTimeout = 300 * time.Millisecond
+	// settingsTimeout is how long a start waits for a settings file with which no instance can run: it may just be being written.
+	// settingsInterval is the time between two reads of it.
+	settingsTimeout  = 2 * time.Second
+	settingsInterval = 50 * time.Millisecond
+)
 
 // serveCommand runs an instance with the settings of the platform's settings file.
 type serveCommand struct {
@@ -29,7 +35,7 @@
 
 // Run runs the instance until SIGTERM or SIGINT.
 func (c *serveCommand) Run() error {
-	path, settings, problems, err := loadSettings()
+	path, settings, problems, err := awaitSettings()
 	if err != nil {
 		return joinProblems(err, problems)
 	}
@@ -95,6 +101,18 @@
 	return err
 }
 
+// awaitSettings is loadSettings, but reads the file again for settingsTimeout while no instance can run with it.
+func awaitSettings() (path string, settings node.Settings, problems []*platform.SettingError, err error) {
+	deadline := time.Now().Add(settingsTimeout)
+	for {
+		path, settings, problems, err = loadSettings()
+		if err == nil || path == "" || time.Now().After(deadline) {
+			return path, settings, problems, err
+		}
+		time.Sleep(settingsInterval)
+	}
+}
+
 // loadSettings reads and checks the settings file that the environment names. It returns the file's path, the settings and the values
 // that can't be used. The error is what keeps an instance from running.
 func loadSettings() (string, node.Settings, []*platform.SettingError, error) {
--- a/test/soak/instance.go
+++ b/test/soak/instance.go
@@ -143,6 +143,7 @@
 		if i.endedAtStart(err, syscall.SIGHUP) {
 			return i.launch()
 		}
+		i.exited <- err // for the next fault that ends the process
 		return errors.Errorf("%s has ended: %v", i.name, err)
 	case <-time.After(hangUpTimeout):
 		return nil
